--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! The measuring program.
--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! The report on service-level burn.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' configuration as typed values, and its INI form.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, placement and weights: the decisions made under load.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of the balancers from direct heartbeats, and the passing on of configuration.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The balancer daemon: settings, sockets, threads.
--- /dev/null
+++ b/crates/stand/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the outside: fabric, platform, backend servers and callers.
