--- /dev/null
+++ b/crates/code/examples/table.rs
@@ -0,0 +1,5 @@
+//! Prints `docs/ERRORS.md`.
+
+fn main() {
+    print!("{}", acacia_code::page::render());
+}
--- /dev/null
+++ b/crates/code/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the numbered result codes.
+
+mod table;
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! How an accepted configuration reaches every balancer and never reverts.
