Add the stand-ins for fabric, servers and callers, and the daemon's settings

Callers and backend servers speak real TCP over encapsulated UDP; each decoder is tested with arbitrary, cut and changed bytes; settings list every problem at once.

--- /dev/null
+++ b/crates/e2e/src/lib.rs
@@ -0,0 +1,6 @@
+//! Deployments in small, of separate processes on loopback, for the demo and the tests.
+//!
+//! Only this crate starts processes; none of the product's programs does.
+
+pub mod net;
+pub mod process;
--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,21 @@
+//! The process's clock.
+
+use std::time::Duration;
+
+use nix::time::{ClockId, clock_gettime};
+
+/// Time since the machine started, its suspension included.
+///
+/// A process that was frozen (stopped, or its VM paused and resumed) must notice that its view of
+/// the others is old. A clock that stops with it would hide that, so this is `CLOCK_BOOTTIME`.
+///
+/// ```
+/// let earlier = acacia_node::clock::now();
+/// assert!(acacia_node::clock::now() >= earlier);
+/// ```
+#[must_use]
+pub fn now() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .expect("Linux has had CLOCK_BOOTTIME since version 2.6.39");
+    Duration::from(time)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,8 @@
-//! The balancer daemon: settings, sockets, threads.
+//! The balancer daemon as a library: settings, sockets and threads around the decision crates.
+//!
+//! One thread holds control state and publishes immutable snapshots; traffic threads read the
+//! latest snapshot and never wait for control.
+
+pub mod clock;
+pub mod settings;
+pub mod traffic;
--- /dev/null
+++ b/crates/node/src/traffic/batch.rs
@@ -0,0 +1,158 @@
+//! Batched datagrams: many packets a system call, in both directions.
+
+use std::{
+    io::{IoSlice, IoSliceMut},
+    net::{SocketAddrV4, UdpSocket},
+    ops::Range,
+    os::fd::AsRawFd as _,
+};
+
+use nix::{
+    errno::Errno,
+    sys::socket::{ControlMessage, MsgFlags, MultiHeaders, SockaddrIn, recvmmsg, sendmmsg},
+};
+
+/// Datagrams taken or sent in one system call. More gains little over the cost of the call and
+/// lets the first packet of a batch wait for the last.
+pub const SIZE: usize = 32;
+/// Largest datagram taken, in bytes: a jumbo frame. One that fills its buffer was cut and is
+/// dropped.
+pub const LARGEST: usize = 9216;
+
+/// Buffers for one batch of received datagrams.
+#[derive(Debug)]
+pub struct Received {
+    buffers: Vec<Vec<u8>>,
+    headers: MultiHeaders<SockaddrIn>,
+    lengths: Vec<usize>,
+}
+
+impl Default for Received {
+    fn default() -> Self {
+        Received {
+            buffers: vec![vec![0; LARGEST]; SIZE],
+            headers: MultiHeaders::preallocate(SIZE, None),
+            lengths: Vec::with_capacity(SIZE),
+        }
+    }
+}
+
+impl Received {
+    /// Waits for datagrams, no longer than the socket's read timeout, and takes up to [`SIZE`].
+    /// Nothing within that time is an empty batch.
+    pub fn fill(&mut self, socket: &UdpSocket) -> std::io::Result<()> {
+        self.lengths.clear();
+        let mut slices: Vec<[IoSliceMut<'_>; 1]> = self
+            .buffers
+            .iter_mut()
+            .map(|buffer| [IoSliceMut::new(buffer)])
+            .collect();
+        let taken = recvmmsg(
+            socket.as_raw_fd(),
+            &mut self.headers,
+            slices.iter_mut(),
+            MsgFlags::MSG_WAITFORONE,
+            None,
+        );
+        match taken {
+            Ok(results) => self.lengths.extend(results.map(|result| result.bytes)),
+            Err(Errno::EAGAIN | Errno::EINTR) => {}
+            Err(error) => return Err(error.into()),
+        }
+        Ok(())
+    }
+
+    /// Number of datagrams in the batch.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lengths.len()
+    }
+
+    /// Whether the batch is empty.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lengths.is_empty()
+    }
+
+    /// The datagram at `index`.
+    #[must_use]
+    pub fn get(&self, index: usize) -> &[u8] {
+        &self.buffers[index][..self.lengths[index]]
+    }
+}
+
+/// Where the bytes of a datagram to send are.
+#[derive(Debug, Clone)]
+enum Source {
+    /// A part of a received datagram, sent as it is.
+    Received(usize, Range<usize>),
+    /// A datagram built here.
+    Built(usize),
+}
+
+/// A batch of datagrams to send.
+#[derive(Debug)]
+pub struct ToSend {
+    entries: Vec<(SocketAddrV4, Source)>,
+    built: Vec<Vec<u8>>,
+    headers: MultiHeaders<SockaddrIn>,
+}
+
+impl Default for ToSend {
+    fn default() -> Self {
+        ToSend {
+            entries: Vec::with_capacity(SIZE),
+            built: Vec::new(),
+            headers: MultiHeaders::preallocate(SIZE, None),
+        }
+    }
+}
+
+impl ToSend {
+    /// Adds `range` of the received datagram at `index`, without a copy.
+    pub fn forward(&mut self, to: SocketAddrV4, index: usize, range: Range<usize>) {
+        self.entries.push((to, Source::Received(index, range)));
+    }
+
+    /// Adds a datagram that `write` builds in an empty buffer.
+    pub fn build(&mut self, to: SocketAddrV4, write: impl FnOnce(&mut Vec<u8>)) {
+        let mut bytes = Vec::new();
+        write(&mut bytes);
+        self.entries.push((to, Source::Built(self.built.len())));
+        self.built.push(bytes);
+    }
+
+    /// Sends the batch and empties it. Returns how many datagrams the kernel did not take: they
+    /// are lost as in any network, and the caller's transport sends them again.
+    pub fn flush(&mut self, socket: &UdpSocket, received: &Received) -> usize {
+        let mut lost = 0;
+        for chunk in self.entries.chunks(SIZE) {
+            let slices: Vec<[IoSlice<'_>; 1]> = chunk
+                .iter()
+                .map(|(_, source)| match source {
+                    Source::Received(index, range) => {
+                        [IoSlice::new(&received.get(*index)[range.clone()])]
+                    }
+                    Source::Built(index) => [IoSlice::new(&self.built[*index])],
+                })
+                .collect();
+            let addresses: Vec<Option<SockaddrIn>> = chunk
+                .iter()
+                .map(|(to, _)| Some(SockaddrIn::from(*to)))
+                .collect();
+            let no_control: [ControlMessage<'_>; 0] = [];
+            let sent = sendmmsg(
+                socket.as_raw_fd(),
+                &mut self.headers,
+                &slices,
+                &addresses,
+                no_control,
+                MsgFlags::MSG_DONTWAIT,
+            );
+            lost += chunk.len() - sent.map_or(0, Iterator::count);
+        }
+        self.entries.clear();
+        self.built.clear();
+        lost
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/mod.rs
@@ -0,0 +1,4 @@
+//! Traffic threads: receive a batch, decide on each packet, send a batch.
+
+pub mod batch;
+pub mod worker;
--- /dev/null
+++ b/crates/node/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the daemon's library.
+
+mod settings;
--- /dev/null
+++ b/crates/node/tests/it/settings.rs
@@ -0,0 +1,81 @@
+use acacia_code::Code;
+use acacia_node::settings::Settings;
+use proptest::prelude::*;
+
+const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+
+fn valid() -> String {
+    format!(
+        "[balancer]\nid = 3\ndata_centre = hervanta\n\
+         [traffic]\nlisten = 127.0.0.1:6080\nthreads = 2\ngateway = 127.0.0.1:6084\n\
+         [control]\nlisten = 127.0.0.1:6081\nkey = {KEY}\n\
+         [admin]\nlisten = 127.0.0.1:6082\n[platform]\naddress = 127.0.0.1:6083\n\
+         [peer.4]\ntraffic = 127.0.0.2:6080\ncontrol = 127.0.0.2:6081\n"
+    )
+}
+
+#[test]
+fn valid_settings_are_read_whole() {
+    let settings = Settings::parse(&valid()).unwrap();
+
+    assert_eq!(settings.id, 3);
+    assert_eq!(&*settings.data_centre, "hervanta");
+    assert_eq!(settings.threads, 2);
+    assert_eq!(settings.peers[&4].control.to_string(), "127.0.0.2:6081");
+    assert_eq!(settings.metrics, None);
+}
+
+/// An operator mends one mistake, starts again, meets the next: a roll-out by night takes an hour.
+/// All are listed at once.
+#[test]
+fn every_problem_is_listed_with_section_key_found_and_expected() {
+    let text = valid()
+        .replace("id = 3", "id = three")
+        .replace("threads = 2", "threads = 900")
+        .replace("[admin]\nlisten = 127.0.0.1:6082\n", "")
+        .replace("[traffic]", "[traffic]\nlisten_adress = x");
+
+    let error = Settings::parse(&text).unwrap_err();
+
+    assert_eq!(error.code, Code::SettingsInvalid);
+    let shown = error.to_string();
+    for expected in [
+        "[balancer] id: found three, expected a number",
+        "[traffic] threads: found 900, expected a number from 1 to 64",
+        "[admin] listen: found nothing, expected an IPv4 address",
+        "[traffic] listen_adress: found x, expected no such key",
+    ] {
+        assert!(
+            shown.contains(expected),
+            "{expected:?} is missing in:\n{shown}"
+        );
+    }
+}
+
+#[test]
+fn a_wrong_key_is_not_repeated_in_the_message() {
+    let text = valid().replace(KEY, "hunter2");
+
+    let shown = Settings::parse(&text).unwrap_err().to_string();
+
+    assert!(
+        shown.contains("[control] key: found 7 characters"),
+        "{shown}"
+    );
+    assert!(!shown.contains("hunter2"));
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_text_never_panics(text: String) {
+        let _ = Settings::parse(&text);
+    }
+
+    #[test]
+    fn changed_settings_never_panic(at: prop::sample::Index, with: String) {
+        let mut text = valid();
+        let at = at.index(text.len());
+        text.replace_range(at..=at, &with);
+        let _ = Settings::parse(&text);
+    }
+}
--- /dev/null
+++ b/crates/stand/src/fabric.rs
@@ -0,0 +1,139 @@
+//! The fabric: hands each caller's packet to a balancer of its choosing, and each answer straight
+//! to its caller.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, UdpSocket},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+};
+
+use acacia_wire::collections::Map;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    admin::{self, Command},
+    stop::{Flag, POLL},
+};
+
+/// Length of an IPv4 header without options, in bytes.
+const IPV4_HEADER: usize = 20;
+
+/// Addresses and behaviour.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// Where callers send their packets.
+    #[arg(long)]
+    pub callers: SocketAddr,
+    /// Where backend servers and balancers send what is for callers.
+    #[arg(long)]
+    pub answers: SocketAddr,
+    /// Where commands come in.
+    #[arg(long)]
+    pub admin: SocketAddr,
+    /// Balancers to spray over at first.
+    #[arg(long, value_delimiter = ',')]
+    pub balancers: Vec<SocketAddr>,
+    /// Seed of the choice of balancers.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    balancers: Vec<SocketAddr>,
+    loss: u32,
+    endpoints: Map<Ipv4Addr, SocketAddr>,
+    random: Pcg64Mcg,
+}
+
+/// Runs until `stop` is raised.
+pub fn run(options: &Options, stop: &Flag) -> anyhow::Result<()> {
+    let sockets = [options.callers, options.answers, options.admin].map(|address| {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_read_timeout(Some(POLL))?;
+        Ok::<_, std::io::Error>(socket)
+    });
+    let [callers, answers, commands] = sockets;
+    let (callers, answers, commands) = (callers?, answers?, commands?);
+    let state = Arc::new(Mutex::new(State {
+        balancers: options.balancers.clone(),
+        loss: 0,
+        endpoints: Map::default(),
+        random: Pcg64Mcg::seed_from_u64(options.seed),
+    }));
+    log::info!(
+        "event=fabric-up callers={} balancers={}",
+        options.callers,
+        options.balancers.len()
+    );
+    thread::scope(|scope| {
+        scope.spawn(|| each_packet(&callers, stop, |packet, from| spray(&state, packet, from)));
+        scope.spawn(|| {
+            each_packet(&answers, stop, |packet, _| {
+                lock(&state).endpoints.get(&address(packet, 16)?).copied()
+            });
+        });
+        while !stop.is_raised() {
+            match admin::receive(&commands) {
+                Ok(Some(command)) => obey(&state, command),
+                Ok(None) => {}
+                Err(error) => log::warn!("event=command-failed error=\"{error}\""),
+            }
+        }
+    });
+    Ok(())
+}
+
+fn each_packet(
+    socket: &UdpSocket,
+    stop: &Flag,
+    route: impl Fn(&[u8], SocketAddr) -> Option<SocketAddr>,
+) {
+    let mut bytes = [0; 2048];
+    while !stop.is_raised() {
+        let Ok((len, from)) = socket.recv_from(&mut bytes) else {
+            continue;
+        };
+        if let Some(to) = route(&bytes[..len], from) {
+            // A full socket buffer loses the packet as a network would; TCP sends it again.
+            let _ = socket.send_to(&bytes[..len], to);
+        }
+    }
+}
+
+fn spray(state: &Mutex<State>, packet: &[u8], from: SocketAddr) -> Option<SocketAddr> {
+    let source = address(packet, 12)?;
+    let mut state = lock(state);
+    state.endpoints.insert(source, from);
+    if state.balancers.is_empty() || state.random.random_range(0..1000) < state.loss {
+        return None;
+    }
+    let count = state.balancers.len();
+    let choice = state.random.random_range(0..count);
+    Some(state.balancers[choice])
+}
+
+fn obey(state: &Mutex<State>, command: Command) {
+    log::info!("event=command command=\"{command:?}\"");
+    let mut state = lock(state);
+    match command {
+        Command::Balancers(balancers) => state.balancers = balancers,
+        Command::Loss(loss) => state.loss = loss,
+        Command::Work(_) => {}
+    }
+}
+
+fn address(packet: &[u8], at: usize) -> Option<Ipv4Addr> {
+    let header = packet.get(..IPV4_HEADER)?;
+    Some(Ipv4Addr::new(
+        header[at],
+        header[at + 1],
+        header[at + 2],
+        header[at + 3],
+    ))
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/stand/src/stack.rs
@@ -0,0 +1,176 @@
+//! A TCP/IP stack in user space whose link is an encapsulated UDP socket.
+
+use std::{
+    collections::VecDeque,
+    net::{Ipv4Addr, SocketAddr, UdpSocket},
+    time::{Duration, Instant},
+};
+
+use smoltcp::{
+    iface::{Config, Interface, SocketHandle, SocketSet},
+    phy::{self, DeviceCapabilities, Medium},
+    socket::tcp,
+    wire::{HardwareAddress, IpCidr},
+};
+
+/// Largest IP packet, in bytes: an Ethernet frame less what the encapsulation adds.
+const MTU: usize = 1450;
+/// Buffer of each TCP socket, each way, in bytes.
+const BUFFER: usize = 16 * 1024;
+/// Packets taken in per turn, so that a flood can't keep timers from running.
+const BATCH: usize = 256;
+
+/// The stack: an interface, its sockets and the link.
+pub struct Stack {
+    interface: Interface,
+    sockets: SocketSet<'static>,
+    device: Device,
+    link: UdpSocket,
+    towards: SocketAddr,
+    started: Instant,
+}
+
+impl Stack {
+    /// A stack with `address`, that receives on `link` and sends everything to `towards`.
+    pub fn new(
+        address: Ipv4Addr,
+        link: UdpSocket,
+        towards: SocketAddr,
+        seed: u64,
+    ) -> anyhow::Result<Self> {
+        let mut device = Device::default();
+        let mut config = Config::new(HardwareAddress::Ip);
+        config.random_seed = seed;
+        let mut interface = Interface::new(config, &mut device, smoltcp::time::Instant::ZERO);
+        // Prefix length 0 makes every destination a neighbour: the link is the only way out.
+        interface.update_ip_addrs(|addresses| {
+            addresses
+                .push(IpCidr::new(address.into(), 0))
+                .expect("an interface holds at least one address");
+        });
+        Ok(Stack {
+            interface,
+            sockets: SocketSet::new(Vec::new()),
+            device,
+            link,
+            towards,
+            started: Instant::now(),
+        })
+    }
+
+    /// Receives what has come, runs the protocol, sends what it has to say. Waits for a packet no
+    /// longer than `wait`, less if a protocol timer is due before.
+    pub fn turn(&mut self, wait: Duration) -> std::io::Result<()> {
+        let now = self.now();
+        let due = self
+            .interface
+            .poll_delay(now, &self.sockets)
+            .map(Duration::from);
+        let wait = due
+            .map_or(wait, |due| due.min(wait))
+            .max(Duration::from_micros(100));
+        self.link.set_nonblocking(false)?;
+        self.link.set_read_timeout(Some(wait))?;
+        let mut bytes = [0; 2048];
+        for _ in 0..BATCH {
+            match self.link.recv(&mut bytes) {
+                Ok(len) => self.device.received.push_back(bytes[..len].to_vec()),
+                Err(_) => break,
+            }
+            self.link.set_nonblocking(true)?;
+        }
+        self.interface
+            .poll(self.now(), &mut self.device, &mut self.sockets);
+        while let Some(packet) = self.device.to_send.pop_front() {
+            // A full socket buffer loses the packet as a network would; TCP sends it again.
+            let _ = self.link.send_to(&packet, self.towards);
+        }
+        Ok(())
+    }
+
+    /// Adds a closed TCP socket.
+    pub fn add(&mut self) -> SocketHandle {
+        let buffer = || tcp::SocketBuffer::new(vec![0; BUFFER]);
+        let mut socket = tcp::Socket::new(buffer(), buffer());
+        socket.set_nagle_enabled(false);
+        self.sockets.add(socket)
+    }
+
+    /// The TCP socket of `handle`.
+    pub fn socket(&mut self, handle: SocketHandle) -> &mut tcp::Socket<'static> {
+        self.sockets.get_mut(handle)
+    }
+
+    /// Opens a connection from `port` to `remote`.
+    pub fn connect(
+        &mut self,
+        handle: SocketHandle,
+        remote: (Ipv4Addr, u16),
+        port: u16,
+    ) -> anyhow::Result<()> {
+        let socket = self.sockets.get_mut::<tcp::Socket<'_>>(handle);
+        socket
+            .connect(self.interface.context(), remote, port)
+            .map_err(|error| anyhow::anyhow!("connect: {error}"))
+    }
+
+    /// Removes a socket.
+    pub fn remove(&mut self, handle: SocketHandle) {
+        self.sockets.remove(handle);
+    }
+
+    fn now(&self) -> smoltcp::time::Instant {
+        smoltcp::time::Instant::from_micros(self.started.elapsed().as_micros() as i64)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Device {
+    received: VecDeque<Vec<u8>>,
+    to_send: VecDeque<Vec<u8>>,
+}
+
+#[derive(Debug)]
+struct RxToken(Vec<u8>);
+
+#[derive(Debug)]
+struct TxToken<'a>(&'a mut VecDeque<Vec<u8>>);
+
+impl phy::Device for Device {
+    type RxToken<'a> = RxToken;
+    type TxToken<'a> = TxToken<'a>;
+
+    fn capabilities(&self) -> DeviceCapabilities {
+        let mut capabilities = DeviceCapabilities::default();
+        capabilities.max_transmission_unit = MTU;
+        capabilities.medium = Medium::Ip;
+        capabilities
+    }
+
+    fn receive(
+        &mut self,
+        _timestamp: smoltcp::time::Instant,
+    ) -> Option<(Self::RxToken<'_>, Self::TxToken<'_>)> {
+        let packet = self.received.pop_front()?;
+        Some((RxToken(packet), TxToken(&mut self.to_send)))
+    }
+
+    fn transmit(&mut self, _timestamp: smoltcp::time::Instant) -> Option<Self::TxToken<'_>> {
+        Some(TxToken(&mut self.to_send))
+    }
+}
+
+impl phy::RxToken for RxToken {
+    fn consume<R, F: FnOnce(&[u8]) -> R>(self, f: F) -> R {
+        f(&self.0)
+    }
+}
+
+impl phy::TxToken for TxToken<'_> {
+    fn consume<R, F: FnOnce(&mut [u8]) -> R>(self, len: usize, f: F) -> R {
+        let mut packet = vec![0; len];
+        let result = f(&mut packet);
+        self.0.push_back(packet);
+        result
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/it/encap.rs
@@ -0,0 +1,97 @@
+use acacia_wire::{
+    control::Secret,
+    encap::{Error, Frame, MAX_HOPS, NO_SERVER, Purpose, Redirect, decode, encode},
+};
+use proptest::prelude::*;
+
+use crate::fixture::{secret, tcp};
+
+fn redirect() -> Redirect {
+    Redirect {
+        purpose: Purpose::Replicate,
+        hops: 2,
+        sender: 5,
+        server: 9,
+        asked: 1,
+    }
+}
+
+fn encoded(redirect: &Redirect) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    encode(
+        redirect,
+        &tcp(b"x", |h| h.ack = true),
+        &secret(),
+        &mut bytes,
+    );
+    bytes
+}
+
+#[test]
+fn a_packet_from_the_fabric_is_plain() {
+    let bytes = tcp(b"x", |h| h.ack = true);
+
+    assert_eq!(decode(&bytes, &secret()), Ok(Frame::Plain(&bytes)));
+}
+
+/// Someone who can reach the traffic port sends a redirect of his own making. Taken at its word it
+/// would pin a caller's flow to a server of his choice.
+#[test]
+fn a_redirect_without_the_key_is_dropped() {
+    let other = Secret::new(&[8; 32], None);
+    let mut bytes = Vec::new();
+    encode(&redirect(), &tcp(b"", |h| h.syn = true), &other, &mut bytes);
+
+    assert_eq!(decode(&bytes, &secret()), Err(Error::Forged));
+}
+
+/// A redirect is recorded and its packet replaced by one of another flow.
+#[test]
+fn a_redirect_is_bound_to_its_flow() {
+    let mut bytes = encoded(&redirect());
+    let port = acacia_wire::encap::REDIRECT + 21;
+    bytes[port] ^= 1;
+
+    assert_eq!(decode(&bytes, &secret()), Err(Error::Forged));
+}
+
+/// Two balancers with different views hand a packet to each other; without a bound it would
+/// circle until one of them learned better.
+#[test]
+fn a_packet_that_circles_is_dropped() {
+    let bytes = encoded(&Redirect {
+        hops: MAX_HOPS + 1,
+        ..redirect()
+    });
+
+    assert_eq!(decode(&bytes, &secret()), Err(Error::Hops));
+}
+
+proptest! {
+    #[test]
+    fn a_redirect_reads_back(
+        hops in 0..=MAX_HOPS, sender: u16, server: u16, asked: u8, purpose in 0usize..3,
+    ) {
+        let purpose = [Purpose::Resolve, Purpose::Replicate, Purpose::Release][purpose];
+        let redirect = Redirect { purpose, hops, sender, server, asked };
+        let packet = tcp(b"payload", |h| h.ack = true);
+        let bytes = encoded(&redirect);
+        let packet_len = packet.len() - 6;
+        let decoded = decode(&bytes, &secret());
+        prop_assert!(matches!(decoded, Ok(Frame::Redirected(r, p)) if r == redirect && p.len() == packet_len));
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..100)) {
+        let _ = decode(&bytes, &secret());
+    }
+
+    #[test]
+    fn changed_or_cut_redirects_are_never_taken(at in 0usize..20, bit in 0u8..8, len in 0usize..20) {
+        let whole = encoded(&Redirect { server: NO_SERVER, ..redirect() });
+        let mut changed = whole.clone();
+        changed[at] ^= 1 << bit;
+        prop_assert!(!matches!(decode(&changed, &secret()), Ok(Frame::Redirected(..))));
+        prop_assert!(decode(&whole[..len], &secret()).is_err());
+    }
+}
