--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod caller;
 pub mod dialog;
 pub mod fabric;
+pub mod platform;
 pub mod stack;
 pub mod stop;
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use acacia_stand::{admin, backend, caller, fabric, stop::Flag};
+use acacia_stand::{
+    admin, backend, caller, fabric, platform,
+    stop::{Flag, POLL},
+};
 use clap::Parser;
 
 #[derive(Debug, Parser)]
@@ -18,6 +21,15 @@
     Backend(backend::Options),
     /// Opens feeds and requests, and prints what became of them.
     Caller(caller::Options),
+    /// Serves a key-value service and a list of VMs from memory.
+    Platform {
+        /// Where it serves.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Where it is told its faults.
+        #[arg(long)]
+        control: SocketAddr,
+    },
     /// Sends a command to a running stand-in, as JSON.
     Admin {
         /// The stand-in's administration socket.
@@ -53,6 +65,22 @@
             println!("{}", caller::run(&options, &stop)?.line(&options.name));
             Ok(())
         }
+        Command::Platform { listen, control } => serve_platform(listen, control, &stop),
         Command::Admin { to, command } => admin::send(to, &serde_json::from_str(&command)?),
     }
 }
+
+fn serve_platform(listen: SocketAddr, control: SocketAddr, stop: &Flag) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let stand = platform::Stand::start(listen, control).await?;
+        log::info!("event=platform-up listen={listen}");
+        while !stop.is_raised() {
+            tokio::time::sleep(POLL).await;
+        }
+        stand.stop().await;
+        Ok(())
+    })
+}
