Start and stop the services of a process by name, and end it when one dies

Cause: a control thread that dies while traffic threads go on leaves a process that serves from a stale view and looks healthy. Every spawned thread reports its end; an end that was not asked for stops all services in reverse order, joins them and gives code 51.

Tests: order, circles, missing and mistyped names, panic, early return, failed start, drop.

--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -41,6 +41,11 @@
     50 SocketFailed "socket-failed": "A socket can't be opened or bound."; "Check that the address is this machine's and the port is free".
     51 ServiceDied "service-died": "A service inside the process ended unexpectedly."; "Restart the process; report the log line before it".
     52 Forced "forced": "A second signal ended the process before its shutdown was complete."; "Expect flows handed over late to be lost".
+    53 ServiceDuplicate "service-duplicate": "Two services of one process have the same name."; "Report it: the program is put together wrongly".
+    54 ServiceMissing "service-missing": "A service needs another that the process doesn't hold."; "Report it: the program is put together wrongly".
+    55 ServiceCycle "service-cycle": "Services of one process need each other in a circle."; "Report it: the program is put together wrongly".
+    56 ServiceType "service-type": "A service found by name has another type than expected."; "Report it: the program is put together wrongly".
+    57 ServiceStartFailed "service-start-failed": "A service of the process could not start; the log line says why."; "Mend what the log line names and restart".
     200 PacketTruncated "packet-truncated": "A packet ends before its headers or stated length do."; "Nothing, unless its rate rises".
     201 PacketMalformed "packet-malformed": "A packet's header contradicts itself."; "Nothing, unless its rate rises".
     202 PacketFragment "packet-fragment": "A fragment carries no ports to find its flow by."; "Check the path MTU towards callers".
@@ -56,4 +61,14 @@
     292 ControlForged "control-forged": "A control frame carries no valid authenticator."; "Check that all balancers hold the same key; otherwise look for the sender".
     293 ControlUndecodable "control-undecodable": "An authentic control frame can't be decoded."; "Check for balancers of different versions".
     294 ControlReplayed "control-replayed": "A control frame that was received before, or an older one."; "Nothing, unless its rate rises".
+    295 ControlMisaddressed "control-misaddressed": "An authentic control frame that was sent to another balancer."; "Compare the balancers' ids and addresses; otherwise look for the sender".
+    296 ControlQueueFull "control-queue-full": "A control message was dropped because its queue was full."; "Check that the peer is reachable and the control budget".
+    297 ControlSilent "control-silent": "A control connection went silent while its peer was sent to, and was replaced."; "Check what lies between the two balancers if it repeats".
+    298 ControlClosed "control-closed": "The control transport has been closed."; "Nothing".
+    299 MemberReplayed "member-replayed": "A heartbeat of an older incarnation, or one that was seen before."; "Nothing, unless its rate rises".
+    300 MemberFrozen "member-frozen": "This balancer was suspended and joins again with a new incarnation."; "Look for pauses or overload of its VM".
+    301 MemberOutdated "member-outdated": "Peers know a later incarnation of this balancer than its own, so it takes a new one."; "Check the VM's clock; look for two balancers with one id".
+    302 MemberUnheard "member-unheard": "A member has not been heard for the bound."; "Check the member and the network between".
+    303 MemberDead "member-dead": "A member is dead: nobody who is heard hears it."; "Nothing if it was replaced".
+    304 MemberLimit "member-limit": "A balancer beyond the largest group asked to join and was not taken in."; "Serve the address by fewer balancers".
 }
--- /dev/null
+++ b/crates/kernel/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the registry of services.
+
+mod registry;
+mod run;
--- /dev/null
+++ b/crates/kernel/tests/it/run.rs
@@ -0,0 +1,93 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Sender, channel};
+
+use acacia_code::Code;
+use acacia_kernel::{BoxError, Registry, Service};
+use rstest::rstest;
+
+/// A service whose thread runs until it is told to stop, and then sets `ended`.
+fn steady(name: &str, ended: &Arc<AtomicBool>) -> Service {
+    let ended = Arc::clone(ended);
+    Service::new(name, [], move |context| {
+        let (stop, stopped) = channel::<()>();
+        context.spawn(move || {
+            let _ = stopped.recv();
+            ended.store(true, Ordering::SeqCst);
+            Ok(())
+        })?;
+        context.on_stop(move || drop(stop));
+        Ok(())
+    })
+}
+
+fn dying(name: &str, task: fn() -> Result<(), BoxError>) -> Service {
+    Service::new(name, ["steady"], move |context| Ok(context.spawn(task)?))
+}
+
+/// A control thread panics or returns early while the traffic threads go on. The process would
+/// then serve from a stale view and look healthy, and users would find their flows broken later.
+#[rstest]
+#[case::panics(|| panic!("index out of range"), "panicked: index out of range")]
+#[case::returns(|| Ok(()), "returned")]
+#[case::fails(|| Err("socket closed".into()), "socket closed")]
+fn a_service_that_dies_takes_the_process_down_in_order(
+    #[case] task: fn() -> Result<(), BoxError>,
+    #[case] reason: &str,
+) {
+    let ended = Arc::new(AtomicBool::new(false));
+    let mut registry = Registry::default();
+    registry.add(steady("steady", &ended));
+    registry.add(dying("dying", task));
+
+    let outcome = registry.start().expect("starts").wait();
+
+    assert_eq!(outcome.code(), Code::ServiceDied);
+    let death = outcome.death.expect("a death is reported");
+    assert_eq!((&*death.service, &*death.reason), ("dying", reason));
+    assert!(ended.load(Ordering::SeqCst), "the other service was joined");
+}
+
+/// The second of two services can't bind its port. Without the roll-back the first would go on in
+/// a process that has already said it failed.
+#[test]
+fn a_failed_start_stops_what_was_started() {
+    let ended = Arc::new(AtomicBool::new(false));
+    let mut registry = Registry::default();
+    registry.add(steady("steady", &ended));
+    registry.add(Service::new("failing", ["steady"], |_| -> Result<(), _> {
+        Err("port in use".into())
+    }));
+
+    let error = registry.start().err().expect("the start fails");
+
+    assert_eq!(error.code(), Code::ServiceStartFailed);
+    assert!(error.to_string().contains("port in use"));
+    assert!(ended.load(Ordering::SeqCst), "the other service was joined");
+}
+
+#[test]
+fn a_dropped_kernel_joins_its_threads() {
+    let ended = Arc::new(AtomicBool::new(false));
+    let mut registry = Registry::default();
+    registry.add(steady("steady", &ended));
+
+    drop(registry.start().expect("starts"));
+
+    assert!(ended.load(Ordering::SeqCst));
+}
+
+#[test]
+fn services_talk_through_the_handles_they_find() {
+    let (result, received) = channel::<u32>();
+    let mut registry = Registry::default();
+    registry.add(Service::new("sink", [], move |_| Ok(result)));
+    registry.add(Service::new("user", ["sink"], |context| {
+        Ok(context.find::<Sender<u32>>("sink")?.send(5)?)
+    }));
+
+    let kernel = registry.start().expect("starts");
+
+    assert_eq!(received.recv(), Ok(5));
+    drop(kernel);
+}
