Tell which balancers are alive, and when a change is known to all of them

Cause: flow resolution needs to know whom to trust and when a flag may be acted upon. Freshness is measured by the sending time of our own heartbeat that a peer echoes, so replays, queued frames and answers from before a suspension prove nothing. From that follows when a change needs no acknowledgement (Group::mark, is_settled).

Ruled out: the whole list of heard members in each heartbeat; a question and its answer cost two bytes when all is well.

--- /dev/null
+++ b/crates/member/src/cost.rs
@@ -0,0 +1,36 @@
+use crate::Settings;
+
+/// Bytes of a heartbeat's frame without its payload when all is well: 18 of envelope, 16 of
+/// authenticator, about 3 of addressing, 8 of transport echo and length, and 27 of heartbeat.
+/// `tests/it/cost.rs` holds it against an encoded one.
+pub const FRAME: usize = 72;
+/// Bytes of TCP and IP headers around a frame (20 + 20, 12 of timestamps).
+pub const HEADERS: usize = 52;
+
+/// What heartbeats cost one balancer, in bytes a second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cost {
+    /// Sent, headers included.
+    pub sent: f64,
+    /// Acknowledgements that its host's TCP sends for the heartbeats it receives.
+    pub acknowledgements: f64,
+}
+
+/// The cost in a group of `group` balancers whose payload has `payload` bytes. It stays constant
+/// beyond [`Settings::full_rate`] peers: the interval grows instead.
+///
+/// ```
+/// use acacia_member::{Settings, cost};
+/// let settings = Settings::default();
+/// assert_eq!(cost(&settings, 9, 16), cost(&settings, 64, 16));
+/// assert!(cost(&settings, 9, 16).sent < 2300.0);
+/// ```
+#[must_use]
+pub fn cost(settings: &Settings, group: usize, payload: usize) -> Cost {
+    let peers = group.saturating_sub(1);
+    let rate = peers as f64 / settings.interval_for(peers).as_secs_f64();
+    Cost {
+        sent: rate * (FRAME + payload + HEADERS) as f64,
+        acknowledgements: rate * HEADERS as f64,
+    }
+}
--- /dev/null
+++ b/crates/member/tests/it/cost.rs
@@ -0,0 +1,58 @@
+use std::time::Duration;
+
+use acacia_member::{Echo, Heartbeat, Phase, Settings, cost};
+use rstest::rstest;
+
+/// The estimate for docs/CAPACITY.md rests on the size of a heartbeat when all is well, with
+/// incarnations in milliseconds since 1970 and numbers after a day.
+#[test]
+fn a_heartbeat_has_the_size_that_the_estimate_takes() {
+    let heartbeat = Heartbeat {
+        number: 200_000,
+        phase: Phase::Ready,
+        echo: Some(Echo {
+            incarnation: 1_800_000_000_000,
+            number: 200_000,
+        }),
+        ask: vec![],
+        hear: vec![],
+        prompt: false,
+        revision: 100_000,
+        table: 100_000,
+        intro: None,
+        payload: vec![],
+    };
+
+    let encoded = postcard::to_allocvec(&heartbeat).expect("encodes");
+
+    assert!(encoded.len() <= 27, "{}", encoded.len());
+}
+
+#[rstest]
+#[case::today(9)]
+#[case::small(16)]
+#[case::large(64)]
+fn the_cost_is_constant_and_well_under_the_budget(#[case] group: usize) {
+    let settings = Settings::default();
+
+    let cost = cost(&settings, group, 16);
+
+    assert!((cost.sent - 2240.0).abs() < 1.0, "{cost:?}");
+    assert!(cost.sent + cost.acknowledgements < 8000.0 / 2.0);
+}
+
+#[test]
+fn the_bounds_leave_room_for_each_other() {
+    let settings = Settings::default();
+    for peers in [1, 8, 15, 63] {
+        let interval = settings.interval_for(peers);
+        assert!(
+            settings.fresh_for(peers) >= interval * 4,
+            "two lags, a loss and a delay"
+        );
+        assert!(settings.frozen_for(peers) + interval <= settings.fresh_for(peers));
+        assert!(settings.death_for(peers) >= settings.fresh_for(peers) + interval * 4);
+    }
+    assert!(settings.settle() > settings.fresh_for(63));
+    assert_eq!(settings.fresh_for(8), Duration::from_secs(2));
+}
--- /dev/null
+++ b/crates/member/tests/it/faults.rs
@@ -0,0 +1,203 @@
+use std::time::Duration;
+
+use acacia_member::{Cause, Event, Phase, Settings, State};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::net::{Net, hint};
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0xACAC1A),
+        ..ProptestConfig::default()
+    }
+}
+
+/// The bound for death, one more interval to ask the others, and one for the last heartbeat.
+fn death(size: u16) -> Duration {
+    let settings = Settings::default();
+    let peers = usize::from(size) - 1;
+    settings.death_for(peers) + settings.interval_for(peers) * 2
+}
+
+fn all_agree(net: &Net, size: u16) {
+    for viewer in 1..=size {
+        for id in (1..=size).filter(|id| *id != viewer) {
+            assert_eq!(
+                net.state(viewer, id),
+                Some(State::Ready),
+                "{viewer} sees {id}"
+            );
+        }
+        assert!(net.is_sure(viewer), "{viewer} is sure");
+    }
+}
+
+proptest! {
+    #![proptest_config(config(24))]
+
+    /// A network that loses and delays heartbeats. A membership that is too quick to declare a
+    /// death would move flows away from a balancer that still serves them.
+    #[test]
+    fn a_live_member_is_not_declared_dead(
+        seed: u64, size in 2u16..10, loss in 0.0..0.2, delay in 0u64..400,
+    ) {
+        let mut net = Net::settled(size, seed);
+        net.loss = loss;
+        net.delay = Duration::from_millis(delay);
+        net.run_checked(Duration::from_secs(40), |net| {
+            for viewer in 1..=size {
+                assert!(net.view(viewer).members.iter().all(|m| m.state != State::Dead));
+            }
+        });
+    }
+
+    /// A balancer's VM dies. Until the others say so, packets redirected to it are lost.
+    #[test]
+    fn a_dead_member_is_declared_dead_within_the_bound(
+        seed: u64, size in 2u16..10, loss in 0.0..0.1,
+    ) {
+        let mut net = Net::settled(size, seed);
+        net.loss = loss;
+        net.nodes.remove(&size);
+        net.run(death(size));
+        for viewer in 1..size {
+            prop_assert_eq!(net.state(viewer, size), Some(State::Dead));
+        }
+        net.loss = 0.0;
+        net.run(Duration::from_secs(1));
+        for viewer in 1..size {
+            prop_assert!(net.is_sure(viewer), "the dead don't keep the living unsure");
+        }
+    }
+
+    /// A VM is suspended and resumed. Meanwhile its peers may have given its flows to others, so
+    /// what it remembers is worth nothing, and heartbeats that waited in its socket prove nothing.
+    #[test]
+    fn a_frozen_member_comes_back_with_a_new_incarnation(
+        seed: u64, size in 2u16..8, millis in 2000u64..20_000,
+    ) {
+        let mut net = Net::settled(size, seed);
+        let before = net.node(1).group.incarnation();
+        net.freeze(1, Duration::from_millis(millis));
+        net.run(Duration::from_millis(millis));
+        prop_assert!(!net.is_sure(1), "at its first packet, before its control thread has run");
+        net.run(Duration::from_secs(1));
+
+        let node = net.node(1);
+        prop_assert_eq!(node.group.incarnation(), before + 1);
+        prop_assert_eq!(node.group.phase(), Phase::Joining);
+        let rejoined = |event: &Event| matches!(event, Event::Rejoined { cause: Cause::Frozen(_), .. });
+        prop_assert_eq!(node.events.iter().filter(|event| rejoined(event)).count(), 1);
+        prop_assert!(!net.is_sure(1), "young again");
+        net.run(Duration::from_secs(3));
+        prop_assert!(net.is_sure(1));
+        for viewer in 2..=size {
+            prop_assert_eq!(net.state(viewer, 1), Some(State::Joining));
+            prop_assert_eq!(net.view(viewer).member(1).and_then(|m| m.incarnation), Some(before + 1));
+        }
+    }
+
+    /// Somebody between two balancers records authentic heartbeats and plays them back.
+    #[test]
+    fn replays_change_nothing(seed: u64, size in 2u16..6, picks in prop::collection::vec(any::<prop::sample::Index>(), 1..50)) {
+        let mut net = Net::settled(size, seed);
+        net.freeze(1, Duration::from_secs(4));
+        net.run(Duration::from_secs(8));
+        let (now, recorded) = (net.now, net.delivered.clone());
+        for pick in picks {
+            let frame = pick.get(&recorded);
+            let before = net.view(frame.to);
+            let group = &mut net.node(frame.to).group;
+            let refusal = group.receive(now, frame.from, frame.incarnation, &frame.heartbeat);
+            prop_assert!(refusal.is_err());
+            prop_assert_eq!(net.view(frame.to), before);
+        }
+    }
+
+    /// Data centres lose each other for a while. Each side goes on with what it reaches, and must
+    /// find the other again without anybody's help.
+    #[test]
+    fn after_healing_all_views_agree(seed: u64, size in 2u16..10, border in 1u16..9, secs in 1u64..40) {
+        let mut net = Net::settled(size, seed);
+        net.partition(|id| id <= border);
+        net.run(Duration::from_secs(secs));
+        if secs > 8 {
+            for id in 1..=size {
+                prop_assert!(net.is_sure(id), "each side goes on");
+            }
+        }
+        net.cut.clear();
+        net.run(Duration::from_secs(5));
+        all_agree(&net, size);
+    }
+
+    /// A change is acted upon once it is settled. If then a member that trusts us doesn't know of
+    /// the change, two balancers send one flow to two servers and the flow breaks.
+    #[test]
+    fn settled_means_that_whoever_is_sure_knows(
+        seed: u64, loss in 0.0..0.5, delay in 0u64..3000,
+        cuts in prop::collection::btree_set((1u16..5, 1u16..5), 0..6),
+        frozen in 0u64..8000,
+    ) {
+        const SIZE: u16 = 4;
+        let mut net = Net::settled(SIZE, seed);
+        net.loss = loss;
+        net.delay = Duration::from_millis(delay);
+        net.cut = cuts;
+        net.freeze(3, Duration::from_millis(frozen));
+        net.run(Duration::from_millis(700));
+        let now = net.now;
+        let mark = net.node(1).group.mark(now);
+        net.node(1).group.hasten();
+        let known = net.delivered.len();
+        net.run_checked(Duration::from_secs(30), |net| {
+            let now = net.now;
+            if !net.nodes[&1].group.is_settled(&mark, now) {
+                return;
+            }
+            for id in 2..=SIZE {
+                let apart = net.state(1, id) == Some(State::Dead) || net.state(id, 1) == Some(State::Dead);
+                let knows = net.delivered[known..].iter().any(|frame| {
+                    (frame.from, frame.to) == (1, id) && mark.is_carried_by(frame.heartbeat.number)
+                });
+                assert!(apart || knows || !net.is_sure(id), "{id} is sure and doesn't know");
+            }
+        });
+    }
+}
+
+/// One direction between two balancers is blocked. Each must see it, or one of them would wait for
+/// flags that never come and the other for acknowledgements.
+#[test]
+fn one_way_reachability_is_visible_and_nobody_is_dead() {
+    let mut net = Net::settled(3, 1);
+    net.cut.insert((1, 2));
+
+    net.run(Duration::from_secs(30));
+
+    let seen = net.view(1).member(2).cloned().expect("a member");
+    assert_eq!((seen.state, seen.hears_us), (State::Ready, false));
+    assert_eq!(net.state(2, 1), Some(State::Unheard), "3 hears it");
+    assert!(!net.is_sure(1) && !net.is_sure(2) && net.is_sure(3));
+}
+
+/// A VM is replaced and its clock is behind its predecessor's. Its heartbeats look like replays
+/// and would be dropped for good.
+#[test]
+fn a_clock_that_went_back_is_put_right_by_the_peers() {
+    let mut net = Net::settled(3, 1);
+    net.nodes.remove(&2);
+    net.run(Duration::from_secs(10));
+    net.node(1).group.set_phase(Phase::Ready);
+    let hints: Vec<_> = (1..=3).map(hint).collect();
+    net.start(2, 0, &hints);
+
+    net.run(Duration::from_secs(5));
+
+    assert_eq!(net.node(2).group.incarnation(), 2);
+    assert_eq!(net.state(1, 2), Some(State::Joining));
+    assert!(net.is_sure(1) && net.is_sure(2));
+}
--- /dev/null
+++ b/crates/member/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the membership.
+
+mod cost;
+mod faults;
+mod net;
+mod rules;
--- /dev/null
+++ b/crates/member/tests/it/rules.rs
@@ -0,0 +1,110 @@
+use std::time::Duration;
+
+use acacia_member::{Group, Hint, MAX_GROUP, Phase, Refusal, Settings, State};
+
+use crate::net::{Net, contact, hint};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_newborn_learns_of_members_that_its_list_lacks() {
+    let mut net = Net::settled(4, 1);
+    net.start(5, 9, &[hint(5), hint(2)]);
+
+    net.run(SECOND / 2);
+
+    for id in 1..=4 {
+        assert_eq!(net.state(5, id), Some(State::Ready));
+        assert_eq!(net.state(id, 5), Some(State::Joining));
+        assert!(net.is_sure(id), "a newborn doesn't unsettle the others");
+    }
+    assert!(!net.is_sure(5), "young");
+    net.run(SECOND * 2);
+    assert!(net.is_sure(5));
+}
+
+#[test]
+fn alone_it_serves_on() {
+    let mut net = Net::empty(1);
+    net.start(1, 1, &[hint(1)]);
+
+    net.run(SECOND * 3);
+
+    assert!(net.is_sure(1));
+}
+
+#[test]
+fn a_leaving_member_that_falls_silent_is_dead_at_once() {
+    let mut net = Net::settled(3, 1);
+    net.node(3).group.set_phase(Phase::Leaving);
+    net.run(SECOND);
+    assert_eq!(net.state(1, 3), Some(State::Leaving));
+    net.nodes.remove(&3);
+
+    net.run(Settings::default().fresh_for(2) + SECOND / 10);
+
+    assert_eq!(net.state(1, 3), Some(State::Dead));
+    assert!(net.is_sure(1));
+}
+
+/// The platform's list lags: it may lack a balancer that is well. Were it believed, a late list
+/// would take balancers out of service.
+#[test]
+fn the_platforms_list_ends_only_whom_nobody_hears() {
+    let mut net = Net::settled(3, 1);
+    let now = net.now;
+    net.node(1).group.hint(now, &[hint(1), hint(2)]);
+    net.run(SECOND);
+    assert_eq!(net.state(1, 3), Some(State::Ready));
+    net.nodes.remove(&3);
+
+    net.run(Settings::default().fresh_for(2) + SECOND / 10);
+
+    assert_eq!(net.state(1, 3), Some(State::Dead), "gone and unheard");
+    assert_eq!(
+        net.state(2, 3),
+        Some(State::Unheard),
+        "unheard, not known to be gone"
+    );
+}
+
+#[test]
+fn a_hasty_change_settles_within_half_an_interval() {
+    let mut net = Net::settled(8, 1);
+    net.run(SECOND / 5);
+    let now = net.now;
+    let mark = net.node(1).group.mark(now);
+    net.node(1).group.hasten();
+
+    net.run(Settings::default().interval / 2);
+
+    let now = net.now;
+    assert!(net.node(1).group.is_settled(&mark, now));
+}
+
+#[test]
+fn heartbeats_of_its_own_id_and_beyond_the_limit_are_refused() {
+    let net = Net::settled(2, 1);
+    let heartbeat = net.delivered[0].heartbeat.clone();
+    let now = net.now;
+    let mut group = Group::new(Settings::default(), contact(1), 1, now);
+    let hints: Vec<Hint> = (1..=MAX_GROUP as u16).map(hint).collect();
+    group.hint(now, &hints);
+
+    assert_eq!(group.receive(now, 1, 1, &heartbeat), Err(Refusal::Own));
+    assert_eq!(group.receive(now, 999, 1, &heartbeat), Err(Refusal::Full));
+}
+
+#[test]
+fn the_dead_are_forgotten_after_a_while() {
+    let mut net = Net::settled(2, 1);
+    net.nodes.remove(&2);
+    net.run(SECOND * 10);
+    assert_eq!(net.state(1, 2), Some(State::Dead));
+    let now = net.now;
+    net.node(1).group.hint(now, &[hint(1)]);
+
+    net.run(Settings::default().memory);
+
+    assert_eq!(net.state(1, 2), None);
+}
