--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! Only this crate starts processes; none of the product's programs does.
 
+pub mod deployment;
 pub mod net;
 pub mod process;
--- /dev/null
+++ b/crates/e2e/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests with real processes: each opens with what goes wrong and what a user notices.
+
+mod fixture;
+mod whole_path;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,5 +4,7 @@
 //! latest snapshot and never wait for control.
 
 pub mod clock;
+pub mod control;
+pub mod daemon;
 pub mod settings;
 pub mod traffic;
--- a/crates/node/src/traffic/worker.rs
+++ b/crates/node/src/traffic/worker.rs
@@ -12,6 +12,7 @@
 };
 
 use super::batch::{Received, ToSend};
+use crate::control::Published;
 
 /// A service as the thin path knows it: an address and its backend servers.
 #[derive(Debug, Clone)]
@@ -25,7 +26,7 @@
 /// Forwards packets until `stop` is raised.
 pub fn run(
     socket: &UdpSocket,
-    services: &[Service],
+    published: &Published,
     secret: &Secret,
     stop: &AtomicBool,
 ) -> std::io::Result<()> {
@@ -33,6 +34,7 @@
     let mut to_send = ToSend::default();
     while !stop.load(Ordering::Relaxed) {
         received.fill(socket)?;
+        let services = published.load();
         for index in 0..received.len() {
             let datagram = received.get(index);
             let Ok(Frame::Plain(bytes)) = encap::decode(datagram, secret) else {
