Write the configuration as typed values and review it as canonical INI

A configuration is built in a few lines, checked as a whole with every problem listed, printed in one form and compared as typed changes, effect on each service and unified diff. The stored document carries the change's own id, a short history and an instance number for each service.

--- /dev/null
+++ b/crates/config/src/config.rs
@@ -0,0 +1,116 @@
+use std::net::IpAddr;
+
+use crate::{Customer, Server, Service};
+
+/// A whole configuration. Its parts are kept in the order of their names, so that equal
+/// configurations are equal values and print equal text however they were built.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Config {
+    services: Vec<Service>,
+    servers: Vec<Server>,
+    customers: Vec<Customer>,
+}
+
+impl Config {
+    /// Adds a service. A second one of the same name is kept and reported by
+    /// [`check`](crate::check()).
+    pub fn add_service(&mut self, service: Service) -> &mut Self {
+        let at = self
+            .services
+            .partition_point(|other| other.name <= service.name);
+        self.services.insert(at, service);
+        self
+    }
+
+    /// Adds a backend server. They stand in the order of service and name.
+    pub fn add_server(&mut self, server: Server) -> &mut Self {
+        let at = self.servers.partition_point(|other| {
+            (&other.service, &other.name) <= (&server.service, &server.name)
+        });
+        self.servers.insert(at, server);
+        self
+    }
+
+    /// Adds a customer.
+    pub fn add_customer(&mut self, customer: Customer) -> &mut Self {
+        let at = self
+            .customers
+            .partition_point(|other| other.name <= customer.name);
+        self.customers.insert(at, customer);
+        self
+    }
+
+    /// The services by name.
+    #[must_use]
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// The backend servers by service and name.
+    #[must_use]
+    pub fn servers(&self) -> &[Server] {
+        &self.servers
+    }
+
+    /// The customers by name.
+    #[must_use]
+    pub fn customers(&self) -> &[Customer] {
+        &self.customers
+    }
+
+    /// The service of that name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let at = self
+            .services
+            .binary_search_by(|service| (*service.name).cmp(name));
+        self.services.get(at.ok()?)
+    }
+
+    /// The backend server of that name, to be changed in place.
+    ///
+    /// ```
+    /// use acacia_config::{Config, Server, State};
+    /// let mut config = Config::default();
+    /// config.add_server(Server::new("old-1", "live", "10.1.0.1:6080".parse()?, "lima-a"));
+    /// if let Some(server) = config.server_mut("old-1") {
+    ///     server.state = State::Drain { deadline: None };
+    /// }
+    /// assert_eq!(config.servers()[0].state, State::Drain { deadline: None });
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn server_mut(&mut self, name: &str) -> Option<&mut Server> {
+        self.servers.iter_mut().find(|server| *server.name == *name)
+    }
+
+    /// The backend servers of a service.
+    pub fn servers_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
+        self.servers
+            .iter()
+            .filter(move |server| *server.service == *service)
+    }
+
+    /// The customer that an address belongs to: the one with the longest prefix around it. For a
+    /// look at single addresses; it goes through all prefixes.
+    ///
+    /// ```
+    /// use acacia_config::{Config, Customer, Mark};
+    /// let mut config = Config::default();
+    /// config.add_customer(Customer::new("crew", Mark::Paying, ["10.0.0.0/8".parse()?]));
+    /// config.add_customer(Customer::new("guests", Mark::Trial, ["10.9.0.0/16".parse()?]));
+    /// let customer = config.customer_at([10, 9, 1, 1].into());
+    /// assert_eq!(customer.map(|c| &*c.name), Some("guests"));
+    /// # Ok::<(), acacia_config::Problem>(())
+    /// ```
+    #[must_use]
+    pub fn customer_at(&self, address: IpAddr) -> Option<&Customer> {
+        let owners = self.customers.iter().flat_map(|customer| {
+            let around = customer.prefixes.iter();
+            let around = around.filter(move |prefix| prefix.contains(address));
+            around.map(move |prefix| (prefix.length(), customer))
+        });
+        owners
+            .max_by_key(|(length, _)| *length)
+            .map(|(_, customer)| customer)
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,39 @@
 //! The operators' configuration as typed values, and its INI form.
+//!
+//! A [`Config`] is built in a few lines of Rust or read from INI with [`parse`]. [`check`] lists
+//! every problem of it at once, [`print()`] writes it in the one canonical form, [`plan`] compares
+//! two of them, and [`document`] is what the platform's store holds.
+//!
+//! ```
+//! use acacia_config::{Config, Mark, Server, Service};
+//!
+//! let mut config = Config::default();
+//! config
+//!     .add_service(Service::new("talkoo-live", [10, 77, 0, 1], 443, 70).callers(Mark::Paying))
+//!     .add_server(Server::new("hervanta-1", "talkoo-live", "10.1.0.1:6080".parse()?, "hervanta"));
+//! let text = acacia_config::print(&config);
+//! assert_eq!(acacia_config::parse(&text)?, config);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod check;
+mod config;
+mod customer;
+pub mod document;
+mod objective;
+mod parse;
+pub mod plan;
+mod print;
+mod problem;
+mod server;
+mod service;
+
+pub use check::check;
+pub use config::Config;
+pub use customer::{Customer, Mark, Prefix};
+pub use objective::{Latency, Objective, Ratio};
+pub use parse::parse;
+pub use print::print;
+pub use problem::{Invalid, Problem};
+pub use server::{Server, State};
+pub use service::{Limit, Protocol, Service};
--- /dev/null
+++ b/crates/config/src/plan.rs
@@ -0,0 +1,175 @@
+//! What one configuration changes over another: as typed changes, as the effect on each service
+//! and as text.
+
+mod compare;
+
+use std::{fmt, sync::Arc};
+
+use similar::TextDiff;
+
+use crate::{Config, Mark, State, print};
+
+/// Lines of context around a difference in text.
+const CONTEXT: usize = 2;
+
+/// The difference between two configurations.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// Every change, services first, each kind by name.
+    pub changes: Vec<Change>,
+    /// What changes for each service whose capacity, share or servers change.
+    pub effects: Vec<Effect>,
+    /// The difference of the canonical texts, as a unified diff; empty if there is none.
+    pub diff: String,
+}
+
+/// One change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A service is new.
+    ServiceAdded(Arc<str>),
+    /// A service goes away, and every flow of it.
+    ServiceRemoved(Arc<str>),
+    /// A service gets another address, port or protocol. Its flows end: nobody can send to it
+    /// where it was.
+    ServiceMoved(Arc<str>),
+    /// A service's share changes, in percent.
+    ShareChanged(Arc<str>, Step<u8>),
+    /// What callers of no customer count as changes.
+    CallersChanged(Arc<str>, Step<Mark>),
+    /// The limit or the objective of a service changes.
+    ServiceTuned(Arc<str>),
+    /// A backend server is new.
+    ServerAdded(Arc<str>),
+    /// A backend server goes away, and every flow on it.
+    ServerRemoved(Arc<str>),
+    /// A backend server gets another address or service. It is another server under an old
+    /// name: the flows of the old one end.
+    ServerReplaced(Arc<str>),
+    /// A backend server starts or stops to drain, or its deadline changes.
+    ServerState(Arc<str>, Step<State>),
+    /// The data centre or the limit of a backend server changes.
+    ServerTuned(Arc<str>),
+    /// A customer is new.
+    CustomerAdded(Arc<str>),
+    /// A customer goes away; its callers count as the service says.
+    CustomerRemoved(Arc<str>),
+    /// The mark, weight or addresses of a customer change.
+    CustomerChanged(Arc<str>),
+}
+
+/// A value before and after.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step<T> {
+    /// Before the change.
+    pub from: T,
+    /// After the change.
+    pub to: T,
+}
+
+/// What changes for a service as a whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Effect {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its share in percent.
+    pub share: Step<u8>,
+    /// Backend servers that get new work.
+    pub active: Step<usize>,
+    /// Backend servers that drain.
+    pub draining: Step<usize>,
+    /// Slots of the active backend servers.
+    pub slots: Step<u64>,
+}
+
+/// Compares two configurations.
+///
+/// ```
+/// use acacia_config::{Config, Service, plan};
+/// let before = Config::default();
+/// let mut after = Config::default();
+/// after.add_service(Service::new("live", [10, 77, 0, 1], 443, 70));
+/// let plan = plan::compare(&before, &after);
+/// assert_eq!(plan.changes, [plan::Change::ServiceAdded("live".into())]);
+/// assert!(plan.diff.contains("+share = 70%"));
+/// assert!(plan::compare(&after, &after).is_empty());
+/// ```
+#[must_use]
+pub fn compare(before: &Config, after: &Config) -> Plan {
+    Plan {
+        changes: compare::changes(before, after),
+        effects: compare::effects(before, after),
+        diff: diff(&print(before), &print(after)),
+    }
+}
+
+/// The difference of two texts as a unified diff; empty if there is none.
+///
+/// ```
+/// assert_eq!(acacia_config::plan::diff("a\n", "a\n"), "");
+/// assert!(acacia_config::plan::diff("a\n", "b\n").contains("-a\n+b\n"));
+/// ```
+#[must_use]
+pub fn diff(before: &str, after: &str) -> String {
+    if before == after {
+        return String::new();
+    }
+    TextDiff::from_lines(before, after)
+        .unified_diff()
+        .context_radius(CONTEXT)
+        .header("in force", "planned")
+        .to_string()
+}
+
+impl Plan {
+    /// Whether nothing changes.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
+    /// The services that would have backend servers but none for new work.
+    pub fn starved(&self) -> impl Iterator<Item = &Effect> {
+        let starves = |e: &&Effect| e.active.to == 0 && e.active.from > 0 && e.share.to > 0;
+        self.effects.iter().filter(starves)
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Change::ServiceAdded(name) => write!(f, "add service {name}"),
+            Change::ServiceRemoved(name) => write!(f, "remove service {name}, ending its flows"),
+            Change::ServiceMoved(name) => write!(f, "move service {name}, ending its flows"),
+            Change::ShareChanged(name, step) => {
+                write!(f, "share of {name} from {}% to {}%", step.from, step.to)
+            }
+            Change::CallersChanged(name, step) => {
+                let (from, to) = (step.from.label(), step.to.label());
+                write!(f, "other callers of {name} from {from} to {to}")
+            }
+            Change::ServiceTuned(name) => write!(f, "limits or objective of {name}"),
+            Change::ServerAdded(name) => write!(f, "add backend server {name}"),
+            Change::ServerRemoved(name) => {
+                write!(f, "remove backend server {name}, ending its flows")
+            }
+            Change::ServerReplaced(name) => {
+                write!(
+                    f,
+                    "replace backend server {name}, ending the old one's flows"
+                )
+            }
+            Change::ServerState(name, step) => match step.to {
+                State::Active => write!(f, "undrain backend server {name}"),
+                State::Drain { deadline: None } => write!(f, "drain backend server {name}"),
+                State::Drain {
+                    deadline: Some(deadline),
+                } => write!(f, "drain backend server {name} until {deadline}"),
+            },
+            Change::ServerTuned(name) => write!(f, "limit or data centre of {name}"),
+            Change::CustomerAdded(name) => write!(f, "add customer {name}"),
+            Change::CustomerRemoved(name) => write!(f, "remove customer {name}"),
+            Change::CustomerChanged(name) => write!(f, "customer {name}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/plan/compare.rs
@@ -0,0 +1,152 @@
+//! Finds the changes.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::{Change, Effect, Step};
+use crate::{Config, Customer, Server, Service, State};
+
+pub(super) fn changes(before: &Config, after: &Config) -> Vec<Change> {
+    let mut changes = Vec::new();
+    let name = |service: &Service| Arc::clone(&service.name);
+    for pair in pairs(before.services(), after.services(), name) {
+        match pair {
+            Pair::Removed(old) => changes.push(Change::ServiceRemoved(name(old))),
+            Pair::Added(new) => changes.push(Change::ServiceAdded(name(new))),
+            Pair::Both(old, new) => service(old, new, &mut changes),
+        }
+    }
+    let name = |server: &Server| Arc::clone(&server.name);
+    for pair in pairs(before.servers(), after.servers(), name) {
+        match pair {
+            Pair::Removed(old) => changes.push(Change::ServerRemoved(name(old))),
+            Pair::Added(new) => changes.push(Change::ServerAdded(name(new))),
+            Pair::Both(old, new) => server(old, new, &mut changes),
+        }
+    }
+    let name = |customer: &Customer| Arc::clone(&customer.name);
+    for pair in pairs(before.customers(), after.customers(), name) {
+        match pair {
+            Pair::Removed(old) => changes.push(Change::CustomerRemoved(name(old))),
+            Pair::Added(new) => changes.push(Change::CustomerAdded(name(new))),
+            Pair::Both(old, new) if old != new => changes.push(Change::CustomerChanged(name(new))),
+            Pair::Both(..) => {}
+        }
+    }
+    changes
+}
+
+/// A part that stands in one configuration or in both.
+enum Pair<'a, T> {
+    Removed(&'a T),
+    Added(&'a T),
+    Both(&'a T, &'a T),
+}
+
+/// Brings together the parts of the same name, in the order of the names.
+fn pairs<'a, T>(
+    before: &'a [T],
+    after: &'a [T],
+    name: impl Fn(&T) -> Arc<str>,
+) -> Vec<Pair<'a, T>> {
+    let mut all: BTreeMap<Arc<str>, (Option<&T>, Option<&T>)> = BTreeMap::new();
+    for part in before {
+        all.entry(name(part)).or_default().0 = Some(part);
+    }
+    for part in after {
+        all.entry(name(part)).or_default().1 = Some(part);
+    }
+    let pair = |part| match part {
+        (Some(old), Some(new)) => Some(Pair::Both(old, new)),
+        (Some(old), None) => Some(Pair::Removed(old)),
+        (None, Some(new)) => Some(Pair::Added(new)),
+        (None, None) => None,
+    };
+    all.into_values().filter_map(pair).collect()
+}
+
+fn service(old: &Service, new: &Service, changes: &mut Vec<Change>) {
+    let name = || Arc::clone(&new.name);
+    if !old.is_same_front(new) {
+        changes.push(Change::ServiceMoved(name()));
+    }
+    if old.share != new.share {
+        let step = step(old.share, new.share);
+        changes.push(Change::ShareChanged(name(), step));
+    }
+    if old.callers != new.callers {
+        let step = step(old.callers, new.callers);
+        changes.push(Change::CallersChanged(name(), step));
+    }
+    if (old.limit, old.objective) != (new.limit, new.objective) {
+        changes.push(Change::ServiceTuned(name()));
+    }
+}
+
+fn server(old: &Server, new: &Server, changes: &mut Vec<Change>) {
+    let name = || Arc::clone(&new.name);
+    if (old.address, &old.service) != (new.address, &new.service) {
+        changes.push(Change::ServerReplaced(name()));
+    }
+    if old.state != new.state {
+        let step = step(old.state, new.state);
+        changes.push(Change::ServerState(name(), step));
+    }
+    if (old.limit, &old.data_centre) != (new.limit, &new.data_centre) {
+        changes.push(Change::ServerTuned(name()));
+    }
+}
+
+fn step<T>(from: T, to: T) -> Step<T> {
+    Step { from, to }
+}
+
+pub(super) fn effects(before: &Config, after: &Config) -> Vec<Effect> {
+    let name = |service: &Service| Arc::clone(&service.name);
+    let services = pairs(before.services(), after.services(), name);
+    let effects = services.into_iter().map(|pair| {
+        let service = match pair {
+            Pair::Removed(service) | Pair::Added(service) | Pair::Both(_, service) => service,
+        };
+        let (from, to) = (tally(before, &service.name), tally(after, &service.name));
+        Effect {
+            service: name(service),
+            share: step(from.share, to.share),
+            active: step(from.active, to.active),
+            draining: step(from.draining, to.draining),
+            slots: step(from.slots, to.slots),
+        }
+    });
+    let changes = |e: &Effect| {
+        e.share.from != e.share.to
+            || e.active.from != e.active.to
+            || e.draining.from != e.draining.to
+            || e.slots.from != e.slots.to
+    };
+    effects.filter(changes).collect()
+}
+
+#[derive(Default)]
+struct Tally {
+    share: u8,
+    active: usize,
+    draining: usize,
+    slots: u64,
+}
+
+fn tally(config: &Config, name: &str) -> Tally {
+    let mut tally = Tally::default();
+    let Some(service) = config.service(name) else {
+        return tally;
+    };
+    tally.share = service.share;
+    for server in config.servers_of(name) {
+        match server.state {
+            State::Active => {
+                tally.active += 1;
+                tally.slots += u64::from(server.limit_in(service).slots);
+            }
+            State::Drain { .. } => tally.draining += 1,
+        }
+    }
+    tally
+}
--- /dev/null
+++ b/crates/config/tests/it/document.rs
@@ -0,0 +1,119 @@
+use std::net::SocketAddr;
+
+use acacia_config::{
+    Config, Server, Service,
+    document::{Document, Draft, Error, HISTORY, Id, MAX_SIZE},
+};
+use proptest::prelude::*;
+
+use crate::fixture::{any_config, config, draft};
+
+/// Two documents in a row.
+fn follow(before: Option<&Document>, change: u128, config: Config) -> Document {
+    Document::follow(before, &draft(change, config)).expect("a document")
+}
+
+/// A service is removed and another created on its address. Flows of the first that are still
+/// remembered somewhere must not be sent to the servers of the second.
+#[test]
+fn a_service_created_again_is_another_instance() {
+    let first = follow(None, 1, config());
+    let changed = follow(Some(&first), 2, {
+        let mut more = config();
+        more.add_server(Server::new("x", "live", ([10, 1, 9, 9], 1).into(), "dc"));
+        more
+    });
+    let removed = follow(Some(&changed), 3, Config::default());
+    let created = follow(Some(&removed), 4, config());
+    assert_eq!(first.instances, changed.instances);
+    assert!(removed.instances.is_empty());
+    for (service, instance) in &created.instances {
+        assert!(
+            !first.instances.values().any(|old| old == instance),
+            "{service}"
+        );
+    }
+}
+
+#[test]
+fn a_service_at_another_address_is_another_instance() {
+    let first = follow(None, 1, config());
+    let mut moved = Config::default();
+    moved.add_service(Service::new("live", [10, 77, 0, 8], 443, 70));
+    let second = follow(Some(&first), 2, moved);
+    assert_ne!(first.instances["live"], second.instances["live"]);
+}
+
+/// The platform was restored from a backup and holds an older document than the balancers. A
+/// change numbered from there would look old to every balancer and never come into force.
+#[test]
+fn a_change_is_numbered_above_what_balancers_have() {
+    let backup = follow(None, 1, config());
+    let draft = Draft {
+        floor: 57,
+        ..draft(2, Config::default())
+    };
+    let next = Document::follow(Some(&backup), &draft).expect("a document");
+    assert_eq!(next.revision, 58);
+}
+
+#[test]
+fn the_history_is_bounded_and_knows_recent_changes() {
+    let mut document = follow(None, 0, config());
+    for change in 1..=200 {
+        document = follow(Some(&document), change, Config::default());
+    }
+    assert_eq!(document.records().len(), HISTORY);
+    assert!(document.contains(Id::new(200)));
+    assert_eq!(document.revision_of(Id::new(150)), Some(151));
+    assert!(!document.contains(Id::new(100)));
+}
+
+/// The store holds a megabyte. A configuration beyond it must be refused: one that was cut would
+/// take servers away without a word.
+#[test]
+fn a_document_too_large_for_the_store_is_refused() {
+    let mut large = Config::default();
+    large.add_service(Service::new("live", [10, 77, 0, 1], 443, 70));
+    for host in 0..30_000_u32 {
+        let address = SocketAddr::from((std::net::Ipv4Addr::from(0x0a10_0000 + host), 6080));
+        large.add_server(Server::new(
+            &format!("host-{host}"),
+            "live",
+            address,
+            "hervanta",
+        ));
+    }
+    let refused = Document::follow(None, &draft(1, large));
+    assert!(matches!(refused, Err(Error::TooLarge { size }) if size > MAX_SIZE));
+}
+
+proptest! {
+    #[test]
+    fn a_document_reads_back_as_the_same_value(config in any_config(), change: u128) {
+        let document = follow(None, change, config.clone());
+        prop_assert_eq!(Document::decode(&document.encode()), Ok(document.clone()));
+        prop_assert_eq!(document.config(), Ok(config));
+    }
+
+    #[test]
+    fn a_value_that_is_no_document_is_an_error(value in any::<String>()) {
+        prop_assert!(Document::decode(&value).is_err());
+    }
+
+    /// Over any history of changes, a number is never used for two different services.
+    #[test]
+    fn instances_are_never_used_twice(configs in prop::collection::vec(any_config(), 1..8)) {
+        let mut document = None;
+        let mut used = std::collections::BTreeMap::new();
+        for config in configs {
+            let next = follow(document.as_ref(), 1, config.clone());
+            for (name, instance) in &next.instances {
+                let front = config.service(name).map(|s| (s.address, s.port, s.protocol.label()));
+                let owner = (name.clone(), front);
+                prop_assert_eq!(used.entry(*instance).or_insert(owner.clone()), &owner);
+            }
+            document = Some(next);
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/tests/it/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the configuration: its values, text, comparison and stored form.
+
+mod document;
+mod fixture;
+mod parse;
+mod plan;
+mod print;
--- /dev/null
+++ b/crates/config/tests/it/plan.rs
@@ -0,0 +1,78 @@
+use acacia_config::{
+    Mark, Server, Service, State,
+    plan::{Change, Step, compare},
+};
+use proptest::prelude::*;
+
+use crate::fixture::{any_config, config};
+
+#[test]
+fn a_drain_is_one_change_with_its_effect() {
+    let before = config();
+    let mut after = config();
+    after.server_mut("live-2").expect("a server").state = State::Drain { deadline: Some(9) };
+    let plan = compare(&before, &after);
+    let step = Step {
+        from: State::Active,
+        to: State::Drain { deadline: Some(9) },
+    };
+    assert_eq!(plan.changes, [Change::ServerState("live-2".into(), step)]);
+    assert_eq!(plan.effects.len(), 1);
+    assert_eq!(plan.effects[0].active, Step { from: 2, to: 1 });
+    assert_eq!(plan.effects[0].slots, Step { from: 4, to: 2 });
+    assert!(
+        plan.diff.contains(
+            "-live-2 = 10.1.0.2:6080 hervanta\n+live-2 = 10.1.0.2:6080 hervanta drain=9\n"
+        )
+    );
+    assert_eq!(plan.starved().count(), 0);
+}
+
+/// An operator drains all servers of a service in one change; new callers would find nobody.
+#[test]
+fn a_service_left_without_servers_for_new_work_is_named() {
+    let mut after = config();
+    for name in ["maps-1", "maps-2"] {
+        after.server_mut(name).expect("a server").state = State::Drain { deadline: None };
+    }
+    let plan = compare(&config(), &after);
+    let starved: Vec<_> = plan.starved().map(|e| &*e.service).collect();
+    assert_eq!(starved, ["maps"]);
+}
+
+#[test]
+fn a_new_address_is_a_move_and_a_replacement() {
+    let mut after = acacia_config::Config::default();
+    after
+        .add_service(Service::new("live", [10, 77, 0, 9], 443, 60).callers(Mark::Paying))
+        .add_server(Server::new(
+            "live-1",
+            "live",
+            ([10, 1, 0, 9], 6080).into(),
+            "hervanta",
+        ));
+    let plan = compare(&config(), &after);
+    for expected in [
+        Change::ServiceMoved("live".into()),
+        Change::ShareChanged("live".into(), Step { from: 70, to: 60 }),
+        Change::ServiceRemoved("maps".into()),
+        Change::ServerReplaced("live-1".into()),
+        Change::ServerRemoved("live-2".into()),
+        Change::CustomerRemoved("crew".into()),
+    ] {
+        assert!(plan.changes.contains(&expected), "{expected}");
+    }
+}
+
+proptest! {
+    /// No difference goes unseen: changes are listed exactly when the values differ, and exactly
+    /// then the texts differ.
+    #[test]
+    fn changes_are_listed_exactly_when_values_differ(one in any_config(), two in any_config()) {
+        for (before, after) in [(&one, &two), (&two, &one), (&one, &one)] {
+            let plan = compare(before, after);
+            prop_assert_eq!(plan.is_empty(), before == after);
+            prop_assert_eq!(plan.diff.is_empty(), before == after);
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/tests/it/print.rs
@@ -0,0 +1,69 @@
+use acacia_config::{check, parse, print};
+use proptest::prelude::*;
+
+use crate::fixture::{any_config, config};
+
+#[test]
+fn the_canonical_form_is_this() {
+    let text = print(&config());
+    let expected = "\
+[service live]
+address = 10.77.0.1
+port = 443
+protocol = tcp
+share = 70%
+callers = paying
+slots = 2
+connections = 2000
+
+[servers live]
+live-1 = 10.1.0.1:6080 hervanta
+live-2 = 10.1.0.2:6080 hervanta
+
+[service maps]
+address = 10.77.0.2
+port = 443
+protocol = tcp
+share = 30%
+callers = trial
+slots = 2
+connections = 2000
+
+[servers maps]
+maps-1 = 10.1.0.3:6080 hervanta
+maps-2 = 10.1.0.4:6080 hervanta
+
+[customer crew]
+mark = paying
+weight = 1
+prefix = 10.9.0.0/16
+";
+    assert_eq!(text, expected);
+}
+
+proptest! {
+    /// What an operator reviews and keeps is exactly what is put in force.
+    #[test]
+    fn text_reads_back_as_the_same_value(config in any_config()) {
+        let text = print(&config);
+        prop_assert_eq!(check(&config), []);
+        prop_assert_eq!(parse(&text), Ok(config));
+    }
+
+    /// However a configuration was put together, the same value prints the same text.
+    #[test]
+    fn the_order_of_building_leaves_no_trace(config in any_config()) {
+        let mut again = acacia_config::Config::default();
+        for customer in config.customers().iter().rev() {
+            again.add_customer(customer.clone());
+        }
+        for server in config.servers().iter().rev() {
+            again.add_server(server.clone());
+        }
+        for service in config.services().iter().rev() {
+            again.add_service(service.clone());
+        }
+        prop_assert_eq!(print(&again), print(&config));
+        prop_assert_eq!(again, config);
+    }
+}
