--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{SocketAddr, SocketAddrV4},
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -90,7 +90,9 @@
         let mut deployment = Deployment {
             network,
             plan,
-            runtime: tokio::runtime::Builder::new_current_thread().enable_all().build()?,
+            runtime: tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()?,
             servers: Vec::new(),
             balancers: BTreeMap::new(),
             _fabric: fabric,
@@ -116,9 +118,14 @@
     pub fn config(&self) -> anyhow::Result<Config> {
         let mut config = Config::default();
         for service in &self.plan.services {
-            let (address, port) = (Ipv4Addr::from(*service.address.ip()), service.address.port());
+            let (address, port) = (*service.address.ip(), service.address.port());
             let share = 100 / self.plan.services.len() as u8;
-            config.add_service(acacia_config::Service::new(service.name, address, port, share));
+            config.add_service(acacia_config::Service::new(
+                service.name,
+                address,
+                port,
+                share,
+            ));
         }
         let mut host = SERVERS;
         for service in &self.plan.services {
@@ -126,7 +133,12 @@
                 let name = format!("{}-{number}", service.name);
                 let address = SocketAddr::V4(self.network.port(host, TRAFFIC));
                 let centre = self.data_centre(u16::from(number));
-                config.add_server(acacia_config::Server::new(&name, service.name, address, centre));
+                config.add_server(acacia_config::Server::new(
+                    &name,
+                    service.name,
+                    address,
+                    centre,
+                ));
                 host += 1;
             }
         }
@@ -179,7 +191,10 @@
 
     /// Sends a signal to balancer `id`.
     pub fn signal_balancer(&mut self, id: u16, signal: Signal) -> anyhow::Result<()> {
-        self.balancers.get(&id).context("no such balancer")?.signal(signal)
+        self.balancers
+            .get(&id)
+            .context("no such balancer")?
+            .signal(signal)
     }
 
     /// The balancers that were started and not ended.
@@ -190,8 +205,10 @@
 
     /// The fabric sprays over `ids` from now on.
     pub fn spray_over(&self, ids: &[u16]) -> anyhow::Result<()> {
-        let addresses =
-            ids.iter().map(|id| SocketAddr::V4(self.network.port(host(*id), TRAFFIC))).collect();
+        let addresses = ids
+            .iter()
+            .map(|id| SocketAddr::V4(self.network.port(host(*id), TRAFFIC)))
+            .collect();
         self.command(FABRIC_HOST, &Command::Balancers(addresses))
     }
 
@@ -207,7 +224,11 @@
 
     /// Tells the backend server `name` how long a piece of work takes from now on.
     pub fn set_work(&self, name: &str, millis: u64) -> anyhow::Result<()> {
-        let server = self.servers.iter().find(|s| s.name == name).context("no such server")?;
+        let server = self
+            .servers
+            .iter()
+            .find(|s| s.name == name)
+            .context("no such server")?;
         self.command(server.host, &Command::Work(millis))
     }
 
@@ -218,8 +239,12 @@
         service: &str,
         arguments: &[(&str, String)],
     ) -> anyhow::Result<Process> {
-        let service =
-            self.plan.services.iter().find(|s| s.name == service).context("no such service")?;
+        let service = self
+            .plan
+            .services
+            .iter()
+            .find(|s| s.name == service)
+            .context("no such service")?;
         let mut all = vec![
             "caller".to_owned(),
             format!("--fabric={}", self.network.port(FABRIC_HOST, TRAFFIC)),
@@ -227,14 +252,21 @@
             format!("--address=192.0.2.{number}"),
             format!("--service={}", service.address),
         ];
-        all.extend(arguments.iter().map(|(name, value)| format!("--{name}={value}")));
+        all.extend(
+            arguments
+                .iter()
+                .map(|(name, value)| format!("--{name}={value}")),
+        );
         Process::start("acacia-stand", &all, "")
     }
 
     /// Ends the backend servers and gives the line of results of each.
     pub fn end_servers(&mut self) -> anyhow::Result<Vec<String>> {
         let servers = std::mem::take(&mut self.servers);
-        servers.into_iter().map(|server| Ok(server.process.end(ENDING)?.1)).collect()
+        servers
+            .into_iter()
+            .map(|server| Ok(server.process.end(ENDING)?.1))
+            .collect()
     }
 
     fn start_servers(&mut self) -> anyhow::Result<()> {
@@ -254,7 +286,11 @@
                     format!("--work={work}"),
                 ];
                 let process = Process::start("acacia-stand", &arguments, "")?;
-                self.servers.push(Server { name, host, process });
+                self.servers.push(Server {
+                    name,
+                    host,
+                    process,
+                });
                 host += 1;
             }
         }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -25,14 +25,15 @@
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Follows the configuration until `stop` is raised.
-pub fn run(
-    settings: &Settings,
-    published: &Published,
-    stop: &AtomicBool,
-) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+pub fn run(settings: &Settings, published: &Published, stop: &AtomicBool) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
-        let options = Options { seed: u64::from(settings.id), ..Options::default() };
+        let options = Options {
+            seed: u64::from(settings.id),
+            ..Options::default()
+        };
         let client = Client::new(SocketAddr::V4(settings.platform), options);
         let key: Arc<str> = KEY.into();
         let mut seen = 0;
@@ -64,10 +65,12 @@
     };
     config
         .services()
+        .iter()
         .filter_map(|service| {
             let address = v4(SocketAddr::new(service.address, service.port))?;
             let servers: Vec<SocketAddrV4> = config
                 .servers()
+                .iter()
                 .filter(|server| server.service == service.name)
                 .filter_map(|server| v4(server.address))
                 .collect();
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     control::{self, Published},
+    journal,
     settings::Settings,
     traffic::worker,
 };
@@ -31,8 +32,7 @@
 
 /// Runs the balancer until it is asked to end or a service of it dies.
 pub fn run(settings: Settings) -> anyhow::Result<Code> {
-    let config = simplelog::ConfigBuilder::new().set_time_format_rfc3339().build();
-    simplelog::WriteLogger::init(settings.log, config, std::io::stderr())?;
+    journal::start(settings.log)?;
     let settings = Arc::new(settings);
     let mut registry = Registry::default();
     registry.add(control_service(Arc::clone(&settings)));
@@ -41,7 +41,11 @@
     let kernel = registry.start()?;
     let stopper = kernel.stopper();
     let handle = signals.handle();
-    log::info!("event=started id={} traffic={}", settings.id, settings.traffic);
+    log::info!(
+        "event=started id={} traffic={}",
+        settings.id,
+        settings.traffic
+    );
     let waiter = std::thread::spawn(move || {
         if signals.forever().next().is_some() {
             stopper.stop();
@@ -53,10 +57,16 @@
     });
     let outcome = kernel.wait();
     handle.close();
-    waiter.join().map_err(|_| anyhow::anyhow!("the signal thread panicked"))?;
+    waiter
+        .join()
+        .map_err(|_| anyhow::anyhow!("the signal thread panicked"))?;
     log::info!("event=ended id={}", settings.id);
     Ok(outcome.death.map_or(Code::Success, |death| {
-        log::error!("event=service-died service={} reason=\"{}\"", death.service, death.reason);
+        log::error!(
+            "event=service-died service={} reason=\"{}\"",
+            death.service,
+            death.reason
+        );
         Code::ServiceDied
     }))
 }
@@ -78,11 +88,13 @@
         let stop = Arc::new(AtomicBool::new(false));
         for _ in 0..settings.threads {
             let socket = bind(settings.traffic)?;
-            let (settings, published, stop) =
-                (Arc::clone(&settings), Arc::clone(&published), Arc::clone(&stop));
-            context.spawn(move || {
-                Ok(worker::run(&socket, &published, &settings.secret, &stop)?)
-            })?;
+            let (settings, published, stop) = (
+                Arc::clone(&settings),
+                Arc::clone(&published),
+                Arc::clone(&stop),
+            );
+            context
+                .spawn(move || Ok(worker::run(&socket, &published, &settings.secret, &stop)?))?;
         }
         context.on_stop(move || stop.store(true, Ordering::Relaxed));
         Ok(())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod journal;
 pub mod settings;
 pub mod traffic;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -43,7 +43,11 @@
         std::fs::read_to_string(path).map(|read| text = read)
     };
     if let Err(error) = taken {
-        eprintln!("acaciad: {}: {}: {error}", Code::SettingsUnreadable, path.display());
+        eprintln!(
+            "acaciad: {}: {}: {error}",
+            Code::SettingsUnreadable,
+            path.display()
+        );
         return Err(Code::SettingsUnreadable);
     }
     Settings::parse(&text).map_err(|error| {
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -42,6 +42,7 @@
 fn main() -> anyhow::Result<()> {
     let config = simplelog::ConfigBuilder::new()
         .set_time_format_rfc3339()
+        .add_filter_allow_str("acacia")
         .build();
     simplelog::WriteLogger::init(log::LevelFilter::Info, config, std::io::stderr())?;
     let stop = Flag::on_signals()?;
