--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -51,6 +51,17 @@
     207 RedirectForged "redirect-forged": "A redirected packet carries no valid authenticator."; "Check that all balancers hold the same key; otherwise look for the sender".
     208 RedirectHops "redirect-hops": "A packet has passed more balancers than any legal path has."; "Compare the balancers' membership in acaciactl status".
     209 ServiceUnknown "service-unknown": "A packet for an address and port that no service has."; "Check the fabric's routes against the configuration".
+    230 OpeningWithData "opening-with-data": "An opening packet carries data, which could run twice; it is dropped and the caller's transport sends it again without."; "Nothing".
+    231 OwnersUnreachable "owners-unreachable": "No balancer that knows the packet's flow can be reached."; "Compare the balancers' membership in acaciactl status".
+    232 OwnersDisagree "owners-disagree": "Two balancers each take the other for the flow's owner; lasts while a change of membership spreads."; "Nothing, unless it lasts for seconds".
+    233 OwnerIncomplete "owner-incomplete": "The flow's owner has not yet taken over the pins of balancers that fell silent."; "Look for balancers that are cut off".
+    234 NotOwner "not-owner": "A balancer that has just woken or joined was asked as an owner."; "Nothing, unless it lasts for seconds".
+    235 FlowUnknown "flow-unknown": "A packet in mid-flow without a pin, at an address that another service had before."; "Nothing: the flow belongs to the removed service".
+    236 ServerUnknown "server-unknown": "The flow's server is not one of the service's."; "Nothing, unless it lasts for seconds after a change of configuration".
+    237 ServerNone "server-none": "No backend server of the service takes new flows."; "Check the service's backend servers".
+    238 FlowUnsettled "flow-unsettled": "A new flow must wait until every balancer has heard of a change."; "Nothing, unless it lasts for seconds".
+    239 PortsReused "ports-reused": "A new flow on the ports of one that has just ended waits until no balancer remembers the old one."; "Nothing".
+    240 PinsFull "pins-full": "The table of pins is full."; "Look for a flood; otherwise add balancers".
     290 ControlTruncated "control-truncated": "A control frame is cut short."; "Look for the sender".
     291 ControlOversized "control-oversized": "A control frame is longer than any legal one."; "Look for the sender".
     292 ControlForged "control-forged": "A control frame carries no valid authenticator."; "Check that all balancers hold the same key; otherwise look for the sender".
--- /dev/null
+++ b/crates/flow/src/control.rs
@@ -0,0 +1,449 @@
+use std::{collections::VecDeque, sync::Arc};
+
+use acacia_wire::{
+    collections::{Map, Set},
+    flow::{Key, Protocol},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    bitmap::Bitmap,
+    pin::{IDLE_DATAGRAMS, Pin},
+    rank::{Node, digest},
+    shard::Shard,
+    snapshot::{Address, Entry, Service, Snapshot, State},
+};
+
+mod flags;
+mod handover;
+mod peer;
+
+use flags::Flags;
+use handover::Handover;
+pub use handover::{Acknowledgement, Batch, Packed};
+use peer::Peer;
+pub use peer::{Report, Wanted};
+
+/// Times and budgets of the control thread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// Milliseconds without an echo from a peer after which flags are no longer known to be
+    /// complete. Four heartbeats of half a second: one lost now and then changes nothing.
+    pub sure: u64,
+    /// Milliseconds for which a bucket is flagged everywhere before flows are placed off its base.
+    /// An opening that was sent to the base before the flag is resent after 1 and 3 s (RFC 6298),
+    /// and must still meet the same server.
+    pub settle: u64,
+    /// Milliseconds for which former owners keep their pins and are still told of new ones after
+    /// a handover: longer than any two balancers' views of it lie apart.
+    pub grace: u64,
+    /// Bytes a second for copies of pins, to all peers together.
+    pub budget: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            sure: 2_000,
+            settle: 3_200,
+            grace: 10_000,
+            budget: 2_000,
+        }
+    }
+}
+
+/// Where a balancer is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stage {
+    /// Takes over pins; owns no flows.
+    Joining,
+    /// Owns flows.
+    Ready,
+    /// Owns flows until its pins are handed over.
+    Leaving,
+}
+
+/// What the membership knows of another balancer. One that is gone for certain (it said so, or
+/// the platform confirms it, or it was silent for much longer than any cut lasts) is left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Member {
+    /// Which process.
+    pub node: Node,
+    /// Where it is in its life.
+    pub stage: Stage,
+    /// Whether it is taken for dead. It may as well be cut off and serving flows, so that nothing
+    /// is placed off base until it is back or gone.
+    pub dead: bool,
+}
+
+/// The tables in force at this balancer.
+#[derive(Debug, Clone, Default)]
+pub struct Tables {
+    /// Rises with every change of any service.
+    pub version: u64,
+    /// All services.
+    pub services: Vec<Arc<Service>>,
+}
+
+/// The control thread's state.
+///
+/// Call order: [`Control::set_members`] and [`Control::set_tables`] when these change,
+/// [`Control::receive`] for each report, [`Control::sweep`] over all shards about once a second,
+/// then [`Control::snapshot`], and publish its outcome. Send [`Control::report`] to each member
+/// twice a second, and at once when [`Control::has_news`].
+#[derive(Debug)]
+pub struct Control {
+    me: Node,
+    stage: Stage,
+    settings: Settings,
+    agreed: Tables,
+    down: Set<(Address, u16)>,
+    tables: Tables,
+    peers: Map<u16, Peer>,
+    sent: VecDeque<(u32, u64)>,
+    sequence: u32,
+    news: bool,
+    settled: Arc<[Node]>,
+    previous: Arc<[Node]>,
+    previous_until: u64,
+    settled_at: u64,
+    seen_members: bool,
+    flags: Flags,
+    handover: Handover,
+}
+
+/// Most reports of which the time of sending is remembered: several seconds' worth for 64 peers.
+const REMEMBERED: usize = 4_096;
+
+impl Control {
+    /// The state of a balancer that has just started.
+    #[must_use]
+    pub fn new(me: Node, settings: Settings, now: u64) -> Self {
+        Control {
+            me,
+            stage: Stage::Joining,
+            settings,
+            agreed: Tables::default(),
+            down: Set::default(),
+            tables: Tables::default(),
+            peers: Map::default(),
+            sent: VecDeque::new(),
+            sequence: 0,
+            news: true,
+            settled: Arc::default(),
+            previous: Arc::default(),
+            previous_until: 0,
+            settled_at: now,
+            seen_members: false,
+            flags: Flags::default(),
+            handover: Handover::new(settings.budget, now),
+        }
+    }
+
+    /// Where this balancer is in its life; goes into its heartbeats.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Starts handing over; the balancer may stop once [`Control::may_leave`].
+    pub fn leave(&mut self) {
+        self.stage = Stage::Leaving;
+        self.news = true;
+    }
+
+    /// Whether all pins are handed over, and every peer has finished its part.
+    #[must_use]
+    pub fn may_leave(&self) -> bool {
+        self.stage == Stage::Leaving && self.is_handed_over(digest(&self.target()))
+    }
+
+    /// Whether a peer should hear from this balancer before its next heartbeat is due.
+    pub fn has_news(&mut self) -> bool {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Takes over new tables; older ones than those in force are ignored.
+    pub fn set_tables(&mut self, tables: Tables) {
+        if tables.version <= self.tables.version && self.tables.version > 0 {
+            return;
+        }
+        self.flags.note_moves(&self.tables, &tables);
+        self.agreed = tables;
+        self.apply();
+    }
+
+    /// Notes that this balancer can't reach a server that the tables list, or can again.
+    pub fn set_down(&mut self, address: Address, server: u16, down: bool) {
+        let changed = match down {
+            true => self.down.insert((address, server)),
+            false => self.down.remove(&(address, server)),
+        };
+        if changed {
+            self.apply();
+        }
+    }
+
+    /// Brings the tables in use in line with what was agreed and what was found here.
+    fn apply(&mut self) {
+        let mut services = self.agreed.services.clone();
+        let listed = |address: &Address| {
+            let mut agreed = self.agreed.services.iter();
+            agreed.any(|service| service.address == *address)
+        };
+        self.down.retain(|(address, _)| listed(address));
+        for (address, server) in &self.down {
+            let service = services
+                .iter_mut()
+                .find(|service| service.address == *address);
+            let server = service.and_then(|service| Arc::make_mut(service).servers.get_mut(server));
+            if let Some(server) = server {
+                server.state = State::Down;
+            }
+        }
+        self.tables = Tables {
+            version: self.agreed.version,
+            services,
+        };
+        self.news = true;
+        self.flags.refresh(&self.tables);
+    }
+
+    /// Takes over what the membership knows of all other balancers.
+    pub fn set_members(&mut self, members: &[Member], now: u64) {
+        self.peers
+            .retain(|_, peer| members.iter().any(|member| member.node == peer.member.node));
+        for &member in members.iter().filter(|member| member.node.id != self.me.id) {
+            let peer = self.peers.entry(member.node.id);
+            let peer = peer.or_insert_with(|| Peer::new(member, now));
+            self.news |= peer.member != member;
+            peer.member = member;
+        }
+        if !self.seen_members {
+            self.seen_members = true;
+            self.settled = self.ready();
+        }
+    }
+
+    fn alive(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| !peer.member.dead)
+    }
+
+    /// Balancers that own flows now, in the order of their numbers.
+    fn ready(&self) -> Arc<[Node]> {
+        self.collect(|stage| stage != Stage::Joining)
+    }
+
+    /// Balancers that will own flows after those that join or leave have done so.
+    fn target(&self) -> Arc<[Node]> {
+        self.collect(|stage| stage != Stage::Leaving)
+    }
+
+    fn collect(&self, is_in: impl Fn(Stage) -> bool) -> Arc<[Node]> {
+        let mine = is_in(self.stage).then_some(self.me);
+        let theirs = self.alive().filter(|peer| is_in(peer.member.stage));
+        let mut nodes: Vec<Node> = theirs.map(|peer| peer.member.node).chain(mine).collect();
+        nodes.sort_unstable();
+        nodes.into()
+    }
+
+    fn is_handed_over(&self, target: u64) -> bool {
+        let theirs = self.alive().all(|peer| peer.handed == target);
+        theirs && self.handover.finished() == Some(target)
+    }
+
+    /// Brings ownership up to date: becomes ready, and lets a complete handover take effect.
+    fn advance(&mut self, now: u64) {
+        let target = self.target();
+        let complete = self.is_handed_over(digest(&target));
+        let heard = self
+            .alive()
+            .all(|peer| peer.has_flags && peer.is_heard(now, self.settings.sure));
+        if self.stage == Stage::Joining && complete && heard && self.seen_members {
+            self.stage = Stage::Ready;
+            self.news = true;
+        }
+        if complete && *self.ready() == *target && self.settled != target {
+            self.previous = std::mem::replace(&mut self.settled, target);
+            self.previous_until = now + self.settings.grace;
+            self.settled_at = now;
+        }
+        if now > self.previous_until {
+            self.previous = Arc::clone(&self.settled);
+        }
+    }
+
+    /// The view to publish to traffic threads at `now`.
+    pub fn snapshot(&mut self, now: u64) -> Snapshot {
+        self.advance(now);
+        self.acknowledge_flags(now);
+        let sure = self.settings.sure;
+        let oldest = self.alive().map(|peer| peer.echoed).min().unwrap_or(now);
+        let latest = self.alive().map(|peer| peer.echoed).max().unwrap_or(now);
+        let informed = self.alive().all(|peer| peer.has_flags) && self.seen_members;
+        let (ready, target) = (self.ready(), self.target());
+        let mut alive: Vec<Node> = self.alive().map(|peer| peer.member.node).collect();
+        alive.push(self.me);
+        let heard = self.alive().filter(|peer| peer.is_heard(now, sure));
+        let heard: Vec<u16> = heard
+            .map(|peer| peer.member.node.id)
+            .chain([self.me.id])
+            .collect();
+        let dead = self.peers.values().filter(|peer| peer.member.dead);
+        // Half the bound: a peer that stops hearing this balancer must not answer for its flows
+        // before this balancer has stopped placing them off base.
+        let free = self
+            .peers
+            .values()
+            .all(|peer| !peer.member.dead && peer.is_heard(now, sure / 2));
+        let owns = self.stage != Stage::Joining;
+        let steady = self.settled == ready && ready == target && self.previous == self.settled;
+        Snapshot {
+            me: self.me,
+            sure_until: if informed { oldest + sure } else { 0 },
+            own_until: if owns { latest + sure } else { 0 },
+            free: free && owns,
+            missing: dead.map(|peer| peer.member.node).collect(),
+            alive: alive.into(),
+            heard: heard.into(),
+            settled: Arc::clone(&self.settled),
+            previous: Arc::clone(&self.previous),
+            ready,
+            target,
+            steady,
+            services: self.entries(now),
+        }
+    }
+
+    fn entries(&self, now: u64) -> Map<Address, Entry> {
+        let settle = self.settings.settle;
+        let informed = self.peers.values().map(|peer| peer.tables).min();
+        let dead = self.peers.values().any(|peer| peer.member.dead);
+        let entry = |service: &Arc<Service>| {
+            let address = service.address;
+            let mut flags = self.flags.wanted(&address);
+            let wanted = self.alive().filter_map(|peer| peer.wanted.get(&address));
+            wanted.for_each(|theirs| flags.union(&theirs.buckets));
+            let guarded = self.alive().filter_map(|peer| peer.wanted.get(&address));
+            Entry {
+                service: Arc::clone(service),
+                flags,
+                open: self.flags.open(&address, now, settle),
+                aged: match address.protocol {
+                    Protocol::Tcp => Bitmap::default(),
+                    // A new owner has not seen the flows that are on their base.
+                    Protocol::Udp if now < self.settled_at + IDLE_DATAGRAMS => Bitmap::default(),
+                    Protocol::Udp => self.flags.open(&address, now, IDLE_DATAGRAMS),
+                },
+                moved: self.flags.moved(&address),
+                guarded: self.flags.is_guarded(&address) || guarded.into_iter().any(|w| w.guarded),
+                refusable: self.flags.is_guard_settled(&address, now, settle),
+                accepting: !dead && informed.is_none_or(|version| version >= service.since),
+            }
+        };
+        let services = self.tables.services.iter();
+        services
+            .map(|service| (service.address, entry(service)))
+            .collect()
+    }
+
+    /// Guards a service, or ends that: openings then pass through the owners, who may refuse.
+    pub fn guard(&mut self, address: Address, guarded: bool) {
+        self.news |= self.flags.guard(address, guarded);
+    }
+
+    /// Goes through shard `index` of `count`: drops what has lapsed, notes where pins are, and
+    /// lists those to be handed over. Call for every shard in turn.
+    pub fn sweep(&mut self, shard: &mut Shard, index: usize, count: usize, now: u64) {
+        let target = self.target();
+        let view = handover::View {
+            me: self.me,
+            settled: &self.settled,
+            previous: &self.previous,
+            target: &target,
+            ready: &self.ready(),
+            alive: &self
+                .alive()
+                .map(|peer| peer.member.node)
+                .chain([self.me])
+                .collect::<Vec<_>>(),
+        };
+        let services: Map<Address, &Arc<Service>> = self
+            .tables
+            .services
+            .iter()
+            .map(|service| (service.address, service))
+            .collect();
+        self.handover.start_shard(index, count, &view);
+        shard.sweep(now, |key: &Key, pin: &Pin| {
+            let address = Address::of(key);
+            let Some(service) = services.get(&address) else {
+                return false;
+            };
+            let hash = key.hash();
+            if !view.keeps(hash) {
+                return false;
+            }
+            if !pin.light {
+                self.flags.note_pin(service, service.bucket(hash));
+            }
+            self.handover.note(key, pin, hash, &view);
+            true
+        });
+        if index + 1 == count {
+            self.flags.finish_pass();
+            self.news |= self.flags.refresh(&self.tables);
+        }
+    }
+
+    /// The batches of pins to send at `now`, within the byte budget.
+    pub fn batches(&mut self, now: u64) -> Vec<(u16, Batch)> {
+        let alive: Vec<u16> = self.alive().map(|peer| peer.member.node.id).collect();
+        self.handover.batches(now, &alive)
+    }
+
+    /// Takes in a peer's batch: `adopt` stores each pin. Send the answer back.
+    pub fn receive_batch(
+        &mut self,
+        batch: &Batch,
+        now: u64,
+        mut adopt: impl FnMut(Key, Pin),
+    ) -> Acknowledgement {
+        let service = self
+            .tables
+            .services
+            .iter()
+            .find(|service| service.address == batch.address);
+        for packed in &batch.pins {
+            let (key, pin) = packed.unpack(&batch.address, now);
+            if let Some(service) = service {
+                self.flags.note_pin(service, service.bucket(key.hash()));
+            }
+            adopt(key, pin);
+        }
+        self.news |= self.flags.refresh(&self.tables);
+        Acknowledgement {
+            number: batch.number,
+        }
+    }
+
+    /// Takes in the answer to a batch sent to `from`.
+    pub fn receive_acknowledgement(&mut self, from: u16, answer: Acknowledgement) {
+        self.handover.acknowledged(from, answer.number);
+    }
+
+    /// Whether the server may be taken out of the base of its buckets: for the writer of tables.
+    /// True once every balancer has tables of `version`, in which it takes no new flows.
+    #[must_use]
+    pub fn is_known_everywhere(&self, version: u64) -> bool {
+        self.peers
+            .values()
+            .all(|peer| !peer.member.dead && peer.tables >= version)
+    }
+}
+
+/// Whether flows may have to be placed elsewhere than on the base.
+fn is_off_base(service: &Service, bucket: usize) -> bool {
+    let base = service.base[bucket];
+    service.next[bucket] != base || !service.is_eligible(base)
+}
--- /dev/null
+++ b/crates/flow/src/control/flags.rs
@@ -0,0 +1,178 @@
+use acacia_wire::collections::{Map, Set};
+
+use super::{Tables, is_off_base};
+use crate::{
+    bitmap::Bitmap,
+    snapshot::{Address, Service},
+};
+
+/// Which buckets this balancer wants flagged, and since when all others know.
+#[derive(Debug, Default)]
+pub(super) struct Flags {
+    /// Rises with every change of what is wanted.
+    pub(super) version: u32,
+    services: Map<Address, Buckets>,
+    guarded: Map<Address, Option<u64>>,
+    /// Moves of base buckets that wait until all balancers have the tables: version, buckets.
+    moves: Map<Address, (u64, Bitmap)>,
+    acknowledged: u32,
+}
+
+#[derive(Debug, Default)]
+struct Buckets {
+    wanted: Bitmap,
+    /// Buckets of pins, as of the last complete pass over all shards.
+    pinned: Bitmap,
+    /// Buckets of pins met in the pass under way.
+    noted: Bitmap,
+    /// Per bucket, when all balancers had acknowledged its flag; 0 while they have not.
+    since: Vec<u64>,
+}
+
+impl Flags {
+    pub(super) fn wanted(&self, address: &Address) -> Bitmap {
+        let buckets = self.services.get(address);
+        buckets
+            .map(|buckets| buckets.wanted.clone())
+            .unwrap_or_default()
+    }
+
+    pub(super) fn all(&self) -> impl Iterator<Item = (Address, &Bitmap)> {
+        let services = self.services.iter();
+        services.map(|(&address, buckets)| (address, &buckets.wanted))
+    }
+
+    pub(super) fn moved(&self, address: &Address) -> Bitmap {
+        self.moves
+            .get(address)
+            .map(|(_, moved)| moved.clone())
+            .unwrap_or_default()
+    }
+
+    /// Buckets that have been flagged everywhere for `settle` milliseconds.
+    pub(super) fn open(&self, address: &Address, now: u64, settle: u64) -> Bitmap {
+        let mut open = Bitmap::default();
+        if let Some(buckets) = self.services.get(address) {
+            let since = |bucket: usize| buckets.since.get(bucket).copied().unwrap_or(0);
+            buckets
+                .wanted
+                .iter()
+                .filter(|&bucket| since(bucket) > 0 && now >= since(bucket) + settle)
+                .for_each(|bucket| open.insert(bucket));
+        }
+        open
+    }
+
+    pub(super) fn is_guarded(&self, address: &Address) -> bool {
+        self.guarded.contains_key(address)
+    }
+
+    pub(super) fn is_guard_settled(&self, address: &Address, now: u64, settle: u64) -> bool {
+        let since = self.guarded.get(address).copied().flatten();
+        since.is_some_and(|since| now >= since + settle)
+    }
+
+    pub(super) fn guard(&mut self, address: Address, guarded: bool) -> bool {
+        let changed = guarded != self.guarded.contains_key(&address);
+        if changed && guarded {
+            self.guarded.insert(address, None);
+        } else if changed {
+            self.guarded.remove(&address);
+        }
+        self.version += u32::from(changed);
+        changed
+    }
+
+    /// Notes buckets whose base differs between two tables: until every balancer has the new
+    /// ones, a flow on the new base needs a pin as if it were off base.
+    pub(super) fn note_moves(&mut self, old: &Tables, new: &Tables) {
+        for service in &new.services {
+            let before = old
+                .services
+                .iter()
+                .find(|old| old.address == service.address && old.since == service.since);
+            let Some(before) = before else { continue };
+            let entry = self.moves.entry(service.address);
+            let (version, moved) = entry.or_insert_with(|| (0, Bitmap::default()));
+            let pairs = before.base.iter().zip(service.base.iter()).enumerate();
+            for (bucket, _) in pairs.filter(|(_, (old, new))| old != new) {
+                moved.insert(bucket);
+                *version = new.version;
+            }
+            if moved.is_empty() {
+                self.moves.remove(&service.address);
+            }
+        }
+    }
+
+    /// Ends the moves that every balancer knows of: `known` is the least version of tables.
+    pub(super) fn settle_moves(&mut self, known: u64) {
+        self.moves.retain(|_, (version, _)| *version > known);
+    }
+
+    pub(super) fn note_pin(&mut self, service: &Service, bucket: usize) {
+        let buckets = self.services.entry(service.address).or_default();
+        buckets.noted.insert(bucket);
+        buckets.pinned.insert(bucket);
+    }
+
+    /// A pass over all shards is complete: what it has not met holds no pins.
+    pub(super) fn finish_pass(&mut self) {
+        for buckets in self.services.values_mut() {
+            buckets.pinned = std::mem::take(&mut buckets.noted);
+        }
+    }
+
+    /// Brings what is wanted in line with tables and pins; gives whether it changed.
+    ///
+    /// A bucket stays flagged through one pass over the shards after new flows go to its base
+    /// again: a traffic thread with the last snapshot may still be pinning.
+    pub(super) fn refresh(&mut self, tables: &Tables) -> bool {
+        let mut changed = false;
+        let listed: Set<Address> = tables
+            .services
+            .iter()
+            .map(|service| service.address)
+            .collect();
+        self.services.retain(|address, _| listed.contains(address));
+        for service in &tables.services {
+            let moved = self.moved(&service.address);
+            let buckets = self.services.entry(service.address).or_default();
+            buckets.since.resize(service.base.len(), 0);
+            let mut wanted = Bitmap::new(service.base.len());
+            (0..service.base.len())
+                .filter(|&bucket| service.strict || is_off_base(service, bucket))
+                .for_each(|bucket| wanted.insert(bucket));
+            wanted.union(&moved);
+            wanted.union(&buckets.pinned);
+            wanted.union(&buckets.noted);
+            if wanted != buckets.wanted {
+                for (bucket, since) in buckets.since.iter_mut().enumerate() {
+                    *since = if wanted.contains(bucket) { *since } else { 0 };
+                }
+                buckets.wanted = wanted;
+                changed = true;
+            }
+        }
+        self.version += u32::from(changed);
+        changed
+    }
+
+    /// Every balancer has acknowledged the flags as they are now.
+    pub(super) fn acknowledge(&mut self, now: u64) {
+        if self.acknowledged == self.version {
+            return;
+        }
+        self.acknowledged = self.version;
+        for buckets in self.services.values_mut() {
+            for bucket in buckets.wanted.iter() {
+                if let Some(since) = buckets.since.get_mut(bucket).filter(|since| **since == 0) {
+                    *since = now.max(1);
+                }
+            }
+        }
+        for since in self.guarded.values_mut().filter(|since| since.is_none()) {
+            *since = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/control/handover.rs
@@ -0,0 +1,254 @@
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+use acacia_wire::flow::Key;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    pin::{Phase, Pin},
+    rank::{Node, digest, pair},
+    snapshot::Address,
+};
+
+/// Most pins of a batch: it then fits a datagram of 1,280 bytes with its headers.
+const BATCH: usize = 90;
+/// Milliseconds after which an unacknowledged batch is sent again.
+const REPEAT: u64 = 1_000;
+/// Bytes of a batch besides its pins: frame, UDP and IP headers, address, number.
+const ENVELOPE: usize = 84;
+/// Most that the byte budget saves up, in seconds' worth.
+const BURST: u64 = 2;
+
+/// A pin in a [`Batch`]. 10 to 12 bytes encoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packed {
+    client: [u8; 4],
+    client_port: [u8; 2],
+    server: u16,
+    /// Phase in the low bits, then the age in units of 64 s.
+    state: u8,
+}
+
+/// Bytes of an encoded [`Packed`] at most.
+const PACKED: usize = 10;
+/// Milliseconds in a unit of a packed pin's age.
+const AGE: u64 = 64_000;
+
+impl Packed {
+    fn new(key: &Key, pin: &Pin, now: u64) -> Self {
+        let age = (pin.age(now) / AGE).min(63) as u8;
+        Packed {
+            client: key.client.octets(),
+            client_port: key.client_port.to_be_bytes(),
+            server: pin.server,
+            state: pin.phase as u8 | age << 2,
+        }
+    }
+
+    pub(super) fn unpack(&self, address: &Address, now: u64) -> (Key, Pin) {
+        let key = Key {
+            client: Ipv4Addr::from(self.client),
+            service: address.ip,
+            client_port: u16::from_be_bytes(self.client_port),
+            service_port: address.port,
+            protocol: address.protocol,
+        };
+        let pin = Pin {
+            synced: (now.saturating_sub(u64::from(self.state >> 2) * AGE) / 1_000) as u32,
+            isn: 0,
+            server: self.server,
+            phase: Phase::from_number(self.state & 3),
+            light: false,
+        };
+        (key, pin)
+    }
+}
+
+/// Copies of pins for a new owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// Tells it from the sender's other batches.
+    pub number: u32,
+    /// The service of all its pins.
+    pub address: Address,
+    /// The pins.
+    pub pins: Vec<Packed>,
+}
+
+/// The answer to a [`Batch`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acknowledgement {
+    /// Number of the batch.
+    pub number: u32,
+}
+
+/// The sets of owners that decide who sends what to whom.
+pub(super) struct View<'a> {
+    pub(super) me: Node,
+    pub(super) settled: &'a [Node],
+    pub(super) previous: &'a [Node],
+    pub(super) ready: &'a [Node],
+    pub(super) target: &'a [Node],
+    pub(super) alive: &'a [Node],
+}
+
+impl View<'_> {
+    /// Whether this balancer has any business with a flow.
+    pub(super) fn keeps(&self, hash: u64) -> bool {
+        let ranks = |set: &[Node]| pair(hash, set).contains(&Some(self.me));
+        let others = [self.target, self.ready, self.previous];
+        let mut others = others.iter().filter(|set| **set != self.settled);
+        ranks(self.settled) || others.any(|set| ranks(set))
+    }
+
+    /// Who has to get a copy from this balancer: the new owners, from the first owner alive.
+    fn receivers(&self, hash: u64) -> impl Iterator<Item = Node> + use<> {
+        let old = pair(hash, self.settled);
+        let sender = old.iter().flatten().find(|node| self.alive.contains(node));
+        let sends = sender.is_none_or(|sender| *sender == self.me);
+        let new = pair(hash, self.target).map(|node| {
+            node.filter(|node| sends && *node != self.me && !old.contains(&Some(*node)))
+        });
+        new.into_iter().flatten()
+    }
+}
+
+#[derive(Debug)]
+struct Sent {
+    to: u16,
+    at: u64,
+    batch: Batch,
+}
+
+/// Copies of pins on their way to new owners.
+#[derive(Debug)]
+pub(super) struct Handover {
+    budget: u64,
+    tokens: u64,
+    refilled: u64,
+    number: u32,
+    /// What the pass over the shards works for: the owners-to-be, and the living.
+    goal: Option<(u64, u64)>,
+    /// How many shards the pass has done, and of how many.
+    done: usize,
+    count: usize,
+    /// Whether the shard under way belongs to the pass.
+    listing: bool,
+    queues: BTreeMap<(u16, Address), Vec<(Key, Pin)>>,
+    unacknowledged: Vec<Sent>,
+}
+
+impl Handover {
+    pub(super) fn new(budget: u32, now: u64) -> Self {
+        Handover {
+            budget: u64::from(budget),
+            tokens: u64::from(budget),
+            refilled: now,
+            number: 0,
+            goal: None,
+            done: 0,
+            count: usize::MAX,
+            listing: false,
+            queues: BTreeMap::new(),
+            unacknowledged: Vec::new(),
+        }
+    }
+
+    /// The owners' set to which all pins have been handed over.
+    pub(super) fn finished(&self) -> Option<u64> {
+        let sent = self.queues.is_empty() && self.unacknowledged.is_empty();
+        let (target, _) = self.goal?;
+        (sent && self.done == self.count).then_some(target)
+    }
+
+    /// Begins with shard `index` of `count`. A new goal starts the pass anew at the first shard;
+    /// so does a death, since the dead one's part falls to others.
+    pub(super) fn start_shard(&mut self, index: usize, count: usize, view: &View<'_>) {
+        let goal = (digest(view.target), digest(view.alive));
+        if index == 0 && self.goal != Some(goal) {
+            self.goal = Some(goal);
+            self.done = 0;
+            self.queues.clear();
+        }
+        self.count = count;
+        self.listing = self.goal == Some(goal) && index == self.done;
+        self.done += usize::from(self.listing);
+    }
+
+    /// Lists a pin met in the pass for those that need a copy.
+    pub(super) fn note(&mut self, key: &Key, pin: &Pin, hash: u64, view: &View<'_>) {
+        if !self.listing || pin.light {
+            return;
+        }
+        for node in view.receivers(hash) {
+            let queue = self.queues.entry((node.id, Address::of(key))).or_default();
+            queue.push((*key, *pin));
+        }
+    }
+
+    pub(super) fn batches(&mut self, now: u64, alive: &[u16]) -> Vec<(u16, Batch)> {
+        self.refill(now);
+        self.queues.retain(|(to, _), _| alive.contains(to));
+        self.unacknowledged.retain(|sent| alive.contains(&sent.to));
+        let mut out = Vec::new();
+        for at in 0..self.unacknowledged.len() {
+            let cost = cost(self.unacknowledged[at].batch.pins.len());
+            let sent = &mut self.unacknowledged[at];
+            if now >= sent.at + REPEAT && self.tokens >= cost {
+                self.tokens -= cost;
+                sent.at = now;
+                out.push((sent.to, sent.batch.clone()));
+            }
+        }
+        while let Some((to, batch)) = self.next_batch(now) {
+            out.push((to, batch.clone()));
+            self.unacknowledged.push(Sent { to, at: now, batch });
+        }
+        out
+    }
+
+    fn refill(&mut self, now: u64) {
+        let earned = (now - self.refilled) * self.budget / 1_000;
+        if earned > 0 {
+            self.tokens = (self.tokens + earned).min(self.budget * BURST);
+            self.refilled = now;
+        }
+    }
+
+    fn next_batch(&mut self, now: u64) -> Option<(u16, Batch)> {
+        let mut entry = self.queues.first_entry()?;
+        let (to, address) = *entry.key();
+        let queue = entry.get_mut();
+        let count = queue.len().min(BATCH);
+        if self.tokens < cost(count) {
+            return None;
+        }
+        self.tokens -= cost(count);
+        let pins = queue.drain(queue.len() - count..);
+        let pins = pins
+            .map(|(key, pin)| Packed::new(&key, &pin, now))
+            .collect();
+        if queue.is_empty() {
+            entry.remove();
+        }
+        self.number += 1;
+        let number = self.number;
+        Some((
+            to,
+            Batch {
+                number,
+                address,
+                pins,
+            },
+        ))
+    }
+
+    pub(super) fn acknowledged(&mut self, from: u16, number: u32) {
+        self.unacknowledged
+            .retain(|sent| (sent.to, sent.batch.number) != (from, number));
+    }
+}
+
+/// Bytes of a batch of `pins` on the wire.
+fn cost(pins: usize) -> u64 {
+    (ENVELOPE + pins * PACKED) as u64
+}
--- /dev/null
+++ b/crates/flow/src/pin.rs
@@ -0,0 +1,90 @@
+use acacia_wire::flow::Protocol;
+
+/// Milliseconds in which a balancer may use a pin it has learned without asking again.
+///
+/// A longer time saves redirects of busy flows. But the ports of a flow that has ended may be
+/// used again, and a balancer that still remembered the old flow would send the new one's packets
+/// to the wrong server; owners hold a new flow back until every such memory has lapsed.
+pub const CACHE: u64 = 3_000;
+/// Milliseconds after which a pin is forgotten if its flow never went beyond its opening: a
+/// server gives up resending its answer to an opening after 63 s (RFC 6298 timers, 5 resends).
+pub const OPENING: u64 = 75_000;
+/// Milliseconds for which a flow placed on its base is remembered, so that a resent opening meets
+/// the same decision even if the table changes in between. Openings are resent after 1 and 3 s.
+pub const LIGHT: u64 = 8_000;
+/// Milliseconds after which an idle TCP flow is forgotten. RFC 5382 asks middleboxes for over two
+/// hours; feeds may be quieter than that.
+pub const IDLE: u64 = 4 * 3_600_000;
+/// Milliseconds after which an idle UDP flow is taken for ended (RFC 4787 asks for two minutes).
+pub const IDLE_DATAGRAMS: u64 = 120_000;
+/// Milliseconds for which a closing flow is kept, so that late packets still go right.
+pub const CLOSING: u64 = 60_000;
+
+/// How far a pinned flow has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Phase {
+    /// Only its opening packet was seen.
+    Opening = 0,
+    /// Packets beyond the opening were seen.
+    Open = 1,
+    /// The caller sent FIN; the server may still be sending.
+    Closing = 2,
+    /// The caller, or somebody who guessed its ports, sent RST.
+    Reset = 3,
+}
+
+impl Phase {
+    /// The phase that [`Phase`] as a number stands for.
+    #[must_use]
+    pub fn from_number(number: u8) -> Phase {
+        match number {
+            0 => Phase::Opening,
+            1 => Phase::Open,
+            2 => Phase::Closing,
+            _ => Phase::Reset,
+        }
+    }
+}
+
+/// What an owner remembers of a flow. 16 bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pin {
+    /// Seconds of the monotonic clock at which all owners last heard of the flow.
+    pub synced: u32,
+    /// Initial sequence number of the opening, 0 where unknown.
+    pub isn: u32,
+    /// The flow's backend server.
+    pub server: u16,
+    /// How far the flow has come.
+    pub phase: Phase,
+    /// Whether the flow is on its base, and the pin there only to meet resent openings.
+    pub light: bool,
+}
+
+impl Pin {
+    /// Milliseconds without news after which the pin is forgotten.
+    #[must_use]
+    pub fn lifetime(&self, protocol: Protocol) -> u64 {
+        match (protocol, self.light, self.phase) {
+            (Protocol::Udp, ..) => IDLE_DATAGRAMS,
+            (_, true, _) => LIGHT,
+            (_, _, Phase::Opening) => OPENING,
+            (_, _, Phase::Open) => IDLE,
+            (_, _, Phase::Closing | Phase::Reset) => CLOSING,
+        }
+    }
+
+    /// Whether the other owners should hear of the flow again: they see none of its packets while
+    /// the first answers, and would forget it.
+    #[must_use]
+    pub fn is_stale(&self, now: u64, protocol: Protocol) -> bool {
+        self.age(now) > self.lifetime(protocol) / 4
+    }
+
+    /// Milliseconds since all owners last heard of the flow.
+    #[must_use]
+    pub fn age(&self, now: u64) -> u64 {
+        now.saturating_sub(u64::from(self.synced) * 1_000)
+    }
+}
--- /dev/null
+++ b/crates/flow/src/rank.rs
@@ -0,0 +1,51 @@
+use acacia_wire::flow::mix;
+
+/// One start of a balancer's process.
+///
+/// A balancer that restarts holds none of the pins its former self held, so it counts as another.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Node {
+    /// The balancer.
+    pub id: u16,
+    /// Rises with every start of its process.
+    pub incarnation: u64,
+}
+
+/// The two nodes that rank first for the flow with hash `hash` (rendezvous hashing): a set that
+/// gains or loses one node changes at most one of the two.
+///
+/// ```
+/// use acacia_flow::rank::{pair, Node};
+/// let nodes: Vec<Node> = (0..8).map(|id| Node { id, incarnation: 1 }).collect();
+/// let [first, second] = pair(42, &nodes);
+/// assert_ne!(first, second);
+/// assert_eq!(pair(42, &nodes[..0]), [None, None]);
+/// ```
+#[must_use]
+pub fn pair(hash: u64, nodes: &[Node]) -> [Option<Node>; 2] {
+    let mut best: [Option<(u64, Node)>; 2] = [None; 2];
+    for &node in nodes {
+        let weight = Some((mix(hash ^ (u64::from(node.id) << 48)), node));
+        if weight > best[0] {
+            best = [weight, best[0]];
+        } else if weight > best[1] {
+            best[1] = weight;
+        }
+    }
+    best.map(|entry| entry.map(|(_, node)| node))
+}
+
+/// A number that stands for a set of nodes: equal sets have equal numbers.
+///
+/// ```
+/// use acacia_flow::rank::{digest, Node};
+/// assert_ne!(digest(&[]), digest(&[Node { id: 1, incarnation: 1 }]));
+/// ```
+#[must_use]
+pub fn digest(nodes: &[Node]) -> u64 {
+    nodes.iter().fold(mix(0), |sum, node| {
+        sum.wrapping_add(mix(mix(u64::from(node.id)) ^ node.incarnation))
+    })
+}
--- /dev/null
+++ b/crates/flow/src/resolve.rs
@@ -0,0 +1,420 @@
+use acacia_code::Code;
+use acacia_wire::{
+    encap::{MAX_HOPS, NO_SERVER, Purpose, Redirect},
+    flow::Protocol,
+    packet::{Kind, Packet},
+};
+
+use crate::{
+    pin::{CACHE, Phase, Pin},
+    shard::Shard,
+    snapshot::{Address, Chain, Entry, Service, Snapshot, State},
+    verdict::{Action, Arrival, Notice, Placement, Request, Verdict},
+};
+
+/// Bit of [`Redirect::asked`]: a balancer that took another for the flow's owner passed it on.
+const PASSED_ON: u8 = 1;
+
+/// Decides what to do with `packet`, which came to this balancer at `now`.
+///
+/// `shard` is the one that holds the packet's flow. `place` chooses the server of a new flow.
+pub fn resolve(
+    snapshot: &Snapshot,
+    shard: &mut Shard,
+    now: u64,
+    packet: &Packet,
+    arrival: Arrival,
+    place: &mut dyn FnMut(&Request<'_>) -> Placement,
+) -> Verdict {
+    let Some(entry) = snapshot.services.get(&Address::of(&packet.key)) else {
+        return drop(Code::ServiceUnknown);
+    };
+    if matches!(packet.kind, Kind::Opening { .. }) && packet.payload > 0 {
+        return drop(Code::OpeningWithData);
+    }
+    let hash = packet.key.hash();
+    let mut step = Step {
+        snapshot,
+        entry,
+        service: &entry.service,
+        shard,
+        now,
+        packet,
+        hash,
+        bucket: entry.service.bucket(hash),
+        hops: 0,
+        place,
+    };
+    match arrival {
+        Arrival::Ingress => step.ingress(),
+        Arrival::Redirected(header) => {
+            step.hops = header.hops;
+            match header.purpose {
+                Purpose::Resolve => step.asked(&header),
+                Purpose::Replicate | Purpose::Release => step.told(&header),
+            }
+        }
+    }
+}
+
+fn drop(code: Code) -> Verdict {
+    Action::Drop { code }.into()
+}
+
+fn forward(server: u16) -> Verdict {
+    Action::Forward { server }.into()
+}
+
+/// One packet at one balancer.
+struct Step<'a> {
+    snapshot: &'a Snapshot,
+    entry: &'a Entry,
+    service: &'a Service,
+    shard: &'a mut Shard,
+    now: u64,
+    packet: &'a Packet,
+    hash: u64,
+    bucket: usize,
+    hops: u8,
+    place: &'a mut dyn FnMut(&Request<'_>) -> Placement,
+}
+
+impl Step<'_> {
+    fn ingress(&mut self) -> Verdict {
+        let flagged = !self.snapshot.is_sure(self.now)
+            || self.service.strict
+            || self.entry.flags.contains(self.bucket);
+        match self.packet.kind {
+            Kind::Opening { .. } if flagged || self.entry.guarded => self.find_owner(),
+            Kind::Opening { .. } => self.open_on_base(),
+            _ if !flagged => self.forward_to(self.base()),
+            Kind::Closing | Kind::Reset => {
+                self.shard.forget(&self.packet.key);
+                self.find_owner()
+            }
+            Kind::Middle | Kind::Datagram | Kind::Error => {
+                match self.shard.cached(&self.packet.key, self.now) {
+                    Some(server) => self.forward_to(server),
+                    None => self.find_owner(),
+                }
+            }
+        }
+    }
+
+    fn base(&self) -> u16 {
+        self.service.base[self.bucket]
+    }
+
+    fn forward_to(&self, server: u16) -> Verdict {
+        if self.service.servers.contains_key(&server) {
+            forward(server)
+        } else {
+            drop(Code::ServerUnknown)
+        }
+    }
+
+    /// A new flow in a bucket without pins: nobody has to know of it.
+    fn open_on_base(&mut self) -> Verdict {
+        match self.ask_policy(false, false) {
+            Placement::Server(_) => self.forward_to(self.base()),
+            Placement::Refuse { .. } => drop(Code::FlowUnsettled),
+            Placement::Nowhere => drop(Code::ServerNone),
+        }
+    }
+
+    fn ask_policy(&mut self, free: bool, refusable: bool) -> Placement {
+        (self.place)(&Request {
+            service: self.service,
+            bucket: self.bucket,
+            hash: self.hash,
+            packet: self.packet,
+            free,
+            refusable,
+        })
+    }
+
+    /// Whether this balancer can ask `id` about the flow, or answer itself.
+    fn is_able(&self, id: u16) -> bool {
+        if id == self.snapshot.me.id {
+            self.snapshot.is_owner(self.now)
+        } else {
+            self.snapshot.is_heard(id)
+        }
+    }
+
+    fn first_able(&self, chain: &Chain) -> Option<u16> {
+        chain.ids().iter().copied().find(|&id| self.is_able(id))
+    }
+
+    fn find_owner(&mut self) -> Verdict {
+        let chain = self.snapshot.chain(self.hash);
+        match self.first_able(&chain) {
+            None => drop(Code::OwnersUnreachable),
+            Some(id) if id == self.snapshot.me.id => self.decide(&chain),
+            Some(id) => self.redirect(id, Purpose::Resolve, NO_SERVER, 0),
+        }
+    }
+
+    fn redirect(&self, to: u16, purpose: Purpose, server: u16, asked: u8) -> Verdict {
+        if self.hops >= MAX_HOPS {
+            return drop(Code::RedirectHops);
+        }
+        let header = Redirect {
+            purpose,
+            hops: self.hops + 1,
+            sender: self.snapshot.me.id,
+            server,
+            asked,
+        };
+        Action::Redirect { to, header }.into()
+    }
+
+    /// Another balancer takes this one for the flow's owner.
+    fn asked(&mut self, header: &Redirect) -> Verdict {
+        let chain = self.snapshot.chain(self.hash);
+        let first = self.first_able(&chain);
+        let is_owner = self.snapshot.is_owner(self.now);
+        let knows = is_owner && self.known_pin().is_some();
+        let mut verdict = match first {
+            _ if knows => self.decide(&chain),
+            None => drop(Code::OwnersUnreachable),
+            Some(id) if id == self.snapshot.me.id => self.decide(&chain),
+            // Two balancers that each take the other for the first would pass it back and forth.
+            Some(_) if header.asked & PASSED_ON != 0 => drop(Code::OwnersDisagree),
+            Some(id) => self.redirect(id, Purpose::Resolve, NO_SERVER, PASSED_ON),
+        };
+        if let Action::Forward { server } = verdict.action
+            && matches!(self.packet.kind, Kind::Middle | Kind::Datagram)
+            && self.shard.hint(self.hash, self.now)
+            && (self.known_pin().is_some() || self.mark(Phase::Open))
+        {
+            let key = self.packet.key;
+            verdict.notice = Some((header.sender, Notice::Hint { key, server }));
+        }
+        verdict
+    }
+
+    /// The flow's pin, unless the packet opens another flow on the same ports.
+    fn known_pin(&self) -> Option<Pin> {
+        let pin = self.shard.pin(&self.packet.key)?;
+        let lapsed = pin.age(self.now) > pin.lifetime(self.packet.key.protocol);
+        (!lapsed && !self.is_reuse(&pin)).then_some(pin)
+    }
+
+    fn is_reuse(&self, pin: &Pin) -> bool {
+        let ended = matches!(pin.phase, Phase::Closing | Phase::Reset);
+        let removed = !self.service.servers.contains_key(&pin.server);
+        matches!(self.packet.kind, Kind::Opening { isn } if (ended || removed) && isn != pin.isn)
+    }
+
+    /// Answers as the first owner that can be asked.
+    fn decide(&mut self, chain: &Chain) -> Verdict {
+        if let Some(pin) = self.known_pin() {
+            return self.follow(pin, chain);
+        }
+        if !self.snapshot.is_complete(self.hash) {
+            return drop(Code::OwnerIncomplete);
+        }
+        match self.packet.kind {
+            Kind::Opening { isn } => self.open(isn, chain),
+            Kind::Datagram => self.open(0, chain),
+            _ if self.service.strict => drop(Code::FlowUnknown),
+            Kind::Closing => self.end_on_base(Phase::Closing),
+            Kind::Reset => self.end_on_base(Phase::Reset),
+            Kind::Middle | Kind::Error => self.forward_to(self.base()),
+        }
+    }
+
+    /// Remembers for a while that a flow without a pin is on its base. Other balancers may have
+    /// been told so, and a new flow on the same ports must not be placed elsewhere meanwhile.
+    fn mark(&mut self, phase: Phase) -> bool {
+        let pin = Pin {
+            synced: self.seconds(),
+            isn: 0,
+            server: self.base(),
+            phase,
+            light: true,
+        };
+        self.shard.store(self.packet.key, pin)
+    }
+
+    fn end_on_base(&mut self, phase: Phase) -> Verdict {
+        self.mark(phase);
+        self.forward_to(self.base())
+    }
+
+    /// Serves a packet of a pinned flow.
+    fn follow(&mut self, pin: Pin, chain: &Chain) -> Verdict {
+        if !self.service.servers.contains_key(&pin.server) {
+            return drop(Code::ServerUnknown);
+        }
+        let phase = self.phase_after(pin.phase);
+        let stale = pin.is_stale(self.now, self.packet.key.protocol);
+        let resent = matches!(self.packet.kind, Kind::Opening { .. });
+        if self.packet.kind == Kind::Error || (phase == pin.phase && !stale && !resent) {
+            return forward(pin.server);
+        }
+        let synced = self.seconds();
+        self.shard.store(
+            self.packet.key,
+            Pin {
+                phase,
+                synced,
+                ..pin
+            },
+        );
+        self.pass_on(pin.server, chain)
+    }
+
+    fn seconds(&self) -> u32 {
+        (self.now / 1_000) as u32
+    }
+
+    /// What the packet makes of a pin. A reset may be forged, and a server ignores one that does
+    /// not fit; hence traffic after it brings the pin back.
+    fn phase_after(&self, phase: Phase) -> Phase {
+        match (self.packet.kind, phase) {
+            (Kind::Closing, _) => Phase::Closing,
+            (Kind::Reset, _) => Phase::Reset,
+            (Kind::Middle | Kind::Datagram, Phase::Opening | Phase::Reset) => Phase::Open,
+            (Kind::Middle, Phase::Closing) if self.packet.payload > 0 => Phase::Open,
+            _ => phase,
+        }
+    }
+
+    /// Places a new flow.
+    fn open(&mut self, isn: u32, chain: &Chain) -> Verdict {
+        if let Some(old) = self.shard.pin(&self.packet.key)
+            && old.age(self.now) <= CACHE + 1_000
+        {
+            return drop(Code::PortsReused);
+        }
+        if self.service.strict && !self.entry.accepting {
+            return drop(Code::FlowUnsettled);
+        }
+        let room = self.shard.has_room();
+        let (free, refusable) = (self.is_free() && room, self.is_refusable());
+        let server = match self.ask_policy(free, refusable) {
+            Placement::Refuse { retry_after } if refusable => {
+                return Action::Refuse { retry_after }.into();
+            }
+            Placement::Refuse { .. } => return drop(Code::FlowUnsettled),
+            Placement::Nowhere if free => return drop(Code::ServerNone),
+            Placement::Server(server) if free => server,
+            _ => self.base(),
+        };
+        if room {
+            self.pin_new(server, isn, chain)
+        } else {
+            self.without_pin(server)
+        }
+    }
+
+    fn is_free(&self) -> bool {
+        let open = self.snapshot.free && self.entry.open.contains(self.bucket);
+        // Nothing marks the first packet of a flow of datagrams. Only an owner that has seen all
+        // that lives in the bucket knows a new flow; a server that is down keeps none alive.
+        let known_new = self.packet.key.protocol == Protocol::Tcp
+            || self.entry.aged.contains(self.bucket)
+            || !self.is_serving(self.base());
+        open && known_new
+    }
+
+    fn is_serving(&self, server: u16) -> bool {
+        let servers = &self.service.servers;
+        servers
+            .get(&server)
+            .is_some_and(|server| server.state != State::Down)
+    }
+
+    fn is_refusable(&self) -> bool {
+        let seen = self.entry.refusable || self.entry.open.contains(self.bucket);
+        matches!(self.packet.kind, Kind::Opening { .. }) && self.snapshot.free && seen
+    }
+
+    fn pin_new(&mut self, server: u16, isn: u32, chain: &Chain) -> Verdict {
+        let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
+        let settled = self.snapshot.free && self.entry.open.contains(self.bucket);
+        if !self.service.servers.contains_key(&server) {
+            return drop(Code::ServerUnknown);
+        }
+        if sticky && !settled {
+            return drop(Code::FlowUnsettled);
+        }
+        let pin = Pin {
+            synced: self.seconds(),
+            isn,
+            server,
+            phase: Phase::Opening,
+            light: server == self.base() && !sticky,
+        };
+        self.shard.store(self.packet.key, pin);
+        self.pass_on(server, chain)
+    }
+
+    /// A flood of openings fills the room for pins. Flows that need none still open; the others
+    /// would be lost when their next packet comes in elsewhere.
+    fn without_pin(&mut self, server: u16) -> Verdict {
+        let stays = server == self.base() && self.service.next[self.bucket] == server;
+        let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
+        if stays && !sticky && self.is_serving(server) {
+            forward(server)
+        } else {
+            drop(Code::PinsFull)
+        }
+    }
+
+    /// Hands the packet to the next balancer that must know of the flow, or to its server after
+    /// the last. The server's answer can't reach the caller before all of them know.
+    fn pass_on(&self, server: u16, chain: &Chain) -> Verdict {
+        let purpose = match self.packet.kind {
+            Kind::Closing | Kind::Reset => Purpose::Release,
+            _ => Purpose::Replicate,
+        };
+        let ids = chain.ids();
+        let mine = ids.iter().position(|&id| id == self.snapshot.me.id);
+        let rest = mine.map_or(&[][..], |at| &ids[at + 1..]);
+        match rest.iter().find(|&&id| self.snapshot.is_heard(id)) {
+            Some(&to) if self.hops < MAX_HOPS => self.redirect(to, purpose, server, 0),
+            _ => forward(server),
+        }
+    }
+
+    /// An owner before this one in the chain has placed the flow, or followed its pin.
+    fn told(&mut self, header: &Redirect) -> Verdict {
+        if !self.snapshot.is_owner(self.now) {
+            return drop(Code::NotOwner);
+        }
+        let chain = self.snapshot.chain(self.hash);
+        let known = self.known_pin();
+        let server = known.map_or(header.server, |pin| pin.server);
+        if !self.service.servers.contains_key(&server) {
+            return drop(Code::ServerUnknown);
+        }
+        let before = known.map_or(Phase::Opening, |pin| pin.phase);
+        let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
+        let pin = Pin {
+            synced: self.seconds(),
+            isn: self.isn(known),
+            server,
+            phase: self.phase_after(before),
+            light: known.map_or(server == self.base() && !sticky, |pin| pin.light),
+        };
+        if !self.shard.store(self.packet.key, pin) {
+            return drop(Code::PinsFull);
+        }
+        let mut verdict = self.pass_on(server, &chain);
+        if server != header.server {
+            let key = self.packet.key;
+            verdict.notice = Some((header.sender, Notice::Correct { key, server }));
+        }
+        verdict
+    }
+
+    fn isn(&self, known: Option<Pin>) -> u32 {
+        match self.packet.kind {
+            Kind::Opening { isn } if known.is_none() => isn,
+            _ => known.map_or(0, |pin| pin.isn),
+        }
+    }
+}
