--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -210,12 +210,12 @@
     }
 
     /// Takes over what the membership knows of all other balancers.
-    pub fn set_members(&mut self, members: &[Member], now: u64) {
+    pub fn set_members(&mut self, members: &[Member]) {
         self.peers
             .retain(|_, peer| members.iter().any(|member| member.node == peer.member.node));
         for &member in members.iter().filter(|member| member.node.id != self.me.id) {
             let peer = self.peers.entry(member.node.id);
-            let peer = peer.or_insert_with(|| Peer::new(member, now));
+            let peer = peer.or_insert_with(|| Peer::new(member));
             self.news |= peer.member != member;
             peer.member = member;
         }
@@ -278,9 +278,16 @@
         self.advance(now);
         self.acknowledge_flags(now);
         let sure = self.settings.sure;
-        let oldest = self.alive().map(|peer| peer.echoed).min().unwrap_or(now);
+        // One that joins holds no pins that others do not, and redirects whatever it can't know.
+        let grown = |peer: &&Peer| peer.member.stage != Stage::Joining;
+        let oldest = self
+            .alive()
+            .filter(grown)
+            .map(|peer| peer.echoed)
+            .min()
+            .unwrap_or(now);
         let latest = self.alive().map(|peer| peer.echoed).max().unwrap_or(now);
-        let informed = self.alive().all(|peer| peer.has_flags) && self.seen_members;
+        let informed = self.alive().filter(grown).all(|peer| peer.has_flags) && self.seen_members;
         let (ready, target) = (self.ready(), self.target());
         let mut alive: Vec<Node> = self.alive().map(|peer| peer.member.node).collect();
         alive.push(self.me);
@@ -292,10 +299,11 @@
         let dead = self.peers.values().filter(|peer| peer.member.dead);
         // Half the bound: a peer that stops hearing this balancer must not answer for its flows
         // before this balancer has stopped placing them off base.
-        let free = self
-            .peers
-            .values()
-            .all(|peer| !peer.member.dead && peer.is_heard(now, sure / 2));
+        let dead_or_unheard = |peer: &Peer| {
+            let joining = peer.member.stage == Stage::Joining;
+            peer.member.dead || (!joining && !peer.is_heard(now, sure / 2))
+        };
+        let free = !self.peers.values().any(dead_or_unheard);
         let owns = self.stage != Stage::Joining;
         let steady = self.settled == ready && ready == target && self.previous == self.settled;
         Snapshot {
--- a/crates/flow/src/control/peer.rs
+++ b/crates/flow/src/control/peer.rs
@@ -51,7 +51,7 @@
 }
 
 impl Peer {
-    pub(super) fn new(member: Member, _now: u64) -> Self {
+    pub(super) fn new(member: Member) -> Self {
         Peer {
             member,
             echoed: 0,
@@ -109,7 +109,7 @@
     }
 
     /// Takes in a report of `from`, whose incarnation is `incarnation`.
-    pub fn receive(&mut self, from: u16, incarnation: u64, report: Report, _now: u64) {
+    pub fn receive(&mut self, from: u16, incarnation: u64, report: Report) {
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
--- /dev/null
+++ b/crates/flow/tests/it/fleet.rs
@@ -0,0 +1,492 @@
+//! Balancers' decision cores joined by queues, and callers that spray packets over them.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use acacia_code::Code;
+use acacia_flow::{
+    Control, Shards, Snapshot, Verdict,
+    control::{Acknowledgement, Batch, Member, Report, Settings, Stage, Tables},
+    place::by_table,
+    rank::Node,
+    resolve,
+    shard::Limits,
+    snapshot::{Address, Service},
+    verdict::{Action, Arrival, Notice, Placement},
+};
+use acacia_wire::{
+    collections::Map,
+    encap::Redirect,
+    flow::Key,
+    packet::{Kind, Packet},
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Milliseconds between two turns of a control thread.
+const TURN: u64 = 100;
+/// Milliseconds of silence after which a member is taken for dead, and for gone.
+const DEAD: u64 = 4_000;
+const GONE: u64 = 40_000;
+
+pub struct Balancer {
+    pub node: Node,
+    pub control: Control,
+    pub shards: Shards,
+    pub snapshot: Snapshot,
+    pub running: bool,
+    pub frozen_until: u64,
+    pub group: u8,
+    heard: BTreeMap<Node, (u64, Stage)>,
+    left: Vec<Node>,
+    reported: u64,
+    pub control_bytes: u64,
+}
+
+#[derive(Clone)]
+enum Message {
+    Packet(Redirect, Packet),
+    Heartbeat(Stage, Report),
+    Batch(Batch),
+    Acknowledgement(Acknowledgement),
+    Notice(Notice),
+    Bye,
+    Tables(Tables),
+}
+
+#[derive(Clone)]
+struct Event {
+    from: Node,
+    to: u16,
+    message: Message,
+}
+
+/// What the network between balancers does.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    pub loss: f64,
+    pub repeat: f64,
+    pub delay: u64,
+}
+
+/// What is true of a flow, whatever the balancers know.
+#[derive(Debug, Clone, Copy)]
+pub struct Truth {
+    pub service: u64,
+    pub server: Option<u16>,
+    pub data: bool,
+    pub delivered: u32,
+    pub refused: bool,
+}
+
+pub struct Fleet {
+    pub now: u64,
+    pub balancers: Vec<Balancer>,
+    pub rng: Pcg64Mcg,
+    pub faults: Faults,
+    pub tables: Tables,
+    /// Which service each server number belongs to.
+    pub owner_of: Map<u16, u64>,
+    pub flows: BTreeMap<Key, Truth>,
+    pub failures: Vec<String>,
+    pub drops: BTreeMap<Code, u32>,
+    pub limits: Limits,
+    pub refusing: bool,
+    /// Latest opening of a flow on each server.
+    pub last_new: Map<u16, u64>,
+    events: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+}
+
+impl Fleet {
+    pub fn new(count: u16, seed: u64, tables: Tables) -> Self {
+        let mut fleet = Fleet {
+            now: 1_000_000,
+            balancers: Vec::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            faults: Faults {
+                loss: 0.0,
+                repeat: 0.0,
+                delay: 3,
+            },
+            owner_of: Map::default(),
+            tables: Tables::default(),
+            flows: BTreeMap::new(),
+            failures: Vec::new(),
+            drops: BTreeMap::new(),
+            limits: Limits::default(),
+            refusing: false,
+            last_new: Map::default(),
+            events: BTreeMap::new(),
+            sequence: 0,
+        };
+        fleet.adopt(tables);
+        (0..count).for_each(|id| fleet.start(Node { id, incarnation: 1 }));
+        fleet.run(8_000);
+        fleet
+    }
+
+    fn adopt(&mut self, tables: Tables) {
+        for service in &tables.services {
+            for &server in service.servers.keys() {
+                self.owner_of.insert(server, service.since);
+            }
+        }
+        self.tables = tables;
+    }
+
+    /// Starts a process that knows the other balancers from the platform's list, and the tables
+    /// from one of them or, where there is none, from the store.
+    pub fn start(&mut self, node: Node) {
+        let donor = self
+            .balancers
+            .iter()
+            .find(|other| other.running && other.group == 0);
+        let tables = match donor {
+            Some(_) if node.incarnation > 1 => self.tables.clone(),
+            _ => self.tables.clone(),
+        };
+        let mut control = Control::new(node, Settings::default(), self.now);
+        control.set_tables(tables);
+        let others = self.balancers.iter().filter(|other| other.running);
+        let heard = others
+            .map(|other| (other.node, (self.now, other.control.stage())))
+            .collect();
+        let snapshot = control.snapshot(self.now);
+        let balancer = Balancer {
+            node,
+            control,
+            shards: Shards::new(2, self.limits),
+            snapshot,
+            running: true,
+            frozen_until: 0,
+            group: 0,
+            heard,
+            left: Vec::new(),
+            reported: 0,
+            control_bytes: 0,
+        };
+        match self
+            .balancers
+            .iter()
+            .position(|other| other.node.id == node.id)
+        {
+            Some(at) => self.balancers[at] = balancer,
+            None => self.balancers.push(balancer),
+        }
+    }
+
+    /// Ends a process without notice.
+    pub fn crash(&mut self, id: u16) {
+        self.balancers[usize::from(id)].running = false;
+    }
+
+    /// Stops a process in order and starts its successor.
+    pub fn replace(&mut self, id: u16) {
+        let at = usize::from(id);
+        self.balancers[at].control.leave();
+        for _ in 0..600 {
+            self.run(TURN);
+            if self.balancers[at].control.may_leave() {
+                break;
+            }
+        }
+        let node = self.balancers[at].node;
+        for to in 0..self.balancers.len() as u16 {
+            self.post(Event {
+                from: node,
+                to,
+                message: Message::Bye,
+            });
+        }
+        self.run(1_000);
+        self.crash(id);
+        self.run(500);
+        self.start(Node {
+            id,
+            incarnation: node.incarnation + 1,
+        });
+        for _ in 0..600 {
+            self.run(TURN);
+            if self.balancers[at].control.stage() == Stage::Ready {
+                break;
+            }
+        }
+    }
+
+    /// Puts new tables in force, at each balancer after its own delay of up to `spread`.
+    pub fn publish(&mut self, tables: Tables, spread: u64) {
+        self.adopt(tables.clone());
+        for at in 0..self.balancers.len() {
+            let from = self.balancers[at].node;
+            let delay = self.rng.random_range(0..=spread);
+            let message = Message::Tables(tables.clone());
+            self.schedule(
+                self.now + delay,
+                Event {
+                    from,
+                    to: from.id,
+                    message,
+                },
+            );
+        }
+    }
+
+    /// Changes the only service's tables.
+    pub fn change(&mut self, spread: u64, edit: impl FnOnce(&mut Service)) {
+        let mut tables = self.tables.clone();
+        tables.version += 1;
+        edit(Arc::make_mut(&mut tables.services[0]));
+        self.publish(tables, spread);
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+
+    fn post(&mut self, event: Event) {
+        let copies = 1 + u32::from(self.rng.random_bool(self.faults.repeat));
+        for _ in 0..copies {
+            if !self.rng.random_bool(self.faults.loss) {
+                let delay = self.rng.random_range(1..=self.faults.delay.max(1));
+                self.schedule(self.now + delay, event.clone());
+            }
+        }
+    }
+
+    /// Lets `duration` milliseconds pass.
+    pub fn run(&mut self, duration: u64) {
+        let end = self.now + duration;
+        while self.now < end {
+            let turn = (self.now / TURN + 1) * TURN;
+            let until = turn.min(end);
+            while let Some((&(at, sequence), _)) = self.events.first_key_value() {
+                if at > until {
+                    break;
+                }
+                self.now = self.now.max(at);
+                if let Some(event) = self.events.remove(&(at, sequence)) {
+                    self.handle(event);
+                }
+            }
+            self.now = until;
+            if until == turn {
+                (0..self.balancers.len()).for_each(|at| self.turn(at));
+            }
+        }
+    }
+
+    fn turn(&mut self, at: usize) {
+        let now = self.now;
+        let balancer = &mut self.balancers[at];
+        if !balancer.running || now < balancer.frozen_until {
+            return;
+        }
+        let silent = |since: u64| now.saturating_sub(since);
+        let left = balancer.left.clone();
+        balancer
+            .heard
+            .retain(|node, (since, _)| silent(*since) < GONE && !left.contains(node));
+        let members: Vec<Member> = balancer
+            .heard
+            .iter()
+            .map(|(&node, &(since, stage))| Member {
+                node,
+                stage,
+                dead: silent(since) > DEAD,
+            })
+            .collect();
+        balancer.control.set_members(&members);
+        if now % 1_000 == 0 {
+            let count = balancer.shards.count();
+            for index in 0..count {
+                balancer
+                    .control
+                    .sweep(&mut balancer.shards.at(index), index, count, now);
+            }
+        }
+        balancer.snapshot = balancer.control.snapshot(now);
+        let from = balancer.node;
+        let mut out = Vec::new();
+        for (to, batch) in balancer.control.batches(now) {
+            balancer.control_bytes += 84 + 10 * batch.pins.len() as u64;
+            out.push((to, Message::Batch(batch)));
+        }
+        if balancer.control.has_news() || now >= balancer.reported + 500 {
+            balancer.reported = now;
+            for member in &members {
+                let report = balancer.control.report(member.node.id, now);
+                let stage = balancer.control.stage();
+                out.push((member.node.id, Message::Heartbeat(stage, report)));
+            }
+        }
+        for (to, message) in out {
+            self.post(Event { from, to, message });
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        let Some(to) = self.balancers.iter().position(|to| to.node.id == event.to) else {
+            return;
+        };
+        let sender = self
+            .balancers
+            .iter()
+            .find(|other| other.node.id == event.from.id);
+        let cut = sender.is_some_and(|sender| sender.group != self.balancers[to].group);
+        let balancer = &mut self.balancers[to];
+        if !balancer.running || cut {
+            return;
+        }
+        if now < balancer.frozen_until {
+            let until = balancer.frozen_until;
+            return self.schedule(until, event);
+        }
+        match event.message {
+            Message::Packet(header, packet) => {
+                self.arrive(event.to, &packet, Arrival::Redirected(header));
+            }
+            Message::Heartbeat(stage, report) => {
+                if !balancer.left.contains(&event.from) {
+                    balancer.heard.retain(|node, _| {
+                        node.id != event.from.id || node.incarnation >= event.from.incarnation
+                    });
+                    balancer.heard.insert(event.from, (now, stage));
+                }
+                balancer
+                    .control
+                    .receive(event.from.id, event.from.incarnation, report);
+            }
+            Message::Batch(batch) => {
+                let shards = &balancer.shards;
+                let answer = balancer.control.receive_batch(&batch, now, |key, pin| {
+                    shards.of(key.hash()).adopt(key, pin);
+                });
+                let from = balancer.node;
+                let message = Message::Acknowledgement(answer);
+                self.post(Event {
+                    from,
+                    to: event.from.id,
+                    message,
+                });
+            }
+            Message::Acknowledgement(answer) => {
+                balancer
+                    .control
+                    .receive_acknowledgement(event.from.id, answer);
+            }
+            Message::Notice(Notice::Correct { key, server }) => {
+                balancer.shards.of(key.hash()).correct(&key, server);
+            }
+            Message::Notice(Notice::Hint { key, server }) => {
+                balancer.shards.of(key.hash()).remember(key, server, now);
+            }
+            Message::Bye => balancer.left.push(event.from),
+            Message::Tables(tables) => balancer.control.set_tables(tables),
+        }
+    }
+
+    /// Hands `packet` to a balancer that the fabric chooses.
+    pub fn spray(&mut self, packet: &Packet) {
+        let running: Vec<u16> = self.running();
+        if running.is_empty() {
+            return;
+        }
+        let at = running[self.rng.random_range(0..running.len())];
+        self.send(at, packet);
+    }
+
+    pub fn running(&self) -> Vec<u16> {
+        let running = self.balancers.iter().filter(|balancer| balancer.running);
+        running.map(|balancer| balancer.node.id).collect()
+    }
+
+    /// Hands `packet` to balancer `id`.
+    pub fn send(&mut self, id: u16, packet: &Packet) {
+        let service = self.tables.services.iter();
+        let address = Address::of(&packet.key);
+        let since = service.clone().find(|service| service.address == address);
+        let since = since.map_or(0, |service| service.since);
+        self.flows.entry(packet.key).or_insert(Truth {
+            service: since,
+            server: None,
+            data: false,
+            delivered: 0,
+            refused: false,
+        });
+        if self.now < self.balancers[usize::from(id)].frozen_until {
+            return;
+        }
+        self.arrive(id, packet, Arrival::Ingress);
+    }
+
+    fn arrive(&mut self, id: u16, packet: &Packet, arrival: Arrival) {
+        let refusing = self.refusing;
+        let balancer = &self.balancers[usize::from(id)];
+        let mut shard = balancer.shards.of(packet.key.hash());
+        let mut place = |request: &acacia_flow::verdict::Request<'_>| match refusing {
+            true => Placement::Refuse { retry_after: 1_000 },
+            false => by_table(request),
+        };
+        let snapshot = &balancer.snapshot;
+        let Verdict { action, notice } =
+            resolve(snapshot, &mut shard, self.now, packet, arrival, &mut place);
+        drop(shard);
+        let from = balancer.node;
+        if let Some((to, notice)) = notice {
+            self.post(Event {
+                from,
+                to,
+                message: Message::Notice(notice),
+            });
+        }
+        match action {
+            Action::Redirect { to, header } => {
+                let message = Message::Packet(header, *packet);
+                self.post(Event { from, to, message });
+            }
+            Action::Forward { server } => self.deliver(server, packet),
+            Action::Refuse { .. } => self.refuse(packet),
+            Action::Drop { code } => *self.drops.entry(code).or_default() += 1,
+            Action::End { .. } => {}
+        }
+    }
+
+    fn refuse(&mut self, packet: &Packet) {
+        let Some(truth) = self.flows.get_mut(&packet.key) else {
+            return;
+        };
+        truth.refused = true;
+        if truth.data {
+            let line = format!("{} said not run after data, {packet:?}", self.now);
+            self.failures.push(line);
+        }
+    }
+
+    /// A packet reaches a backend server.
+    fn deliver(&mut self, server: u16, packet: &Packet) {
+        let service = self.owner_of[&server];
+        let Some(truth) = self.flows.get_mut(&packet.key) else {
+            return;
+        };
+        let now = self.now;
+        if truth.service != service {
+            self.failures.push(format!(
+                "{now} another service's server {server}, {packet:?}"
+            ));
+            return;
+        }
+        truth.delivered += 1;
+        let opens = matches!(packet.kind, Kind::Opening { .. } | Kind::Datagram);
+        truth.data |= packet.payload > 0;
+        if opens && truth.server.is_none() {
+            truth.server = Some(server);
+            self.last_new.insert(server, now);
+        } else if truth.server != Some(server) {
+            let right = truth.server;
+            self.failures
+                .push(format!("{now} server {server}, not {right:?}, {packet:?}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/tests/it/main.rs
@@ -0,0 +1,5 @@
+//! Tests of flow resolution: several cores joined by queues that delay, lose, repeat and reorder.
+
+mod fleet;
+mod plan;
+mod planned;
