Admit, place and weigh new flows by shares and measured speed

The decision core as a library: gates for the traffic threads, a controller for the control thread, reports for the heartbeats.

--- /dev/null
+++ b/crates/load/src/gate.rs
@@ -0,0 +1,126 @@
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::{
+    admit::Shares,
+    limits::Limits,
+    place,
+    plan::Plan,
+    pool::{Mark, Pool, Server},
+    refuse::{Reason, Refusal},
+    tally::Tally,
+};
+
+/// One traffic thread's part of the decisions on new flows of a pool.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    limits: Limits,
+    marks: Vec<Mark>,
+    shares: Shares,
+    plan: u64,
+    connections: Vec<Option<u32>>,
+    tally: Tally,
+}
+
+impl Gate {
+    /// A gate that has decided nothing yet.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_load::{gate::Gate, limits::Limits, plan::Plan, pool::{Class, Host, Mark, Pool, Server}};
+    /// use rand::SeedableRng as _;
+    /// let host = Host { slots: 2, connections: 2_000 };
+    /// let class = Class { name: "check-ins".into(), mark: Mark::Paying, share: 1.0 };
+    /// let pool = Pool { revision: 1, hosts: vec![host; 2], classes: vec![class] };
+    /// let mut rng = rand_pcg::Pcg64::seed_from_u64(1);
+    /// let mut gate = Gate::new(&pool, Limits::default());
+    /// let plan = Plan::blind(&pool);
+    /// assert!(gate.admit(0, &plan, Duration::ZERO, &mut rng).is_ok());
+    /// assert_eq!(gate.place(&[Server(1), Server(0)], &plan, &mut rng), Ok(0));
+    /// assert_eq!(gate.drain().servers[1].opened, 1);
+    /// ```
+    #[must_use]
+    pub fn new(pool: &Pool, limits: Limits) -> Self {
+        Gate {
+            marks: pool.classes.iter().map(|class| class.mark).collect(),
+            shares: Shares::new(pool, &limits),
+            plan: 0,
+            connections: vec![None; pool.classes.len()],
+            tally: Tally::new(pool.hosts.len(), pool.classes.len()),
+            limits,
+        }
+    }
+
+    /// Lets a new flow of `class` in, or refuses it for good. An unknown class is treated as
+    /// trial without a share.
+    pub fn admit(
+        &mut self,
+        class: usize,
+        plan: &Plan,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Result<(), Refusal> {
+        let verdict = self.within(class, plan, now);
+        if let Some(demand) = self.tally.classes.get_mut(class) {
+            match verdict {
+                Ok(()) => demand.admitted += 1,
+                Err(_) => demand.refused += 1,
+            }
+        }
+        let pressure = plan.rates.as_ref().map_or(1.0, |rates| rates.pressure);
+        verdict.map_err(|reason| Refusal::new(reason, pressure, &self.limits, rng))
+    }
+
+    /// Places an admitted flow: `ranked` are its first and second choice of server. Gives the
+    /// position of the one that takes it and counts the flow as opened there. It fails only if
+    /// `ranked` is empty.
+    pub fn place(
+        &mut self,
+        ranked: &[Server],
+        plan: &Plan,
+        rng: &mut impl Rng,
+    ) -> Result<usize, Refusal> {
+        let Some(position) = place::choose(ranked, plan, rng) else {
+            return Err(Refusal::new(Reason::Empty, 1.0, &self.limits, rng));
+        };
+        self.tally.opened(ranked[position]);
+        Ok(position)
+    }
+
+    /// For what this thread sees of flows.
+    pub fn tally(&mut self) -> &mut Tally {
+        &mut self.tally
+    }
+
+    /// Takes the counts since the last call, for [`crate::controller::Controller::absorb`].
+    pub fn drain(&mut self) -> Tally {
+        let empty = Tally::new(self.tally.servers.len(), self.tally.classes.len());
+        std::mem::replace(&mut self.tally, empty)
+    }
+
+    fn within(&mut self, class: usize, plan: &Plan, now: Duration) -> Result<(), Reason> {
+        let Some(mark) = self.marks.get(class).copied() else {
+            return Err(Reason::Share);
+        };
+        if plan.number != self.plan {
+            self.plan = plan.number;
+            self.connections.clone_from(&plan.connections);
+        }
+        if self.connections[class] == Some(0) {
+            return Err(Reason::Connections);
+        }
+        let shares = &mut self.shares;
+        let admitted = plan
+            .rates
+            .as_ref()
+            .is_none_or(|rates| shares.take(class, mark, rates, &self.limits, now));
+        if !admitted {
+            return Err(Reason::Share);
+        }
+        if let Some(left) = &mut self.connections[class] {
+            *left -= 1;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/load/src/limits.rs
@@ -0,0 +1,117 @@
+use std::time::Duration;
+
+/// Every number that a decision depends on. `docs/MEASUREMENTS.md` holds the sweeps behind them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// Time constant of the fast estimates (spilling, ejecting). Shorter is noisier; longer leaves
+    /// a hung server in use.
+    pub fast: Duration,
+    /// Time constant of the slow estimates (speed, capacity). At 100 samples/s a server, 20 s give
+    /// an error of a few percent, which is what an even spread needs.
+    pub slow: Duration,
+    /// Samples that an estimate of speed needs before weights follow it.
+    pub samples: f64,
+    /// A peer that has not reported for this long no longer counts as a sharer of the work.
+    pub stale: Duration,
+    /// Without any sample for this long, weights return to plain shares and nothing is refused
+    /// for want of capacity: a missing signal costs fairness, not availability.
+    pub blind: Duration,
+    /// Largest factor by which a weight rises at one step; recovery and cold starts are gradual.
+    pub rise: f64,
+    /// Largest factor by which a weight falls at one step.
+    pub fall: f64,
+    /// Smallest time between two proposals of weights: each one moves new flows off their base.
+    pub period: Duration,
+    /// Weights nearer than this to those in force aren't proposed; it stops flapping on noise.
+    pub hysteresis: f64,
+    /// Part of the mean weight that a cold or returning server starts with.
+    pub start: f64,
+    /// Smallest part of the mean weight of a server in use: one without flows has no signal.
+    pub floor: f64,
+    /// Largest part of a pool's servers that is left alone at a time; a wrong signal can't empty
+    /// a service.
+    pub eject: f64,
+    /// How long a server is left alone the first time; doubles at each repetition.
+    pub rest: Duration,
+    /// Longest time that a server is left alone before it is tried again.
+    pub rest_most: Duration,
+    /// Answers (or completed openings) that must be missing before a server is left alone. With 8
+    /// expected and none seen, chance is e^-8.
+    pub evidence: f64,
+    /// A server that gives less than this part of the answers that others give is hung.
+    pub silence: f64,
+    /// Factor on a server's target weight while its health endpoint says it fails. The endpoint
+    /// lags, so it doesn't eject alone.
+    pub distrust: f64,
+    /// Work in progress over the pool's mean at which new flows begin to take their second choice.
+    pub bound: f64,
+    /// Work in progress a slot below which nothing spills: there is no wait to be saved.
+    pub calm: f64,
+    /// Part of a server's connections at which new flows take their second choice. The rest is for
+    /// what all balancers open before they hear of each other.
+    pub full: f64,
+    /// Part of the measured capacity that all admitted work may reach. Above it, waits grow
+    /// faster than goodput.
+    pub ceiling: f64,
+    /// Part of the measured capacity that admitted work may reach while trial borrows. What lies
+    /// between it and `ceiling` is never lent to trial, so paying callers keep short waits.
+    pub lent: f64,
+    /// Work in progress a slot that the pool is steered to at saturation.
+    pub target: f64,
+    /// Largest relative change of the correction of the capacity at one tick.
+    pub gain: f64,
+    /// Depth of a class's own bucket: a burst within the share passes.
+    pub burst: Duration,
+    /// Depth of the buckets from which is borrowed; short, as it lands on top of guaranteed work.
+    pub slack: Duration,
+    /// Smallest depth of a class's own bucket, in flows: arrivals at one thread are random, and a
+    /// small class within its share would be refused for a coincidence.
+    pub least: f64,
+    /// Smallest depth of the buckets from which is borrowed, in flows.
+    pub least_lent: f64,
+    /// Shortest time to come back that a refused caller is told.
+    pub back: Duration,
+    /// Longest time to come back before jitter.
+    pub back_most: Duration,
+    /// Time constant after which counts of open flows forget what was never seen to close.
+    pub forget: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        let seconds = Duration::from_secs;
+        Limits {
+            fast: seconds(1),
+            slow: seconds(20),
+            samples: 100.0,
+            stale: seconds(4),
+            blind: seconds(30),
+            rise: 1.25,
+            fall: 2.0,
+            period: seconds(2),
+            hysteresis: 0.03,
+            start: 0.1,
+            floor: 0.02,
+            eject: 0.34,
+            rest: seconds(10),
+            rest_most: seconds(160),
+            evidence: 8.0,
+            silence: 0.2,
+            distrust: 0.7,
+            bound: 1.5,
+            calm: 1.0,
+            full: 0.9,
+            ceiling: 0.95,
+            lent: 0.75,
+            target: 3.0,
+            gain: 0.05,
+            burst: Duration::from_millis(1000),
+            slack: Duration::from_millis(100),
+            least: 20.0,
+            least_lent: 4.0,
+            back: seconds(1),
+            back_most: seconds(30),
+            forget: seconds(1_800),
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/peer.rs
@@ -0,0 +1,172 @@
+use std::time::Duration;
+
+use acacia_wire::collections::Map;
+
+use crate::{
+    limits::Limits,
+    report::{Line, Part, Report},
+    tally::Tally,
+};
+
+#[derive(Debug, Clone)]
+struct Peer {
+    sequence: u32,
+    heard: Duration,
+    servers: Vec<i32>,
+    classes: Vec<i32>,
+}
+
+/// Flows opened less flows closed. As a flow may open at one balancer and close at another, only
+/// the sum over all balancers means anything.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Open {
+    /// By index of server.
+    pub servers: Vec<f64>,
+    /// By index of class.
+    pub classes: Vec<f64>,
+}
+
+impl Open {
+    fn new(servers: usize, classes: usize) -> Self {
+        Open {
+            servers: vec![0.0; servers],
+            classes: vec![0.0; classes],
+        }
+    }
+
+    fn add(&mut self, servers: &[i32], classes: &[i32]) {
+        for (to, from) in self.servers.iter_mut().zip(servers) {
+            *to += f64::from(*from);
+        }
+        for (to, from) in self.classes.iter_mut().zip(classes) {
+            *to += f64::from(*from);
+        }
+    }
+
+    fn scale(&mut self, factor: f64) {
+        let values = self.servers.iter_mut().chain(&mut self.classes);
+        values.for_each(|value| *value *= factor);
+    }
+}
+
+/// What this balancer and its peers have counted.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    peers: Map<u16, Peer>,
+    /// Counted here since the last tick.
+    here: Tally,
+    /// Reported by peers since the last tick.
+    there: Tally,
+    /// Opened less closed here.
+    own: Open,
+    /// The same of peers that are gone: the flows they opened may well live on.
+    left: Open,
+    sequence: u32,
+}
+
+impl Peers {
+    /// Nothing counted, nobody heard.
+    #[must_use]
+    pub fn new(servers: usize, classes: usize) -> Self {
+        Peers {
+            peers: Map::default(),
+            here: Tally::new(servers, classes),
+            there: Tally::new(servers, classes),
+            own: Open::new(servers, classes),
+            left: Open::new(servers, classes),
+            sequence: 0,
+        }
+    }
+
+    /// Adds counts of a thread of this balancer.
+    pub fn absorb(&mut self, tally: &Tally) {
+        self.here.add(tally);
+        for (open, count) in self.own.servers.iter_mut().zip(&tally.servers) {
+            *open += f64::from(count.opened) - f64::from(count.closed);
+        }
+        for (open, demand) in self.own.classes.iter_mut().zip(&tally.classes) {
+            *open += f64::from(demand.admitted) - f64::from(demand.closed);
+        }
+    }
+
+    /// Adds a peer's report; false if it is a repeated or older one.
+    pub fn merge(&mut self, peer: u16, report: &Report, now: Duration) -> bool {
+        let newer = |known: &Peer| report.sequence.wrapping_sub(known.sequence) as i32 > 0;
+        if !self.peers.get(&peer).is_none_or(newer) {
+            return false;
+        }
+        self.there.add(&report.tally());
+        let entry = Peer {
+            sequence: report.sequence,
+            heard: now,
+            servers: report.servers.iter().map(|line| line.open).collect(),
+            classes: report.classes.iter().map(|part| part.open).collect(),
+        };
+        self.peers.insert(peer, entry);
+        true
+    }
+
+    /// Drops a peer that has left, died or been started anew, but keeps its count of open flows.
+    pub fn forget(&mut self, peer: u16) {
+        if let Some(gone) = self.peers.remove(&peer) {
+            self.left.add(&gone.servers, &gone.classes);
+        }
+    }
+
+    /// Balancers whose counts are fresh, this one included.
+    #[must_use]
+    pub fn fresh(&self, now: Duration, limits: &Limits) -> usize {
+        let fresh = |peer: &&Peer| now.saturating_sub(peer.heard) <= limits.stale;
+        1 + self.peers.values().filter(fresh).count()
+    }
+
+    /// Open flows by everybody's latest count, none below zero.
+    #[must_use]
+    pub fn open(&self) -> Open {
+        let mut sum = self.left.clone();
+        for peer in self.peers.values() {
+            sum.add(&peer.servers, &peer.classes);
+        }
+        let add = |to: &mut [f64], from: &[f64]| {
+            to.iter_mut()
+                .zip(from)
+                .for_each(|(to, from)| *to = (*to + from).max(0.0));
+        };
+        add(&mut sum.servers, &self.own.servers);
+        add(&mut sum.classes, &self.own.classes);
+        sum
+    }
+
+    /// Ends a tick of length `passed`: gives the report for the peers and all that was counted by
+    /// anybody since the last tick.
+    ///
+    /// Open counts forget with a time constant, since a flow whose end nobody sees (a phone that
+    /// lost its cell) would count for ever.
+    pub fn turn(&mut self, revision: u64, passed: Duration, limits: &Limits) -> (Report, Tally) {
+        let keep = (-passed.as_secs_f64() / limits.forget.as_secs_f64()).exp();
+        self.own.scale(keep);
+        self.left.scale(keep);
+        self.sequence = self.sequence.wrapping_add(1);
+        let lines = self.here.servers.iter().zip(&self.own.servers);
+        let parts = self.here.classes.iter().zip(&self.own.classes);
+        let report = Report {
+            revision,
+            sequence: self.sequence,
+            servers: lines
+                .map(|(count, open)| Line::new(count, open.round() as i32))
+                .collect(),
+            classes: parts
+                .map(|(demand, open)| Part {
+                    admitted: demand.admitted,
+                    refused: demand.refused,
+                    open: open.round() as i32,
+                })
+                .collect(),
+        };
+        let (servers, classes) = (self.here.servers.len(), self.here.classes.len());
+        let mut sum = std::mem::replace(&mut self.there, Tally::new(servers, classes));
+        sum.add(&self.here);
+        self.here = Tally::new(servers, classes);
+        (report, sum)
+    }
+}
--- /dev/null
+++ b/crates/load/tests/it/report.rs
@@ -0,0 +1,46 @@
+use acacia_load::{limits::Limits, peer::Peers, pool::Server, report::Report, tally::Tally};
+use proptest::prelude::*;
+
+use crate::fixture::seconds;
+
+fn turn(peers: &mut Peers) -> Report {
+    peers.turn(1, seconds(1.0), &Limits::default()).0
+}
+
+proptest! {
+    #![proptest_config(crate::fixture::config())]
+
+    /// Flows open at one balancer and close at another, reports get lost or come twice, and one of
+    /// the three balancers is gone in the end. The sum of open flows is right all the same, so a
+    /// server isn't taken for full, nor a full one for empty.
+    #[test]
+    fn open_flows_add_up(
+        events in prop::collection::vec((0usize..3, any::<bool>(), any::<bool>()), 1..60),
+    ) {
+        let mut all = [(); 3].map(|()| Peers::new(1, 1));
+        let mut open: i64 = 0;
+        for (at, opens, delivered) in events {
+            let mut tally = Tally::new(1, 1);
+            if opens || open == 0 {
+                tally.opened(Server(0));
+                open += 1;
+            } else {
+                tally.closed(Server(0), 0);
+                open -= 1;
+            }
+            all[at].absorb(&tally);
+            let report = turn(&mut all[at]);
+            if delivered && at != 0 {
+                all[0].merge(at as u16, &report, seconds(1.0));
+                all[0].merge(at as u16, &report, seconds(1.0));
+            }
+        }
+        for at in 1..3 {
+            let report = turn(&mut all[at]);
+            all[0].merge(at as u16, &report, seconds(2.0));
+        }
+        all[0].forget(2);
+        let counted = all[0].open().servers[0];
+        prop_assert!((counted - open as f64).abs() < 2.0, "{counted} {open}");
+    }
+}
