--- /dev/null
+++ b/crates/bench/src/balance/outcome.rs
@@ -0,0 +1,116 @@
+use std::fmt;
+
+use hdrhistogram::Histogram;
+
+/// What became of the flows that arrived while measuring, for one mark.
+#[derive(Debug)]
+pub struct Mark {
+    /// Flows that arrived.
+    pub arrived: u64,
+    /// Refused for want of a share.
+    pub refused_share: u64,
+    /// Refused for want of a connection.
+    pub refused_connections: u64,
+    /// Turned away by the server itself, or answered past the deadline or never.
+    pub failed: u64,
+    /// Answered within the deadline.
+    pub good: u64,
+    times: Histogram<u64>,
+}
+
+impl Default for Mark {
+    fn default() -> Self {
+        Mark {
+            arrived: 0,
+            refused_share: 0,
+            refused_connections: 0,
+            failed: 0,
+            good: 0,
+            times: Histogram::new(3).expect("three digits are valid"),
+        }
+    }
+}
+
+impl Mark {
+    /// Records the time from a flow's arrival to its answer, in seconds.
+    pub fn answered(&mut self, seconds: f64) {
+        self.good += 1;
+        self.times.saturating_record((seconds * 1e6) as u64);
+    }
+
+    /// A quantile of the answer times, in milliseconds.
+    #[must_use]
+    pub fn quantile(&self, quantile: f64) -> f64 {
+        self.times.value_at_quantile(quantile) as f64 / 1e3
+    }
+}
+
+/// What is measured of one run.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Use of each server that worked throughout: work placed over work it could do.
+    pub uses: Vec<f64>,
+    /// Paying, then trial.
+    pub marks: [Mark; 2],
+    /// Flows placed.
+    pub placed: u64,
+    /// Flows placed off the first choice of the table of new flows.
+    pub second: u64,
+    /// Flows placed off the table that was in force at the beginning.
+    pub pinned: u64,
+    /// Changes of the table of new flows.
+    pub tables: u64,
+    /// Flows answered in time over what demand or capacity allows, whichever is less.
+    pub goodput: f64,
+}
+
+impl Outcome {
+    /// The busiest server's use over the mean.
+    #[must_use]
+    pub fn max_mean(&self) -> f64 {
+        let mean = self.uses.iter().sum::<f64>() / self.uses.len().max(1) as f64;
+        self.uses.iter().copied().fold(0.0, f64::max) / mean
+    }
+
+    /// Standard deviation of the servers' uses over their mean.
+    #[must_use]
+    pub fn spread(&self) -> f64 {
+        let count = self.uses.len().max(1) as f64;
+        let mean = self.uses.iter().sum::<f64>() / count;
+        let square: f64 = self.uses.iter().map(|own| (own - mean).powi(2)).sum();
+        (square / count).sqrt() / mean
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "max_mean={:.3} spread={:.3}",
+            self.max_mean(),
+            self.spread()
+        )?;
+        for (name, mark) in ["paying", "trial"].iter().zip(&self.marks) {
+            write!(
+                f,
+                " {name}_p50_ms={:.1} {name}_p99_ms={:.1} {name}_arrived={} \
+                 {name}_refused_share={} {name}_refused_connections={} {name}_failed={}",
+                mark.quantile(0.5),
+                mark.quantile(0.99),
+                mark.arrived,
+                mark.refused_share,
+                mark.refused_connections,
+                mark.failed,
+            )?;
+        }
+        let part = |count: u64| count as f64 / self.placed.max(1) as f64;
+        write!(
+            f,
+            " exceptions={:.4} off_base={:.4} tables={} goodput={:.3}",
+            part(self.second),
+            part(self.pinned),
+            self.tables,
+            self.goodput
+        )
+    }
+}
--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -25,6 +25,7 @@
     slow: Window,
     spill: f64,
     distrusted: bool,
+    leaving: bool,
 }
 
 /// Demand of one class, in flows a second.
@@ -110,6 +111,17 @@
         }
     }
 
+    /// Whether a server is leaving (draining) or not yet in use: it gets no new flows. One that
+    /// comes back starts cold.
+    pub fn leaving(&mut self, server: Server, leaving: bool) {
+        if let Some(estimate) = self.estimates.get_mut(server.index()) {
+            if estimate.leaving && !leaving {
+                *estimate = Estimate::default();
+            }
+            estimate.leaving = leaving;
+        }
+    }
+
     /// The weights of the table of new flows that is in force now, in any unit; 0 for a server
     /// that is not in it.
     pub fn in_force(&mut self, weights: &[f64]) {
@@ -125,7 +137,7 @@
     pub fn progress(&self) -> Option<f64> {
         let (mut progress, mut slots) = (0.0, 0.0);
         for (server, host) in self.pool.hosts.iter().enumerate() {
-            if self.bench.ejected(server) {
+            if self.out(server) {
                 continue;
             }
             if let Some(own) = self.estimates[server].fast.progress() {
@@ -165,7 +177,12 @@
         self.learn(&seen, scale, passed, now);
         let back = self.bench.step(&self.silent(), now, &self.limits);
         for server in back {
-            self.estimates[server] = Estimate::default();
+            let estimate = &mut self.estimates[server];
+            *estimate = Estimate {
+                distrusted: estimate.distrusted,
+                leaving: estimate.leaving,
+                ..Estimate::default()
+            };
         }
         self.spill();
         self.correct();
@@ -179,7 +196,7 @@
         let blind = self.blind(now);
         let sight = |server: usize, estimate: &Estimate| Sight {
             capacity: self.capacity(Server(server as u16)).filter(|_| !blind),
-            ejected: self.bench.ejected(server),
+            ejected: self.out(server),
             trusted: !estimate.distrusted,
         };
         let sights: Vec<Sight> = self
@@ -193,6 +210,10 @@
         due.then_some(new)
     }
 
+    fn out(&self, server: usize) -> bool {
+        self.estimates[server].leaving || self.bench.ejected(server)
+    }
+
     fn blind(&self, now: Duration) -> bool {
         self.sampled
             .is_none_or(|sampled| now.saturating_sub(sampled) > self.limits.blind)
@@ -279,7 +300,7 @@
         self.plan += 1;
         let standing = |(server, estimate): (usize, &Estimate)| Standing {
             spill: estimate.spill,
-            ejected: self.bench.ejected(server),
+            ejected: self.out(server),
         };
         Plan {
             number: self.plan,
@@ -293,7 +314,7 @@
         if self.blind(now) {
             return None;
         }
-        let usable = (0..self.pool.hosts.len()).filter(|server| !self.bench.ejected(*server));
+        let usable = (0..self.pool.hosts.len()).filter(|server| !self.out(*server));
         let known: Vec<f64> = usable
             .clone()
             .filter_map(|server| self.capacity(Server(server as u16)))
--- a/crates/load/src/track.rs
+++ b/crates/load/src/track.rs
@@ -10,8 +10,8 @@
 
 #[derive(Debug, Clone, Copy)]
 enum Sample {
-    /// The opening was seen; waiting for the caller's next packet.
-    Opening { at: Duration },
+    /// The opening was seen; waiting for the first packet after it.
+    Opening { at: Duration, isn: u32 },
     /// Data was seen with this acknowledgement number; waiting for one beyond it.
     Data { at: Duration, acknowledged: u32 },
 }
@@ -63,8 +63,8 @@
         if packet.key.protocol != Protocol::Tcp || packet.kind == Kind::Error {
             return;
         }
-        if let Kind::Opening { .. } = packet.kind {
-            self.keep(packet.key, Sample::Opening { at: now }, now);
+        if let Kind::Opening { isn } = packet.kind {
+            self.keep(packet.key, Sample::Opening { at: now, isn }, now);
             return;
         }
         if let Some(sample) = self.samples.get(&packet.key).copied() {
@@ -101,10 +101,10 @@
     ) {
         let took = |at: Duration| now.saturating_sub(at);
         match sample {
-            Sample::Opening { at } => {
-                // A later packet than the handshake's last would add the caller's own pause; the
-                // patience bounds that, and it is the same for every server.
-                if took(at) <= self.patience {
+            Sample::Opening { at, isn } => {
+                // Only the handshake's last packet and the first data carry this number. A later
+                // packet would add the time of the answer to what passes for the network's.
+                if packet.sequence == isn.wrapping_add(1) && took(at) <= self.patience {
                     tally.completed(server, took(at));
                 }
             }
@@ -127,7 +127,7 @@
             self.swept = now;
             let patience = self.patience;
             self.samples.retain(|_, sample| {
-                let (Sample::Opening { at } | Sample::Data { at, .. }) = *sample;
+                let (Sample::Opening { at, .. } | Sample::Data { at, .. }) = *sample;
                 now.saturating_sub(at) < patience
             });
         }
