Apply a configuration so that accepted means it took effect

An attempt writes once, over the revision that it read. A lost answer is settled by reading back the change's own id, also below later changes, and stays unknown while the write may still arrive.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! The service itself is described by [`service::Platform`], a tarpc trait carried as JSON over
 //! TCP. [`server`] runs such a trait on an accepted connection.
 
+pub mod apply;
 mod client;
 mod error;
 pub mod limit;
--- /dev/null
+++ b/crates/platform/tests/it/apply.rs
@@ -0,0 +1,33 @@
+//! Applying a change: the decisions against a fake store, and each failure over real TCP.
+
+mod decide;
+mod fake;
+mod tcp;
+
+use acacia_config::{
+    Config, Service,
+    document::{Draft, Id},
+};
+use acacia_platform::{apply::Request, retry::Schedule};
+use std::time::Duration;
+
+/// A change that differs from every other of another number.
+pub fn request(change: u8) -> Request {
+    let mut config = Config::default();
+    config.add_service(Service::new("live", [10, 77, 0, change], 443, 70));
+    Request {
+        draft: Draft {
+            change: Id::new(change.into()),
+            author: "aino".into(),
+            time: 1_800_000_000,
+            config,
+            floor: 0,
+        },
+        over: None,
+        settle: Schedule {
+            tries: 4,
+            base: Duration::from_millis(5),
+            cap: Duration::from_millis(20),
+        },
+    }
+}
