Pass control messages between balancers, and replace connections that go silent

Cause: balancers need an authenticated way to each other that never blocks, keeps to the control budget, and notices within seconds when something between them has lost track of a connection. Every frame echoes the last one received; a connection whose frames are not echoed is replaced.

The old end of a replaced connection is closed by the receiver: it would otherwise stay open for good, one descriptor for each replacement.

--- /dev/null
+++ b/crates/peer/src/state.rs
@@ -0,0 +1,158 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use acacia_wire::control::{Envelope, Secret, seal};
+
+use crate::{Bucket, Error, Filter, Parcel, Queue, Settings, Stats, Watch};
+
+/// Bytes that nng puts before each frame: its length.
+pub(crate) const LENGTH: usize = 8;
+
+/// A peer, apart from its socket.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) address: SocketAddr,
+    pub(crate) queue: Queue,
+    pub(crate) watch: Watch,
+    /// When a frame was last made for it.
+    last_frame: Option<Duration>,
+}
+
+/// What both threads and the callers share.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    pub(crate) secret: Secret,
+    pub(crate) peers: BTreeMap<u16, Peer>,
+    pub(crate) filter: Filter,
+    pub(crate) stats: Stats,
+    pub(crate) closing: bool,
+    /// Set when a caller has queued something the sending thread has not looked at.
+    pub(crate) woken: bool,
+    bucket: Bucket,
+    sequence: u64,
+    start: Instant,
+}
+
+/// A frame to send.
+pub(crate) struct Frame {
+    pub(crate) sequence: u64,
+    pub(crate) bytes: Vec<u8>,
+}
+
+impl State {
+    pub(crate) fn new(settings: Settings, secret: Secret) -> Self {
+        State {
+            bucket: Bucket::new(settings.rate, settings.burst, Duration::ZERO),
+            settings,
+            secret,
+            peers: BTreeMap::new(),
+            filter: Filter::default(),
+            stats: Stats::default(),
+            closing: false,
+            woken: false,
+            sequence: 0,
+            start: Instant::now(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    pub(crate) fn set_peers(&mut self, peers: &[(u16, SocketAddr)]) {
+        let kept = |id: &u16, peer: &mut Peer| peers.contains(&(*id, peer.address));
+        self.peers.retain(kept);
+        for (id, address) in peers.iter().filter(|(id, _)| *id != self.settings.id) {
+            let queue = Queue::new(self.settings.queue_messages, self.settings.queue_bytes);
+            self.peers.entry(*id).or_insert_with(|| Peer {
+                address: *address,
+                queue,
+                watch: Watch::new(),
+                last_frame: None,
+            });
+        }
+        let known = &self.peers;
+        self.stats.peers.retain(|id, _| known.contains_key(id));
+    }
+
+    /// A new incarnation begins a new sequence, of which nothing was echoed yet.
+    pub(crate) fn set_incarnation(&mut self, incarnation: u64) {
+        self.settings.incarnation = incarnation;
+        self.sequence = 0;
+        self.peers
+            .values_mut()
+            .for_each(|peer| peer.watch = Watch::new());
+    }
+
+    /// The next frame for a peer, if something waits that may pass, or its connection needs to be
+    /// kept alive.
+    pub(crate) fn next_frame(&mut self, id: u16) -> Option<Frame> {
+        let now = self.now();
+        let keepalive = self.settings.keepalive();
+        let room = self.bucket.has_room(now);
+        let peer = self.peers.get_mut(&id)?;
+        let body = peer.queue.pop(room);
+        let idle = peer
+            .last_frame
+            .is_none_or(|last| now.saturating_sub(last) >= keepalive);
+        if body.is_none() && !idle {
+            return None;
+        }
+        peer.last_frame = Some(now);
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let (sender, incarnation) = (self.settings.id, self.settings.incarnation);
+        let parcel = Parcel {
+            to: id,
+            echo: self.filter.last(id),
+            body,
+        };
+        let bytes = seal(
+            &Envelope {
+                sender,
+                incarnation,
+                sequence,
+            },
+            &parcel,
+            &self.secret,
+        );
+        self.bucket.charge(bytes.len() + LENGTH);
+        Some(Frame { sequence, bytes })
+    }
+
+    pub(crate) fn count_sent(&mut self, id: u16, bytes: usize) {
+        let traffic = self.stats.peers.entry(id).or_default();
+        traffic.sent_frames += 1;
+        traffic.sent_bytes += (bytes + LENGTH) as u64;
+    }
+
+    pub(crate) fn count_refused(&mut self, error: &Error) {
+        *self.stats.refused.entry(error.code()).or_default() += 1;
+    }
+
+    /// Checks an opened frame and takes its echo; gives its body.
+    pub(crate) fn take(
+        &mut self,
+        envelope: &Envelope,
+        parcel: Parcel,
+        bytes: usize,
+    ) -> Result<Option<Vec<u8>>, Error> {
+        if parcel.to != self.settings.id || envelope.sender == self.settings.id {
+            return Err(Error::Misaddressed);
+        }
+        self.filter.accept(envelope)?;
+        let now = self.now();
+        let own = self.settings.incarnation;
+        if let Some(peer) = self.peers.get_mut(&envelope.sender) {
+            if let Some(echo) = parcel.echo.filter(|echo| echo.incarnation == own) {
+                peer.watch.echoed(now, echo.sequence);
+            }
+            let traffic = self.stats.peers.entry(envelope.sender).or_default();
+            traffic.received_frames += 1;
+            traffic.received_bytes += (bytes + LENGTH) as u64;
+        }
+        Ok(parcel.body)
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the control transport.
+
+mod limits;
+mod mesh;
+mod relay;
+mod watch;
--- /dev/null
+++ b/crates/peer/tests/it/mesh.rs
@@ -0,0 +1,198 @@
+use std::net::SocketAddr;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use acacia_code::Code;
+use acacia_peer::{Class, Error, Mesh, Parcel, Received, Settings};
+use acacia_wire::control::{Envelope, MAX_FRAME, Secret, seal};
+use crossbeam_channel::Receiver;
+use nng::{Protocol, Socket};
+
+use crate::relay::Relay;
+
+type Opened = (Mesh<String>, Receiver<Received<String>>);
+
+fn secret() -> Secret {
+    Secret::new(&[7; 32], None)
+}
+
+fn address(net: u8, id: u8) -> SocketAddr {
+    SocketAddr::from(([127, 9, net, id], 47_300))
+}
+
+/// A mesh with this id in a network of its own, ten times as fast as usual.
+fn open(net: u8, id: u8) -> Opened {
+    let mut settings = Settings::new(id.into(), address(net, id), 1);
+    settings.pace = Duration::from_millis(50);
+    Mesh::open(settings, secret()).expect("opens")
+}
+
+/// Repeats until it holds; far longer than it may take on a busy machine.
+fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !holds() {
+        assert!(Instant::now() < end, "never: {what}");
+        sleep(Duration::from_millis(10));
+    }
+}
+
+/// Something between two balancers loses track of their open connection. It carries nothing any
+/// more and nobody closes it. The two would hold each other for dead although a new connection
+/// would work at once.
+#[test]
+fn a_silent_connection_is_replaced_and_the_old_one_closed() {
+    let ((one, _), (two, inbox)) = (open(1, 1), open(1, 2));
+    let relay = Relay::start(address(1, 3), address(1, 2));
+    one.set_peers(&[(2, relay.address)]);
+    two.set_peers(&[(1, address(1, 1))]);
+    one.send(2, Class::Heartbeat, &"before".into())
+        .expect("queued");
+    assert_eq!(inbox.recv().expect("arrives").message, "before");
+
+    relay.silence();
+
+    eventually("a message passes again", || {
+        one.send(2, Class::Heartbeat, &"after".into())
+            .expect("queued");
+        inbox
+            .try_recv()
+            .is_ok_and(|received| received.message == "after")
+    });
+    assert!(one.stats().peers[&2].redials >= 1);
+    eventually("only the new connection is open", || relay.open() == 1);
+    one.close();
+    two.close();
+}
+
+#[test]
+fn what_is_not_to_be_trusted_is_counted_and_dropped() {
+    let (mesh, inbox) = open(2, 1);
+    let socket = Socket::new(Protocol::Push0).expect("a socket");
+    socket
+        .dial(&format!("tcp://{}", address(2, 1)))
+        .expect("connects");
+    let envelope = |sequence| Envelope {
+        sender: 2,
+        incarnation: 1,
+        sequence,
+    };
+    let parcel = |to, body: &[u8]| Parcel {
+        to,
+        echo: None,
+        body: Some(body.to_vec()),
+    };
+    let text = postcard::to_allocvec("text").expect("encodes");
+    let good = seal(&envelope(5), &parcel(1, &text), &secret());
+    let other = Secret::new(&[8; 32], None);
+    let frames = [
+        good.clone(),
+        good.clone(),
+        seal(&envelope(4), &parcel(1, &text), &secret()),
+        seal(&envelope(6), &parcel(9, &text), &secret()),
+        seal(&envelope(7), &parcel(1, &[200]), &secret()),
+        seal(&envelope(8), &7u8, &secret()),
+        seal(&envelope(9), &parcel(1, &text), &other),
+        good[..20].to_vec(),
+        vec![0; MAX_FRAME + 1],
+    ];
+
+    for frame in &frames {
+        socket.send(frame.as_slice()).expect("sent");
+    }
+
+    eventually("all are refused", || {
+        mesh.stats().refused.values().sum::<u64>() == 8
+    });
+    let refused: Vec<(Code, u64)> = mesh.stats().refused.into_iter().collect();
+    assert_eq!(
+        refused,
+        [
+            (Code::ControlTruncated, 1),
+            (Code::ControlOversized, 1),
+            (Code::ControlForged, 1),
+            (Code::ControlUndecodable, 2),
+            (Code::ControlReplayed, 2),
+            (Code::ControlMisaddressed, 1),
+        ]
+    );
+    assert_eq!(inbox.try_iter().count(), 1, "only the good one");
+}
+
+#[test]
+fn a_configuration_of_a_megabyte_passes_and_is_accounted() {
+    let ((one, _), (two, inbox)) = (open(3, 1), open(3, 2));
+    one.set_peers(&[(2, address(3, 2))]);
+    two.set_peers(&[(1, address(3, 1))]);
+    let large = "x".repeat(1 << 20);
+
+    one.send(2, Class::Urgent, &large).expect("queued");
+
+    let received = inbox.recv().expect("arrives");
+    assert!(received.message == large);
+    assert_eq!(received.envelope.sender, 1);
+    eventually("both count it", || {
+        let bytes = two.stats().peers[&1].received_bytes;
+        bytes > 1 << 20 && one.stats().peers[&2].sent_bytes >= bytes
+    });
+}
+
+/// A peer's VM is gone, and packets to it vanish. Whoever sends must neither wait for it nor fill
+/// its memory for it.
+#[test]
+fn sending_to_a_dead_peer_drops_and_counts() {
+    let (mesh, _) = open(4, 1);
+    mesh.set_peers(&[(2, address(4, 2))]);
+    let text = "text".to_string();
+
+    let refused = (0..500)
+        .filter(|_| mesh.send(2, Class::Bulk, &text).is_err())
+        .count();
+
+    assert!((200..=244).contains(&refused), "{refused}");
+    assert_eq!(mesh.stats().peers[&2].dropped, refused as u64);
+    assert_eq!(mesh.send(3, Class::Bulk, &text), Err(Error::Unknown(3)));
+    assert_eq!(
+        mesh.send(2, Class::Urgent, &"x".repeat(3 << 20)),
+        Err(Error::Full(2))
+    );
+}
+
+#[test]
+fn a_closed_mesh_frees_its_port() {
+    open(5, 1).0.close();
+
+    let taken = open(5, 1);
+
+    let settings = Settings::new(1, address(5, 1), 1);
+    let error = Mesh::<String>::open(settings, secret())
+        .err()
+        .expect("the port is taken");
+    assert_eq!(error.code(), Code::SocketFailed);
+    drop(taken);
+}
+
+#[test]
+fn both_keys_are_valid_during_a_change_and_a_new_incarnation_is_accepted() {
+    let ((one, _), (two, inbox)) = (open(6, 1), open(6, 2));
+    one.set_peers(&[(2, address(6, 2))]);
+    let next = || {
+        inbox
+            .recv_timeout(Duration::from_secs(20))
+            .expect("arrives")
+    };
+    two.set_secret(Secret::new(&[8; 32], Some(&[7; 32])));
+
+    one.send(2, Class::Urgent, &"old key".into())
+        .expect("queued");
+    assert_eq!(next().message, "old key");
+    one.set_secret(Secret::new(&[8; 32], None));
+    one.set_incarnation(2);
+    one.send(2, Class::Urgent, &"new key".into())
+        .expect("queued");
+
+    let received = next();
+    assert_eq!(
+        (received.envelope.incarnation, &*received.message),
+        (2, "new key")
+    );
+}
--- /dev/null
+++ b/crates/peer/tests/it/watch.rs
@@ -0,0 +1,80 @@
+use std::time::Duration;
+
+use acacia_peer::Watch;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SILENT: Duration = Duration::from_secs(2);
+const LONGEST: Duration = Duration::from_secs(30);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Sends every half second for a minute over connections that carry nothing; the times of
+/// replacement, in milliseconds.
+fn replacements(random: f64) -> Vec<u64> {
+    let mut watch = Watch::new();
+    let mut times = Vec::new();
+    for tick in 0..1200 {
+        let now = tick * 50;
+        if tick % 10 == 0 {
+            watch.sent(ms(now), tick + 1);
+        }
+        if watch.is_silent(ms(now), SILENT, LONGEST, random) {
+            watch.replaced();
+            times.push(now);
+        }
+    }
+    times
+}
+
+#[rstest]
+#[case(0.0)]
+#[case(1.0)]
+fn a_silent_connection_is_replaced_within_seconds_and_ever_more_rarely(#[case] random: f64) {
+    let times = replacements(random);
+
+    assert!((2000..=3000).contains(&times[0]), "{times:?}");
+    assert!(
+        times.windows(3).all(|w| w[2] - w[1] > w[1] - w[0]),
+        "{times:?}"
+    );
+    assert!(times.len() >= 4, "it goes on trying: {times:?}");
+}
+
+#[test]
+fn dialling_is_spread_by_jitter() {
+    assert_ne!(replacements(0.0), replacements(1.0));
+}
+
+#[test]
+fn an_echo_from_before_the_connection_does_not_count() {
+    let mut watch = Watch::new();
+    watch.sent(ms(0), 10);
+
+    watch.echoed(ms(1500), 9);
+
+    assert!(watch.is_silent(ms(2100), SILENT, LONGEST, 0.0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0xACAC1A),
+        ..ProptestConfig::default()
+    })]
+
+    /// Echoes that come late or are partly lost, but come.
+    #[test]
+    fn a_live_connection_is_never_replaced(lags in prop::collection::vec(0u64..3, 200)) {
+        let mut watch = Watch::new();
+        for (round, lag) in lags.into_iter().enumerate() {
+            let (now, sequence) = (ms(round as u64 * 500), round as u64 + 1);
+            watch.sent(now, sequence);
+            prop_assert!(!watch.is_silent(now, SILENT, LONGEST, 0.0));
+            watch.echoed(now, sequence.saturating_sub(lag));
+        }
+    }
+}
