--- /dev/null
+++ b/crates/burn/src/plot.rs
@@ -0,0 +1,75 @@
+use plotters::prelude::*;
+
+use crate::report::STEP;
+use crate::{Error, Mark, RULES, Row};
+
+/// Size of a plot, in pixels.
+const SIZE: (u32, u32) = (760, 240);
+/// The burn rate that the axis shows at least: the fastest rule's, so that plots of quiet
+/// services can be compared.
+const LEAST_TOP: f64 = 16.0;
+
+fn colour(mark: Mark) -> RGBColor {
+    match mark {
+        Mark::Paying => RGBColor(31, 119, 180),
+        Mark::Trial => RGBColor(200, 120, 30),
+    }
+}
+
+/// The burn rate of one service over the last 6 hours as SVG, one line for each mark.
+pub(crate) fn plot(service: &str, rows: &[&Row]) -> Result<String, Error> {
+    let mut svg = String::new();
+    draw(&mut svg, rows).map_err(|reason| Error::Plot {
+        service: service.to_owned(),
+        reason,
+    })?;
+    Ok(svg)
+}
+
+fn draw(svg: &mut String, rows: &[&Row]) -> Result<(), String> {
+    let text = |error: &dyn std::fmt::Display| error.to_string();
+    let points = || rows.iter().flat_map(|row| &row.history);
+    let top = points().map(|(_, burn)| *burn).fold(LEAST_TOP, f64::max);
+    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|error| text(&error))?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(10)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(-6.0..0.0, 0.0..top * 1.05)
+        .map_err(|error| text(&error))?;
+    chart
+        .configure_mesh()
+        .light_line_style(TRANSPARENT)
+        .x_desc("hours")
+        .y_desc("burn rate")
+        .draw()
+        .map_err(|error| text(&error))?;
+    let limit = [(-6.0, RULES[0].factor), (0.0, RULES[0].factor)];
+    chart
+        .draw_series(LineSeries::new(limit, RED.mix(0.5)))
+        .map_err(|error| text(&error))?;
+    for row in rows {
+        for run in runs(&row.history) {
+            let line = LineSeries::new(run, colour(row.mark).stroke_width(2)).point_size(2);
+            chart.draw_series(line).map_err(|error| text(&error))?;
+        }
+    }
+    area.present().map_err(|error| text(&error))
+}
+
+/// The points in hours, split where there were no flows: a line across would invent some.
+fn runs(history: &[(u64, f64)]) -> Vec<Vec<(f64, f64)>> {
+    let mut runs: Vec<Vec<(f64, f64)>> = Vec::new();
+    let mut last = None;
+    for (ago, burn) in history {
+        if last != Some(ago + STEP) {
+            runs.push(Vec::new());
+        }
+        last = Some(*ago);
+        if let Some(run) = runs.last_mut() {
+            run.push((-(*ago as f64) / 3600.0, *burn));
+        }
+    }
+    runs
+}
--- /dev/null
+++ b/crates/burn/tests/it/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the report on service-level burn.
