--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -85,7 +85,7 @@
     233 OwnerIncomplete "owner-incomplete": "The flow's owner has not yet taken over the pins of balancers that fell silent."; "Look for balancers that are cut off".
     234 NotOwner "not-owner": "A balancer that has just woken or joined was asked as an owner."; "Nothing, unless it lasts for seconds".
     235 FlowUnknown "flow-unknown": "A packet in mid-flow without a pin, at an address that another service had before."; "Nothing: the flow belongs to the removed service".
-    236 ServerUnknown "server-unknown": "The flow's server is not one of the service's."; "Nothing, unless it lasts for seconds after a change of configuration".
+    236 FlowServerUnknown "flow-server-unknown": "The flow's server is not one of the service's."; "Nothing, unless it lasts for seconds after a change of configuration".
     237 ServerNone "server-none": "No backend server of the service takes new flows."; "Check the service's backend servers".
     238 FlowUnsettled "flow-unsettled": "A new flow must wait until every balancer has heard of a change."; "Nothing, unless it lasts for seconds".
     239 PortsReused "ports-reused": "A new flow on the ports of one that has just ended waits until no balancer remembers the old one."; "Nothing".
--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -109,7 +109,7 @@
         if self.service.servers.contains_key(&server) {
             forward(server)
         } else {
-            drop(Code::ServerUnknown)
+            drop(Code::FlowServerUnknown)
         }
     }
 
@@ -246,7 +246,7 @@
     /// Serves a packet of a pinned flow.
     fn follow(&mut self, pin: Pin, chain: &Chain) -> Verdict {
         if !self.service.servers.contains_key(&pin.server) {
-            return drop(Code::ServerUnknown);
+            return drop(Code::FlowServerUnknown);
         }
         let phase = self.phase_after(pin.phase);
         let stale = pin.is_stale(self.now, self.packet.key.protocol);
@@ -336,7 +336,7 @@
         let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
         let settled = self.snapshot.free && self.entry.open.contains(self.bucket);
         if !self.service.servers.contains_key(&server) {
-            return drop(Code::ServerUnknown);
+            return drop(Code::FlowServerUnknown);
         }
         if sticky && !settled {
             return drop(Code::FlowUnsettled);
@@ -389,7 +389,7 @@
         let known = self.known_pin();
         let server = known.map_or(header.server, |pin| pin.server);
         if !self.service.servers.contains_key(&server) {
-            return drop(Code::ServerUnknown);
+            return drop(Code::FlowServerUnknown);
         }
         let before = known.map_or(Phase::Opening, |pin| pin.phase);
         let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
--- a/crates/platform/tests/it/client.rs
+++ b/crates/platform/tests/it/client.rs
@@ -1,16 +1,12 @@
 use std::time::Duration;
 
 use acacia_platform::{
-    Client, Error, Options,
+    Error,
     machine::{Machine, State},
     store::{MAX_VALUE, Outcome, Refusal},
 };
 
-<<<<<<< HEAD
-use crate::fixture::{client, key, options, stand, swap};
-=======
 use crate::fixture::{client, key, patient, stand, swap};
->>>>>>> config
 
 #[tokio::test]
 async fn a_value_is_written_read_and_compared() {
@@ -30,19 +26,7 @@
 #[tokio::test]
 async fn a_value_over_a_megabyte_is_refused_whole() {
     let stand = stand().await;
-<<<<<<< HEAD
-    // A debug build takes half a second for a megabyte; the verdict is not about the deadline.
-    let deadline = Duration::from_secs(60);
-    let client = Client::new(
-        stand.address(),
-        Options {
-            deadline,
-            ..options()
-        },
-    );
-=======
     let client = patient(&stand);
->>>>>>> config
     let fits = client.swap(swap(0, &"x".repeat(MAX_VALUE))).await;
     let over = client.swap(swap(1, &"x".repeat(MAX_VALUE + 1))).await;
     assert_eq!(fits, Ok(Outcome::Written { revision: 1 }));
