Resolve flows in the daemon: membership, pins, redirects and a graceful shutdown

acaciad keeps heartbeats with its peers over nng, owns flows, redirects packets it can't know and hands its pins over before it ends. Tables still come straight from the configuration; the agreed ones follow.

--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -317,11 +317,10 @@
             self.network.port(PLATFORM_HOST, PLATFORM),
         );
         for peer in (1..=self.plan.balancers).filter(|peer| *peer != id) {
-            let at = |port| self.network.port(host(peer), port);
             text += &format!(
-                "[peer.{peer}]\ntraffic = {}\ncontrol = {}\n",
-                at(TRAFFIC),
-                at(CONTROL)
+                "[peer.{peer}]\ncontrol = {}\ndata_centre = {}\n",
+                self.network.port(host(peer), CONTROL),
+                self.data_centre(peer)
             );
         }
         text
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,6 @@
+//! Control: one thread holds all state that isn't a flow's, and publishes views for traffic.
+
+pub mod core;
+pub mod platform;
+pub mod service;
+pub mod tables;
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -10,8 +10,9 @@
 };
 
 use acacia_code::Code;
+use acacia_flow::{Shards, shard::Limits, verdict::Notice};
 use acacia_kernel::{Registry, Service};
-use arc_swap::ArcSwap;
+use crossbeam_channel::{Receiver, Sender, bounded};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
@@ -19,10 +20,15 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::{
-    control::{self, Published},
+    control::{
+        self,
+        platform::{self, News},
+    },
+    counter::Counter,
     journal,
     settings::Settings,
     traffic::worker,
+    view::Published,
 };
 
 /// The longest that a traffic thread waits for packets before it looks whether to stop.
@@ -30,71 +36,136 @@
 /// Receive buffer of a traffic socket, in bytes: a burst of some 3,000 full packets.
 const BUFFER: usize = 4 << 20;
 
+/// Pins and caches are spread over so many locks: a traffic thread holds one for the time of a
+/// decision, the control thread for a look through one shard.
+const SHARDS: usize = 16;
+/// Messages that wait for the control thread. More than the traffic threads can have to say
+/// between two turns of it, within the budget for hints.
+const QUEUE: usize = 1_024;
+/// Between two looks at how far a graceful shutdown has come.
+const STEP: Duration = Duration::from_millis(20);
+
+/// What the services of the process share.
+struct Shared {
+    settings: Arc<Settings>,
+    published: Published,
+    shards: Arc<Shards>,
+    counter: Arc<Counter>,
+    leave: Arc<AtomicBool>,
+    left: Arc<AtomicBool>,
+}
+
 /// Runs the balancer until it is asked to end or a service of it dies.
 pub fn run(settings: Settings) -> anyhow::Result<Code> {
     journal::start(settings.log)?;
-    let settings = Arc::new(settings);
+    let shared = Arc::new(Shared {
+        settings: Arc::new(settings),
+        published: Published::default(),
+        shards: Arc::new(Shards::new(SHARDS, Limits::default())),
+        counter: Arc::default(),
+        leave: Arc::default(),
+        left: Arc::default(),
+    });
     let mut registry = Registry::default();
-    registry.add(control_service(Arc::clone(&settings)));
-    registry.add(traffic_service(Arc::clone(&settings)));
+    registry.add(platform_service(Arc::clone(&shared)));
+    registry.add(control_service(Arc::clone(&shared)));
+    registry.add(traffic_service(Arc::clone(&shared)));
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let kernel = registry.start()?;
     let stopper = kernel.stopper();
     let handle = signals.handle();
+    let settings = &shared.settings;
     log::info!(
         "event=started id={} traffic={}",
         settings.id,
         settings.traffic
     );
+    let ending = Arc::clone(&shared);
     let waiter = std::thread::spawn(move || {
-        if signals.forever().next().is_some() {
-            stopper.stop();
-        }
-        if signals.forever().next().is_some() {
-            log::error!("event=forced code={}", Code::Forced);
-            std::process::exit(i32::from(Code::Forced.exit_status()));
+        let mut asked = 0;
+        while !handle.is_closed() {
+            asked += signals.pending().count();
+            match asked {
+                0 => {}
+                1 => ending.leave.store(true, Ordering::Relaxed),
+                _ => {
+                    log::error!("event=forced code={}", Code::Forced);
+                    std::process::exit(i32::from(Code::Forced.exit_status()));
+                }
+            }
+            if ending.left.load(Ordering::Relaxed) {
+                stopper.stop();
+                return;
+            }
+            std::thread::sleep(STEP);
         }
     });
     let outcome = kernel.wait();
-    handle.close();
+    // After a death nobody asked to end: the waiter must still be let go.
+    shared.left.store(true, Ordering::Relaxed);
     waiter
         .join()
         .map_err(|_| anyhow::anyhow!("the signal thread panicked"))?;
     log::info!("event=ended id={}", settings.id);
-    Ok(outcome.death.map_or(Code::Success, |death| {
+    if let Some(death) = &outcome.death {
         log::error!(
             "event=service-died service={} reason=\"{}\"",
             death.service,
             death.reason
         );
-        Code::ServiceDied
-    }))
+    }
+    Ok(outcome.code())
+}
+
+fn platform_service(shared: Arc<Shared>) -> Service {
+    Service::new("platform", [], move |context| {
+        let (sender, receiver) = bounded::<News>(QUEUE);
+        let stop = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&stop);
+        context.spawn(move || Ok(platform::run(&shared.settings, &sender, &flag)?))?;
+        context.on_stop(move || stop.store(true, Ordering::Relaxed));
+        Ok(receiver)
+    })
 }
 
-fn control_service(settings: Arc<Settings>) -> Service {
-    Service::new("control", [], move |context| {
-        let published: Published = Arc::new(ArcSwap::default());
+fn control_service(shared: Arc<Shared>) -> Service {
+    Service::new("control", ["platform"], move |context| {
+        let news = context.find::<Receiver<News>>("platform")?;
+        let (sender, notices) = bounded::<(u16, Notice)>(QUEUE);
         let stop = Arc::new(AtomicBool::new(false));
-        let (out, flag) = (Arc::clone(&published), Arc::clone(&stop));
-        context.spawn(move || Ok(control::run(&settings, &out, &flag)?))?;
+        let control = control::service::Context {
+            settings: Arc::clone(&shared.settings),
+            news: (*news).clone(),
+            notices,
+            published: Arc::clone(&shared.published),
+            shards: Arc::clone(&shared.shards),
+            counter: Arc::clone(&shared.counter),
+            leave: Arc::clone(&shared.leave),
+            left: Arc::clone(&shared.left),
+            stop: Arc::clone(&stop),
+        };
+        context.spawn(move || Ok(control::service::run(&control)?))?;
         context.on_stop(move || stop.store(true, Ordering::Relaxed));
-        Ok(published)
+        Ok(sender)
     })
 }
 
-fn traffic_service(settings: Arc<Settings>) -> Service {
+fn traffic_service(shared: Arc<Shared>) -> Service {
     Service::new("traffic", ["control"], move |context| {
-        let published = context.find::<Published>("control")?;
+        let notices = context.find::<Sender<(u16, Notice)>>("control")?;
         let stop = Arc::new(AtomicBool::new(false));
-        for _ in 0..settings.threads {
-            let socket = bind(settings.traffic)?;
-            let (settings, published, stop) = (
-                Arc::clone(&settings),
-                Arc::clone(&published),
-                Arc::clone(&stop),
-            );
-            context
-                .spawn(move || Ok(worker::run(&socket, &published, &settings.secret, &stop)?))?;
+        for _ in 0..shared.settings.threads {
+            let socket = bind(shared.settings.traffic)?;
+            let traffic = worker::Context {
+                published: Arc::clone(&shared.published),
+                shards: Arc::clone(&shared.shards),
+                counter: Arc::clone(&shared.counter),
+                notices: (*notices).clone(),
+                secret: shared.settings.secret.clone(),
+                gateway: shared.settings.gateway,
+            };
+            let stop = Arc::clone(&stop);
+            context.spawn(move || Ok(worker::run(&socket, &traffic, &stop)?))?;
         }
         context.on_stop(move || stop.store(true, Ordering::Relaxed));
         Ok(())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod clock;
 pub mod control;
+pub mod counter;
 pub mod daemon;
 pub mod journal;
+pub mod message;
 pub mod settings;
 pub mod traffic;
+pub mod view;
--- /dev/null
+++ b/crates/node/src/message.rs
@@ -0,0 +1,42 @@
+//! What balancers tell each other over the control connections.
+
+use acacia_flow::{
+    control::{Acknowledgement, Batch, Report},
+    verdict::Notice,
+};
+use acacia_member::Heartbeat;
+use serde::{Deserialize, Serialize};
+
+/// A control message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A sign of life; its payload is an encoded [`Payload`].
+    Heartbeat(Heartbeat),
+    /// Copies of pins for a new owner.
+    Batch(Batch),
+    /// The answer to a batch.
+    Acknowledgement(Acknowledgement),
+    /// A pin that the receiver should know.
+    Notice(Notice),
+}
+
+/// What the crates above the membership add to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Payload {
+    /// Flags, versions and handovers.
+    pub flow: Report,
+}
+
+impl Payload {
+    /// Encodes the payload for [`Heartbeat::payload`].
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).unwrap_or_default()
+    }
+
+    /// Decodes it; none if a balancer of another version sent it.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,6 +1,6 @@
 //! The daemon's settings, read from INI and checked as a whole before anything starts.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, str::FromStr};
+use std::{collections::BTreeMap, net::SocketAddrV4, str::FromStr, sync::Arc};
 
 use acacia_code::Code;
 use acacia_wire::control::Secret;
@@ -17,7 +17,7 @@
     /// This balancer's number, unique among balancers.
     pub id: u16,
     /// The data centre this balancer runs in.
-    pub data_centre: std::sync::Arc<str>,
+    pub data_centre: Arc<str>,
     /// Where encapsulated packets come in, from the fabric and from other balancers.
     pub traffic: SocketAddrV4,
     /// Traffic threads.
@@ -41,12 +41,13 @@
 }
 
 /// Another balancer's addresses.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
-    /// Where it takes redirected packets.
-    pub traffic: SocketAddrV4,
-    /// Where it takes control messages.
+    /// Where it takes control messages. It takes redirected packets at the same IP number, on the
+    /// port that this balancer takes them.
     pub control: SocketAddrV4,
+    /// The data centre it runs in.
+    pub data_centre: Arc<str>,
 }
 
 /// One problem in the settings.
@@ -104,7 +105,7 @@
     ("log", &["level"]),
 ];
 /// Keys of a `[peer.N]` section.
-const PEER_KEYS: &[&str] = &["traffic", "control"];
+const PEER_KEYS: &[&str] = &["control", "data_centre"];
 
 impl Settings {
     /// Reads and checks `text`.
@@ -197,11 +198,17 @@
             .collect();
         let mut peers = BTreeMap::new();
         for section in sections {
-            let traffic = self.required(&section, "traffic", ADDRESS);
             let control = self.required(&section, "control", ADDRESS);
-            match (section["peer.".len()..].parse(), traffic, control) {
-                (Ok(id), Some(traffic), Some(control)) => {
-                    peers.insert(id, Peer { traffic, control });
+            let centre = self.required::<String>(&section, "data_centre", "a name");
+            match (section["peer.".len()..].parse(), control, centre) {
+                (Ok(id), Some(control), Some(centre)) => {
+                    peers.insert(
+                        id,
+                        Peer {
+                            control,
+                            data_centre: centre.into(),
+                        },
+                    );
                 }
                 (Err(_), ..) => self.problem(&section, "", "a section name such as peer.3"),
                 _ => {}
--- a/crates/node/src/traffic/worker.rs
+++ b/crates/node/src/traffic/worker.rs
@@ -2,66 +2,195 @@
 
 use std::{
     net::{SocketAddrV4, UdpSocket},
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
+use acacia_code::Code;
+use acacia_flow::{
+    Shards, Verdict,
+    place::by_table,
+    resolve,
+    snapshot::Address,
+    verdict::{Action, Arrival, Notice},
+};
 use acacia_wire::{
     control::Secret,
     encap::{self, Frame},
-    packet,
+    packet::{self, Packet},
+    reply,
 };
+use crossbeam_channel::Sender;
 
-use super::batch::{Received, ToSend};
-use crate::control::Published;
+use super::batch::{LARGEST, Received, ToSend};
+use crate::{
+    clock,
+    counter::{Counter, Kind},
+    view::{Published, View},
+};
 
-/// A service as the thin path knows it: an address and its backend servers.
+/// What a traffic thread shares with the rest of the process.
 #[derive(Debug, Clone)]
-pub struct Service {
-    /// Address and port that callers use.
-    pub address: SocketAddrV4,
-    /// Where each backend server takes encapsulated packets.
-    pub servers: Vec<SocketAddrV4>,
+pub struct Context {
+    /// The latest view.
+    pub published: Published,
+    /// Pins and caches.
+    pub shards: Arc<Shards>,
+    /// Counts.
+    pub counter: Arc<Counter>,
+    /// Notices for peers, sent by the control thread.
+    pub notices: Sender<(u16, Notice)>,
+    /// Keys of redirects.
+    pub secret: Secret,
+    /// Where packets for callers go.
+    pub gateway: SocketAddrV4,
 }
 
-/// Forwards packets until `stop` is raised.
-pub fn run(
-    socket: &UdpSocket,
-    published: &Published,
-    secret: &Secret,
-    stop: &AtomicBool,
-) -> std::io::Result<()> {
+/// Resolves and passes on packets until `stop` is raised.
+pub fn run(socket: &UdpSocket, context: &Context, stop: &AtomicBool) -> std::io::Result<()> {
     let mut received = Received::default();
     let mut to_send = ToSend::default();
     while !stop.load(Ordering::Relaxed) {
         received.fill(socket)?;
-        let services = published.load();
+        // One look a batch: a view is good for far longer than a batch takes.
+        let view = context.published.load();
+        let Some(view) = view.as_deref() else {
+            continue;
+        };
+        let now = clock::now().as_millis() as u64;
         for index in 0..received.len() {
-            let datagram = received.get(index);
-            let Ok(Frame::Plain(bytes)) = encap::decode(datagram, secret) else {
-                continue;
-            };
-            let Ok(packet) = packet::parse(bytes, encap::PORT) else {
-                continue;
+            let mut step = Step {
+                context,
+                view,
+                now,
+                index,
+                to_send: &mut to_send,
             };
-            let address = SocketAddrV4::new(packet.key.service, packet.key.service_port);
-            let Some(service) = services.iter().find(|s| s.address == address) else {
-                continue;
-            };
-            let Some(server) = choose(packet.key.hash(), &service.servers) else {
-                continue;
-            };
-            to_send.forward(server, index, 0..datagram.len());
+            if let Err(code) = step.datagram(received.get(index)) {
+                context.counter.code(code);
+            }
         }
-        to_send.flush(socket, &received);
+        let lost = to_send.flush(socket, &received);
+        context.counter.kind(Kind::Unsent, lost as u64);
     }
     Ok(())
 }
 
-/// Rendezvous hashing: the server with the highest mix of its address and the flow.
-fn choose(flow: u64, servers: &[SocketAddrV4]) -> Option<SocketAddrV4> {
-    let rank = |server: &SocketAddrV4| {
-        let address = u64::from(server.ip().to_bits()) << 16 | u64::from(server.port());
-        acacia_wire::flow::mix(flow ^ acacia_wire::flow::mix(address))
-    };
-    servers.iter().copied().max_by_key(rank)
+/// One datagram on its way through.
+struct Step<'a> {
+    context: &'a Context,
+    view: &'a View,
+    now: u64,
+    index: usize,
+    to_send: &'a mut ToSend,
+}
+
+impl Step<'_> {
+    /// Decides on one datagram; the error is the code under which it is dropped.
+    fn datagram(&mut self, datagram: &[u8]) -> Result<(), Code> {
+        if datagram.len() == LARGEST {
+            return Err(Code::PacketTruncated);
+        }
+        let frame = encap::decode(datagram, &self.context.secret).map_err(encap_code)?;
+        let (arrival, bytes) = match frame {
+            Frame::Plain(bytes) => {
+                self.context.counter.kind(Kind::Ingress, 1);
+                (Arrival::Ingress, bytes)
+            }
+            Frame::Redirected(redirect, bytes) => (Arrival::Redirected(redirect), bytes),
+        };
+        let packet = packet::parse(bytes, encap::PORT).map_err(packet_code)?;
+        let verdict = {
+            let mut shard = self.context.shards.of(packet.key.hash());
+            resolve(
+                &self.view.snapshot,
+                &mut shard,
+                self.now,
+                &packet,
+                arrival,
+                &mut by_table,
+            )
+        };
+        self.carry_out(verdict, &packet, datagram.len() - bytes.len(), bytes)
+    }
+
+    /// `skip` bytes of the datagram stand before the caller's packet.
+    fn carry_out(
+        &mut self,
+        verdict: Verdict,
+        packet: &Packet,
+        skip: usize,
+        bytes: &[u8],
+    ) -> Result<(), Code> {
+        if let Some(notice) = verdict.notice {
+            // A full queue loses the notice: that costs a redirect or a repetition, no flow.
+            let _ = self.context.notices.try_send(notice);
+        }
+        let counter = &self.context.counter;
+        match verdict.action {
+            Action::Forward { server } => {
+                let to = self.server(packet, server)?;
+                counter.kind(Kind::Forwarded, 1);
+                self.to_send
+                    .forward(to, self.index, skip..skip + bytes.len());
+            }
+            Action::Redirect { to, header } => {
+                let to = *self.view.peers.get(&to).ok_or(Code::OwnersUnreachable)?;
+                counter.kind(Kind::Redirected, 1);
+                let secret = &self.context.secret;
+                self.to_send
+                    .build(to, |out| encap::encode(&header, bytes, secret, out));
+            }
+            Action::Refuse { retry_after: _ } => {
+                counter.kind(Kind::Refused, 1);
+                self.reset(packet);
+            }
+            Action::End { server } => {
+                counter.kind(Kind::Ended, 1);
+                self.reset(packet);
+                let to = self.server(packet, server)?;
+                if let Some(reset) = reply::reset_server(packet) {
+                    self.to_send.build(to, |out| *out = reset);
+                }
+            }
+            Action::Drop { code } => return Err(code),
+        }
+        Ok(())
+    }
+
+    fn reset(&mut self, packet: &Packet) {
+        if let Some(reset) = reply::reset(packet) {
+            self.to_send.build(self.context.gateway, |out| *out = reset);
+        }
+    }
+
+    fn server(&self, packet: &Packet, server: u16) -> Result<SocketAddrV4, Code> {
+        let place = (Address::of(&packet.key), server);
+        self.view
+            .servers
+            .get(&place)
+            .copied()
+            .ok_or(Code::FlowServerUnknown)
+    }
+}
+
+fn encap_code(error: encap::Error) -> Code {
+    match error {
+        encap::Error::Truncated => Code::EncapTruncated,
+        encap::Error::Unknown => Code::EncapUnknown,
+        encap::Error::Forged => Code::RedirectForged,
+        encap::Error::Hops => Code::RedirectHops,
+    }
+}
+
+fn packet_code(error: packet::Error) -> Code {
+    match error {
+        packet::Error::Truncated => Code::PacketTruncated,
+        packet::Error::Malformed => Code::PacketMalformed,
+        packet::Error::Fragment => Code::PacketFragment,
+        packet::Error::Unsupported => Code::PacketUnsupported,
+        packet::Error::Looping => Code::PacketLooping,
+    }
 }
--- a/crates/node/tests/it/settings.rs
+++ b/crates/node/tests/it/settings.rs
@@ -10,7 +10,7 @@
          [traffic]\nlisten = 127.0.0.1:6080\nthreads = 2\ngateway = 127.0.0.1:6084\n\
          [control]\nlisten = 127.0.0.1:6081\nkey = {KEY}\n\
          [admin]\nlisten = 127.0.0.1:6082\n[platform]\naddress = 127.0.0.1:6083\n\
-         [peer.4]\ntraffic = 127.0.0.2:6080\ncontrol = 127.0.0.2:6081\n"
+         [peer.4]\ndata_centre = lielahti\ncontrol = 127.0.0.2:6081\n"
     )
 }
 
--- a/crates/wire/src/reply.rs
+++ b/crates/wire/src/reply.rs
@@ -44,3 +44,34 @@
         .expect("writing to memory can't fail");
     Some(bytes)
 }
+
+/// A reset towards the backend server, as if from the caller, that ends the flow of `packet`.
+///
+/// It takes the packet's own sequence number, the next that the server expects of a caller that
+/// resends without progress.
+#[must_use]
+pub fn reset_server(packet: &Packet) -> Option<Vec<u8>> {
+    if packet.key.protocol != Protocol::Tcp {
+        return None;
+    }
+    let Key {
+        client,
+        service,
+        client_port,
+        service_port,
+        ..
+    } = packet.key;
+    let builder = PacketBuilder::ipv4(client.octets(), service.octets(), TTL)
+        .tcp(client_port, service_port, packet.sequence, 0)
+        .rst()
+        .ack(packet.acknowledgement);
+    Some(written(builder))
+}
+
+fn written(builder: etherparse::PacketBuilderStep<etherparse::TcpHeader>) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(builder.size(0));
+    builder
+        .write(&mut bytes, &[])
+        .expect("writing to memory can't fail");
+    bytes
+}
