--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -27,8 +27,15 @@
 /// Times and budgets of the control thread.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
+    /// Milliseconds without an echo from a peer after which it is not asked any more. Echoes are
+    /// up to one second old with heartbeats of half a second, so two in a row may be lost.
+    pub reach: u64,
+    /// Milliseconds without an echo from a peer after which no flow is placed off its base. Shorter
+    /// than `sure`: a peer that stops hearing this balancer must not answer for its flows before
+    /// this balancer has stopped.
+    pub free: u64,
     /// Milliseconds without an echo from a peer after which flags are no longer known to be
-    /// complete. Four heartbeats of half a second: one lost now and then changes nothing.
+    /// complete.
     pub sure: u64,
     /// Milliseconds for which a bucket is flagged everywhere before flows are placed off its base.
     /// An opening that was sent to the base before the flag is resent after 1 and 3 s (RFC 6298),
@@ -37,6 +44,10 @@
     /// Milliseconds for which former owners keep their pins and are still told of new ones after
     /// a handover: longer than any two balancers' views of it lie apart.
     pub grace: u64,
+    /// Milliseconds without a turn of the control thread after which this balancer joins anew.
+    /// Shorter than the time after which the membership takes a silent balancer for gone: from
+    /// then on others place flows that this one has not heard of.
+    pub lapse: u64,
     /// Bytes a second for copies of pins, to all peers together.
     pub budget: u32,
 }
@@ -44,9 +55,12 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            sure: 2_000,
+            reach: 2_000,
+            free: 3_000,
+            sure: 4_000,
             settle: 3_200,
             grace: 10_000,
+            lapse: 15_000,
             budget: 2_000,
         }
     }
@@ -108,6 +122,7 @@
     previous_until: u64,
     settled_at: u64,
     seen_members: bool,
+    turned: u64,
     flags: Flags,
     handover: Handover,
 }
@@ -135,6 +150,7 @@
             previous_until: 0,
             settled_at: now,
             seen_members: false,
+            turned: now,
             flags: Flags::default(),
             handover: Handover::new(settings.budget, now),
         }
@@ -218,6 +234,7 @@
             let peer = peer.or_insert_with(|| Peer::new(member));
             self.news |= peer.member != member;
             peer.member = member;
+            peer.has_joined |= member.stage == Stage::Joining;
         }
         if !self.seen_members {
             self.seen_members = true;
@@ -229,6 +246,22 @@
         self.peers.values().filter(|peer| !peer.member.dead)
     }
 
+    /// All balancers that are not taken for dead.
+    fn living(&self) -> Vec<Node> {
+        let others = self.alive().map(|peer| peer.member.node);
+        others.chain([self.me]).collect()
+    }
+
+    /// Those of them that can be reached.
+    fn heard(&self, now: u64) -> Vec<u16> {
+        let reach = self.settings.reach;
+        let heard = self.alive().filter(|peer| peer.is_heard(now, reach));
+        heard
+            .map(|peer| peer.member.node.id)
+            .chain([self.me.id])
+            .collect()
+    }
+
     /// Balancers that own flows now, in the order of their numbers.
     fn ready(&self) -> Arc<[Node]> {
         self.collect(|stage| stage != Stage::Joining)
@@ -252,6 +285,28 @@
         theirs && self.handover.finished() == Some(target)
     }
 
+    /// Joins anew after a freeze that may have outlasted this balancer's membership.
+    fn rejoin(&mut self, now: u64) {
+        let lapsed = now > self.turned + self.settings.lapse;
+        self.turned = now;
+        if lapsed && self.stage == Stage::Ready {
+            self.stage = Stage::Joining;
+            self.settled = self.ready();
+            self.previous = Arc::clone(&self.settled);
+            self.news = true;
+        }
+    }
+
+    /// Balancers that were already owners when they were first heard of: after a cut that lasted
+    /// until each side took the other for gone, both hold pins that the other does not know.
+    fn strangers(&self) -> bool {
+        let grown = self
+            .alive()
+            .filter(|peer| peer.member.stage != Stage::Joining);
+        let mut unknown = grown.filter(|peer| !self.settled.contains(&peer.member.node));
+        unknown.any(|peer| !peer.has_joined)
+    }
+
     /// Brings ownership up to date: becomes ready, and lets a complete handover take effect.
     fn advance(&mut self, now: u64) {
         let target = self.target();
@@ -263,7 +318,9 @@
             self.stage = Stage::Ready;
             self.news = true;
         }
-        if complete && *self.ready() == *target && self.settled != target {
+        // One that is taken for dead may be cut off and hold pins that nobody else has.
+        let certain = !self.peers.values().any(|peer| peer.member.dead);
+        if certain && complete && *self.ready() == *target && self.settled != target {
             self.previous = std::mem::replace(&mut self.settled, target);
             self.previous_until = now + self.settings.grace;
             self.settled_at = now;
@@ -275,6 +332,7 @@
 
     /// The view to publish to traffic threads at `now`.
     pub fn snapshot(&mut self, now: u64) -> Snapshot {
+        self.rejoin(now);
         self.advance(now);
         self.acknowledge_flags(now);
         let sure = self.settings.sure;
@@ -289,19 +347,10 @@
         let latest = self.alive().map(|peer| peer.echoed).max().unwrap_or(now);
         let informed = self.alive().filter(grown).all(|peer| peer.has_flags) && self.seen_members;
         let (ready, target) = (self.ready(), self.target());
-        let mut alive: Vec<Node> = self.alive().map(|peer| peer.member.node).collect();
-        alive.push(self.me);
-        let heard = self.alive().filter(|peer| peer.is_heard(now, sure));
-        let heard: Vec<u16> = heard
-            .map(|peer| peer.member.node.id)
-            .chain([self.me.id])
-            .collect();
         let dead = self.peers.values().filter(|peer| peer.member.dead);
-        // Half the bound: a peer that stops hearing this balancer must not answer for its flows
-        // before this balancer has stopped placing them off base.
         let dead_or_unheard = |peer: &Peer| {
             let joining = peer.member.stage == Stage::Joining;
-            peer.member.dead || (!joining && !peer.is_heard(now, sure / 2))
+            peer.member.dead || (!joining && !peer.is_heard(now, self.settings.free))
         };
         let free = !self.peers.values().any(dead_or_unheard);
         let owns = self.stage != Stage::Joining;
@@ -311,9 +360,10 @@
             sure_until: if informed { oldest + sure } else { 0 },
             own_until: if owns { latest + sure } else { 0 },
             free: free && owns,
+            strangers: self.strangers(),
             missing: dead.map(|peer| peer.member.node).collect(),
-            alive: alive.into(),
-            heard: heard.into(),
+            alive: self.living().into(),
+            heard: self.heard(now).into(),
             settled: Arc::clone(&self.settled),
             previous: Arc::clone(&self.previous),
             ready,
@@ -363,18 +413,15 @@
     /// Goes through shard `index` of `count`: drops what has lapsed, notes where pins are, and
     /// lists those to be handed over. Call for every shard in turn.
     pub fn sweep(&mut self, shard: &mut Shard, index: usize, count: usize, now: u64) {
-        let target = self.target();
+        let (target, ready) = (self.target(), self.ready());
+        let alive = self.living();
         let view = handover::View {
             me: self.me,
             settled: &self.settled,
             previous: &self.previous,
             target: &target,
-            ready: &self.ready(),
-            alive: &self
-                .alive()
-                .map(|peer| peer.member.node)
-                .chain([self.me])
-                .collect::<Vec<_>>(),
+            ready: &ready,
+            alive: &alive,
         };
         let services: Map<Address, &Arc<Service>> = self
             .tables
@@ -383,7 +430,7 @@
             .map(|service| (service.address, service))
             .collect();
         self.handover.start_shard(index, count, &view);
-        shard.sweep(now, |key: &Key, pin: &Pin| {
+        shard.sweep(now, |key: &Key, pin: &mut Pin| {
             let address = Address::of(key);
             let Some(service) = services.get(&address) else {
                 return false;
@@ -395,7 +442,7 @@
             if !pin.light {
                 self.flags.note_pin(service, service.bucket(hash));
             }
-            self.handover.note(key, pin, hash, &view);
+            self.handover.note(key, pin, now, &view);
             true
         });
         if index + 1 == count {
@@ -410,12 +457,14 @@
         self.handover.batches(now, &alive)
     }
 
-    /// Takes in a peer's batch: `adopt` stores each pin. Send the answer back.
+    /// Takes in a batch of `from`: `adopt` hands each pin to [`Shard::adopt`] and gives its
+    /// answer. Send the acknowledgement back.
     pub fn receive_batch(
         &mut self,
+        from: u16,
         batch: &Batch,
         now: u64,
-        mut adopt: impl FnMut(Key, Pin),
+        mut adopt: impl FnMut(Key, Pin) -> Option<Pin>,
     ) -> Acknowledgement {
         let service = self
             .tables
@@ -427,7 +476,9 @@
             if let Some(service) = service {
                 self.flags.note_pin(service, service.bucket(key.hash()));
             }
-            adopt(key, pin);
+            if let Some(better) = adopt(key, pin) {
+                self.handover.list(from, &key, &better);
+            }
         }
         self.news |= self.flags.refresh(&self.tables);
         Acknowledgement {
--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -11,6 +11,9 @@
 
 /// Most pins of a batch: it then fits a datagram of 1,280 bytes with its headers.
 const BATCH: usize = 90;
+/// Most pins queued for one peer and service: above the pins that a balancer may hold, so that a
+/// handover is never cut short. A peer that asks again and again can't make the queue grow further.
+const QUEUE: usize = 1 << 20;
 /// Milliseconds after which an unacknowledged batch is sent again.
 const REPEAT: u64 = 1_000;
 /// Bytes of a batch besides its pins: frame, UDP and IP headers, address, number.
@@ -30,12 +33,17 @@
 
 /// Bytes of an encoded [`Packed`] at most.
 const PACKED: usize = 10;
+/// Stands in the place of the age where a pin is a question: whether the flow got further.
+const QUESTION: u8 = 63;
 /// Milliseconds in a unit of a packed pin's age.
 const AGE: u64 = 64_000;
 
 impl Packed {
     fn new(key: &Key, pin: &Pin, now: u64) -> Self {
-        let age = (pin.age(now) / AGE).min(63) as u8;
+        let age = match pin.asked && pin.phase == Phase::Opening {
+            true => QUESTION,
+            false => (pin.age(now) / AGE).min(u64::from(QUESTION) - 1) as u8,
+        };
         Packed {
             client: key.client.octets(),
             client_port: key.client_port.to_be_bytes(),
@@ -52,12 +60,14 @@
             service_port: address.port,
             protocol: address.protocol,
         };
+        let age = self.state >> 2;
         let pin = Pin {
-            synced: (now.saturating_sub(u64::from(self.state >> 2) * AGE) / 1_000) as u32,
+            synced: (now.saturating_sub(u64::from(age) * AGE) / 1_000) as u32,
             isn: 0,
             server: self.server,
             phase: Phase::from_number(self.state & 3),
             light: false,
+            asked: age == QUESTION,
         };
         (key, pin)
     }
@@ -100,6 +110,12 @@
         ranks(self.settled) || others.any(|set| ranks(set))
     }
 
+    /// The other balancers that answer for the flow.
+    fn others(&self, hash: u64) -> impl Iterator<Item = Node> + use<'_> {
+        let owners = pair(hash, self.settled).into_iter().flatten();
+        owners.filter(|node| *node != self.me && self.alive.contains(node))
+    }
+
     /// Who has to get a copy from this balancer: the new owners, from the first owner alive.
     fn receivers(&self, hash: u64) -> impl Iterator<Item = Node> + use<> {
         let old = pair(hash, self.settled);
@@ -174,13 +190,28 @@
         self.done += usize::from(self.listing);
     }
 
-    /// Lists a pin met in the pass for those that need a copy.
-    pub(super) fn note(&mut self, key: &Key, pin: &Pin, hash: u64, view: &View<'_>) {
-        if !self.listing || pin.light {
+    /// Lists a pin met in the pass for those that need a copy; and one of an opening that is on
+    /// its way out for the other owners, as a question.
+    pub(super) fn note(&mut self, key: &Key, pin: &mut Pin, now: u64, view: &View<'_>) {
+        if pin.light {
             return;
         }
-        for node in view.receivers(hash) {
-            let queue = self.queues.entry((node.id, Address::of(key))).or_default();
+        let hash = key.hash();
+        if self.listing {
+            view.receivers(hash)
+                .for_each(|node| self.list(node.id, key, pin));
+        }
+        if pin.is_fading(now) && !pin.asked {
+            pin.asked = true;
+            view.others(hash)
+                .for_each(|node| self.list(node.id, key, pin));
+        }
+    }
+
+    /// Lists a copy of a pin for `to`.
+    pub(super) fn list(&mut self, to: u16, key: &Key, pin: &Pin) {
+        let queue = self.queues.entry((to, Address::of(key))).or_default();
+        if queue.len() < QUEUE {
             queue.push((*key, *pin));
         }
     }
--- a/crates/flow/src/control/peer.rs
+++ b/crates/flow/src/control/peer.rs
@@ -44,6 +44,8 @@
     pub(super) handed: u64,
     /// Whether the flags it wants are known.
     pub(super) has_flags: bool,
+    /// Whether it was seen to join, and so had all pins copied to it.
+    pub(super) has_joined: bool,
     pub(super) wanted: Map<Address, Wanted>,
     version: u32,
     received: u32,
@@ -58,6 +60,7 @@
             tables: 0,
             handed: 0,
             has_flags: false,
+            has_joined: false,
             wanted: Map::default(),
             version: 0,
             received: 0,
--- a/crates/flow/src/pin.rs
+++ b/crates/flow/src/pin.rs
@@ -60,6 +60,8 @@
     pub phase: Phase,
     /// Whether the flow is on its base, and the pin there only to meet resent openings.
     pub light: bool,
+    /// Whether the other owners were asked if the flow got beyond its opening.
+    pub asked: bool,
 }
 
 impl Pin {
@@ -75,6 +77,13 @@
         }
     }
 
+    /// Whether the pin of an opening is on its way out. The packet that told this owner more may
+    /// have been lost, or come while it was frozen: it asks the others before it forgets.
+    #[must_use]
+    pub fn is_fading(&self, now: u64) -> bool {
+        self.phase == Phase::Opening && !self.light && self.age(now) > OPENING / 2
+    }
+
     /// Whether the other owners should hear of the flow again: they see none of its packets while
     /// the first answers, and would forget it.
     #[must_use]
--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -234,6 +234,7 @@
             server: self.base(),
             phase,
             light: true,
+            asked: false,
         };
         self.shard.store(self.packet.key, pin)
     }
@@ -249,8 +250,8 @@
             return drop(Code::ServerUnknown);
         }
         let phase = self.phase_after(pin.phase);
-        let stale = pin.is_stale(self.now, self.packet.key.protocol);
         let resent = matches!(self.packet.kind, Kind::Opening { .. });
+        let stale = pin.is_stale(self.now, self.packet.key.protocol);
         if self.packet.kind == Kind::Error || (phase == pin.phase && !stale && !resent) {
             return forward(pin.server);
         }
@@ -263,7 +264,11 @@
                 ..pin
             },
         );
-        self.pass_on(pin.server, chain)
+        self.pass_on(pin.server, chain, 0)
+    }
+
+    fn hears_all(&self, chain: &Chain) -> bool {
+        chain.ids().iter().all(|&id| self.snapshot.is_heard(id))
     }
 
     fn seconds(&self) -> u32 {
@@ -292,8 +297,12 @@
         if self.service.strict && !self.entry.accepting {
             return drop(Code::FlowUnsettled);
         }
+        // An owner before this one may be placing flows still, unheard by this balancer alone.
+        if chain.ids().first() != Some(&self.snapshot.me.id) {
+            return drop(Code::OwnersUnreachable);
+        }
         let room = self.shard.has_room();
-        let (free, refusable) = (self.is_free() && room, self.is_refusable());
+        let (free, refusable) = (self.is_free(chain) && room, self.is_refusable());
         let server = match self.ask_policy(free, refusable) {
             Placement::Refuse { retry_after } if refusable => {
                 return Action::Refuse { retry_after }.into();
@@ -310,8 +319,9 @@
         }
     }
 
-    fn is_free(&self) -> bool {
-        let open = self.snapshot.free && self.entry.open.contains(self.bucket);
+    fn is_free(&self, chain: &Chain) -> bool {
+        let open =
+            self.snapshot.free && self.hears_all(chain) && self.entry.open.contains(self.bucket);
         // Nothing marks the first packet of a flow of datagrams. Only an owner that has seen all
         // that lives in the bucket knows a new flow; a server that is down keeps none alive.
         let known_new = self.packet.key.protocol == Protocol::Tcp
@@ -347,9 +357,10 @@
             server,
             phase: Phase::Opening,
             light: server == self.base() && !sticky,
+            asked: false,
         };
         self.shard.store(self.packet.key, pin);
-        self.pass_on(server, chain)
+        self.pass_on(server, chain, 0)
     }
 
     /// A flood of openings fills the room for pins. Flows that need none still open; the others
@@ -366,16 +377,24 @@
 
     /// Hands the packet to the next balancer that must know of the flow, or to its server after
     /// the last. The server's answer can't reach the caller before all of them know.
-    fn pass_on(&self, server: u16, chain: &Chain) -> Verdict {
+    ///
+    /// `told` has a bit for each place in the chain that knows already.
+    fn pass_on(&self, server: u16, chain: &Chain, told: u8) -> Verdict {
         let purpose = match self.packet.kind {
             Kind::Closing | Kind::Reset => Purpose::Release,
             _ => Purpose::Replicate,
         };
-        let ids = chain.ids();
-        let mine = ids.iter().position(|&id| id == self.snapshot.me.id);
-        let rest = mine.map_or(&[][..], |at| &ids[at + 1..]);
-        match rest.iter().find(|&&id| self.snapshot.is_heard(id)) {
-            Some(&to) if self.hops < MAX_HOPS => self.redirect(to, purpose, server, 0),
+        let mut told = told;
+        let mut next = None;
+        for (place, &id) in chain.ids().iter().enumerate() {
+            if id == self.snapshot.me.id {
+                told |= 1 << place;
+            } else if told & 1 << place == 0 && next.is_none() && self.snapshot.is_heard(id) {
+                next = Some(id);
+            }
+        }
+        match next {
+            Some(to) if self.hops < MAX_HOPS => self.redirect(to, purpose, server, told),
             _ => forward(server),
         }
     }
@@ -399,11 +418,12 @@
             server,
             phase: self.phase_after(before),
             light: known.map_or(server == self.base() && !sticky, |pin| pin.light),
+            asked: false,
         };
         if !self.shard.store(self.packet.key, pin) {
             return drop(Code::PinsFull);
         }
-        let mut verdict = self.pass_on(server, &chain);
+        let mut verdict = self.pass_on(server, &chain, header.asked);
         if server != header.server {
             let key = self.packet.key;
             verdict.notice = Some((header.sender, Notice::Correct { key, server }));
--- a/crates/flow/src/shard.rs
+++ b/crates/flow/src/shard.rs
@@ -113,11 +113,27 @@
         true
     }
 
-    /// Takes over a pin that a peer sent. What is known here goes first: the copy may be older.
-    pub fn adopt(&mut self, key: Key, pin: Pin) {
-        if !self.pins.contains_key(&key) {
-            self.store(key, pin);
+    /// Takes over a pin that a peer sent, or answers its question: gives the pin known here if
+    /// the peer should hear of it. What is known here goes first, since the copy may be older; but
+    /// a flow that got beyond its opening elsewhere did so here too.
+    pub fn adopt(&mut self, key: Key, pin: Pin) -> Option<Pin> {
+        match self.pins.get(&key).copied() {
+            None if !pin.asked => {
+                self.store(key, pin);
+            }
+            Some(mine) if mine.phase < pin.phase && mine.server == pin.server => {
+                self.store(
+                    key,
+                    Pin {
+                        isn: mine.isn,
+                        ..pin
+                    },
+                );
+            }
+            Some(mine) if pin.asked && mine.phase > pin.phase => return Some(mine),
+            _ => {}
         }
+        None
     }
 
     /// Takes over the server of an owner that decides.
@@ -166,7 +182,7 @@
     }
 
     /// Drops what has lived its time and what `keep` rejects; calls `keep` for every other pin.
-    pub fn sweep(&mut self, now: u64, mut keep: impl FnMut(&Key, &Pin) -> bool) {
+    pub fn sweep(&mut self, now: u64, mut keep: impl FnMut(&Key, &mut Pin) -> bool) {
         self.cache.retain(|_, (_, until)| now <= *until);
         let mut openings = 0;
         self.pins.retain(|key, pin| {
--- a/crates/flow/src/snapshot.rs
+++ b/crates/flow/src/snapshot.rs
@@ -166,6 +166,8 @@
     pub settled: Arc<[Node]>,
     /// Members of `settled` that fell silent, and may be cut off with pins of their own.
     pub missing: Arc<[Node]>,
+    /// Whether balancers have come back that owned flows on their own meanwhile.
+    pub strangers: bool,
     /// Balancers that own flows now.
     pub ready: Arc<[Node]>,
     /// Balancers that will own flows after those that join or leave have done so.
@@ -228,6 +230,9 @@
         let owners = pair(hash, &self.settled);
         let known = |node: &Node| *node == self.me;
         let lost = |node: &Node| !self.alive.contains(node) && !self.missing.contains(node);
+        if self.strangers {
+            return false;
+        }
         owners.iter().flatten().any(known) || owners.iter().flatten().all(lost)
     }
 }
--- a/crates/flow/tests/it/main.rs
+++ b/crates/flow/tests/it/main.rs
@@ -1,5 +1,8 @@
 //! Tests of flow resolution: several cores joined by queues that delay, lose, repeat and reorder.
 
+mod faults;
 mod fleet;
+mod openings;
 mod plan;
 mod planned;
+mod services;
--- /dev/null
+++ b/crates/flow/tests/it/openings.rs
@@ -0,0 +1,103 @@
+use acacia_flow::snapshot::State;
+use acacia_wire::flow::Protocol;
+use proptest::prelude::*;
+use rand::RngExt;
+
+use crate::{
+    fleet::Fleet,
+    plan::{address, config, data, key, opening, service, set_state, tables},
+};
+
+proptest! {
+    #![proptest_config(config(24))]
+
+    /// The answer to an opening packet is lost, and the caller sends it again through another
+    /// balancer, while a drain begins or the service refuses new work. A second server would get
+    /// the same request, or a caller that was served would be told that nothing had run.
+    #[test]
+    fn a_resent_opening_reaches_one_server(
+        seed: u64,
+        change_at in 0..40u32,
+        refuse_at in 20..80u32,
+        guard: bool,
+    ) {
+        let mut fleet = Fleet::new(5, seed, tables(service(Protocol::Tcp, 0..5, 1)));
+        fleet.faults.loss = 0.05;
+        fleet.faults.repeat = 0.05;
+        fleet.faults.delay = 30;
+
+        for step in 0..100u32 {
+            if step == change_at {
+                let server = fleet.rng.random_range(0..5);
+                fleet.change(1_500, |s| set_state(s, server, State::Draining));
+            }
+            if step == refuse_at {
+                fleet.refusing = true;
+                let guarded = address(Protocol::Tcp);
+                fleet.balancers.iter_mut().for_each(|b| b.control.guard(guarded, guard));
+            }
+            // Each caller sends its opening now, 1 s and 3 s later; then data, if it was heard.
+            (step * 3..step * 3 + 3).for_each(|number| fleet.spray(&opening(number)));
+            for age in [10, 30u32] {
+                let first = step.saturating_sub(age) * 3;
+                (first..first + 3).for_each(|number| fleet.spray(&opening(number)));
+            }
+            let opened = |fleet: &Fleet, number| {
+                let truth = fleet.flows.get(&key(Protocol::Tcp, number));
+                truth.is_some_and(|truth| truth.server.is_some() && !truth.refused)
+            };
+            for number in step.saturating_sub(28) * 3..step * 3 {
+                if opened(&fleet, number) && fleet.rng.random_bool(0.3) {
+                    fleet.spray(&data(number));
+                }
+            }
+            fleet.run(100);
+        }
+
+        prop_assert_eq!(&fleet.failures, &Vec::<String>::new());
+    }
+}
+
+/// A flow ends and the caller's ports are used again at once. A balancer that still remembered
+/// the old flow would send the new one's packets to the old server.
+#[test]
+fn reused_ports_meet_no_memory_of_the_old_flow() {
+    use crate::plan::{insist, open, packet};
+    use acacia_wire::packet::Kind;
+    let mut fleet = Fleet::new(4, 5, tables(service(Protocol::Tcp, 0..5, 1)));
+    fleet.change(500, |s| set_state(s, 0, State::Draining));
+    fleet.run(6_000);
+    open(&mut fleet, 0, 80);
+    for _ in 0..8 {
+        (0..80).for_each(|number| fleet.spray(&data(number)));
+        fleet.run(20);
+    }
+    fleet.change(500, |s| set_state(s, 1, State::Draining));
+    fleet.run(6_000);
+    for _ in 0..8 {
+        (0..80).for_each(|number| fleet.spray(&data(number)));
+        fleet.run(20);
+    }
+
+    for number in 0..80 {
+        let key = key(Protocol::Tcp, number);
+        fleet.spray(&packet(key, Kind::Closing, 0));
+    }
+    fleet.run(50);
+    fleet.flows.clear();
+    for number in 0..80 {
+        let key = key(Protocol::Tcp, number);
+        fleet.spray(&packet(key, Kind::Opening { isn: 99 }, 0));
+    }
+    fleet.run(6_000);
+    for number in 0..80 {
+        let again = packet(key(Protocol::Tcp, number), Kind::Opening { isn: 99 }, 0);
+        assert!(insist(&mut fleet, &again));
+        (0..8).for_each(|_| fleet.spray(&data(number)));
+    }
+    fleet.run(100);
+
+    assert_eq!(fleet.failures, Vec::<String>::new());
+    let server = |number| fleet.flows[&key(Protocol::Tcp, number)].server;
+    assert!((0..80).all(|number| !matches!(server(number), Some(0 | 1))));
+}
--- /dev/null
+++ b/crates/flow/tests/it/services.rs
@@ -0,0 +1,109 @@
+use std::sync::Arc;
+
+use acacia_flow::{control::Tables, snapshot::State};
+use acacia_wire::flow::Protocol;
+use proptest::prelude::*;
+
+use crate::{
+    fleet::Fleet,
+    plan::{config, data, insist, key, open, opening, service, set_state, tables, talk},
+};
+
+proptest! {
+    #![proptest_config(config(24))]
+
+    /// A service is removed and another created at the same address while the balancers take over
+    /// the tables one by one. A check-in sent to the old service would reach the map service's
+    /// servers, or the other way round.
+    #[test]
+    fn a_reused_address_mixes_no_services(
+        seed: u64,
+        spread in 500..12_000u64,
+        drains: bool,
+        cut: bool,
+    ) {
+        let mut fleet = Fleet::new(5, seed, tables(service(Protocol::Tcp, 0..5, 1)));
+        fleet.faults.loss = 0.02;
+        open(&mut fleet, 0, 40);
+        if drains {
+            fleet.change(1_000, |s| set_state(s, 2, State::Draining));
+            fleet.run(5_000);
+            open(&mut fleet, 40, 80);
+        }
+
+        if cut {
+            fleet.balancers[0].group = 1;
+        }
+        let mut successor = service(Protocol::Tcp, 10..15, 9);
+        successor.strict = true;
+        fleet.publish(Tables { version: 9, services: vec![Arc::new(successor)] }, spread);
+        for round in 0..30 {
+            (80 + round * 8..88 + round * 8).for_each(|number| fleet.spray(&opening(number)));
+            fleet.run(spread / 20);
+            (0..88 + round * 8).for_each(|number| {
+                let truth = fleet.flows.get(&key(Protocol::Tcp, number));
+                if truth.is_some_and(|truth| truth.server.is_some()) {
+                    fleet.spray(&data(number));
+                }
+            });
+        }
+        fleet.balancers[0].group = 0;
+        fleet.run(20_000);
+        open(&mut fleet, 400, 420);
+        let lost = talk(&mut fleet, 400, 420);
+
+        prop_assert_eq!(&fleet.failures, &Vec::<String>::new());
+        prop_assert_eq!(lost, Vec::<u32>::new(), "drops {:?}", fleet.drops);
+    }
+
+    /// A backend server starts to leave while callers keep opening flows, and its balancers hear
+    /// of it one after another. New flows that still land on it would be cut off at its deadline;
+    /// its old flows must stay until they end.
+    #[test]
+    fn a_draining_server_gets_no_new_flow_after_seconds(seed: u64, server in 0..5u16) {
+        let mut fleet = Fleet::new(5, seed, tables(service(Protocol::Tcp, 0..5, 1)));
+        fleet.faults.loss = 0.02;
+        open(&mut fleet, 0, 60);
+
+        let learned = fleet.now;
+        fleet.change(1_000, |s| set_state(s, server, State::Draining));
+        for round in 0..40 {
+            open(&mut fleet, 60 + round * 10, 70 + round * 10);
+            fleet.run(150);
+        }
+        let lost = talk(&mut fleet, 0, 460);
+
+        let last = fleet.last_new.get(&server).copied().unwrap_or(0);
+        prop_assert!(last <= learned + 6_000, "a new flow {} ms later", last - learned);
+        prop_assert!(fleet.now > learned + 9_000);
+        prop_assert_eq!(&fleet.failures, &Vec::<String>::new());
+        prop_assert_eq!(lost, Vec::<u32>::new(), "drops {:?}", fleet.drops);
+    }
+}
+
+/// A backend server dies and its buckets get another base, while some balancers still have the
+/// older table. A flow opened on the new base would find its next packet sent to the dead server,
+/// and a flow pinned in those buckets must stay where it is.
+#[test]
+fn a_new_base_keeps_the_pins_of_its_buckets() {
+    let mut fleet = Fleet::new(5, 11, tables(service(Protocol::Tcp, 0..5, 1)));
+    fleet.change(500, |s| set_state(s, 1, State::Down));
+    fleet.run(6_000);
+    open(&mut fleet, 0, 100);
+
+    fleet.change(6_000, |s| {
+        s.base = acacia_flow::table::rebase(&s.base, &s.next, |server| server == 1).into();
+        set_state(s, 2, State::Draining);
+    });
+    for round in 0..12 {
+        open(&mut fleet, 100 + round * 10, 110 + round * 10);
+        fleet.run(500);
+        talk(&mut fleet, 100, 110 + round * 10);
+    }
+    fleet.run(15_000);
+    let lost = talk(&mut fleet, 0, 220);
+
+    assert_eq!(fleet.failures, Vec::<String>::new());
+    assert_eq!(lost, Vec::<u32>::new(), "drops {:?}", fleet.drops);
+    assert!(insist(&mut fleet, &data(5)));
+}
