Keep a flow's pin when the owner that saw it established dies or sleeps

Found by the fault test: an owner that missed the packet after the opening (frozen, or the packet lost between balancers) still took the flow for an opening, forgot it after 75 s, and later answered base.

--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -116,6 +116,11 @@
         owners.filter(|node| *node != self.me && self.alive.contains(node))
     }
 
+    fn lost_owner(&self, hash: u64) -> bool {
+        let mut owners = pair(hash, self.settled).into_iter().flatten();
+        owners.any(|node| !self.alive.contains(&node))
+    }
+
     /// Who has to get a copy from this balancer: the new owners, from the first owner alive.
     fn receivers(&self, hash: u64) -> impl Iterator<Item = Node> + use<> {
         let old = pair(hash, self.settled);
@@ -197,6 +202,12 @@
             return;
         }
         let hash = key.hash();
+        if pin.phase == Phase::Opening && view.lost_owner(hash) {
+            // Only the lost one may have known that the flow got further. Forgetting it would send
+            // its next packet to another server; keeping an opening that came to nothing costs a
+            // pin until it has been idle for long.
+            pin.phase = Phase::Open;
+        }
         if self.listing {
             view.receivers(hash)
                 .for_each(|node| self.list(node.id, key, pin));
