--- a/crates/bench/src/balance.rs
+++ b/crates/bench/src/balance.rs
@@ -94,6 +94,8 @@
             "calm" => limits.calm = value,
             "ceiling" => limits.ceiling = value,
             "lent" => limits.lent = value,
+            "about" => limits.about = time(),
+            "change" => limits.change = value,
             "target" => limits.target = value,
             "gain" => limits.gain = value,
             "burst" => limits.burst = time(),
--- a/crates/load/src/admit.rs
+++ b/crates/load/src/admit.rs
@@ -41,8 +41,10 @@
 /// - `total` fills at the whole capacity, and every flow let in drains it. What is left there is
 ///   idle share, and any class may borrow it. There is nothing to be taken back, since what an
 ///   owner uses is never left over in the first place.
-/// - `lent` does the same at a lower rate and binds trial only. The difference is headroom: work
-///   already lent can't be recalled from a server, but with headroom its wait stays short.
+/// - `lent` does the same at a lower rate and binds trial only, while paying callers are about. The
+///   difference is headroom: work already lent can't be recalled from a server, but with headroom
+///   paying callers wait for little of it. The first of them to return ends the lending of it at
+///   once, without any plan or peer.
 ///
 /// Each thread of each balancer enforces its part by its own arrivals, which the fabric and the
 /// kernel spread evenly. Counts from peers only set the rates, so old ones can't let in more than
@@ -53,6 +55,7 @@
     total: Bucket,
     lent: Bucket,
     last: Option<Duration>,
+    paying: Option<Duration>,
 }
 
 impl Shares {
@@ -68,6 +71,7 @@
             total: full(limits.least_lent),
             lent: full(limits.least_lent),
             last: None,
+            paying: None,
         }
     }
 
@@ -82,12 +86,18 @@
         now: Duration,
     ) -> bool {
         self.refill(rates, limits, now);
+        if mark == Mark::Paying {
+            self.paying = Some(now);
+        }
+        let about = self
+            .paying
+            .is_some_and(|last| now.saturating_sub(last) <= limits.about);
         let Some(own) = self.own.get_mut(class) else {
             return false;
         };
         if own.has() {
             own.drain();
-        } else if !self.total.has() || (mark == Mark::Trial && !self.lent.has()) {
+        } else if !self.total.has() || (mark == Mark::Trial && about && !self.lent.has()) {
             return false;
         }
         self.total.drain();
--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -7,7 +7,8 @@
     plan::{Plan, Rates, Standing},
     pool::{Mark, Pool, Server},
     report::Report,
-    signal::{Window, utilization},
+    signal::Window,
+    speed::Speed,
     tally::{Count, Demand, Tally},
     weight::{self, Pace, Sight},
 };
@@ -15,19 +16,30 @@
 /// Lowest and highest correction of the measured capacity; beyond them the estimate is wrong in
 /// a way that a factor doesn't mend.
 const CORRECTION: std::ops::RangeInclusive<f64> = 0.5..=4.0;
-/// A fast mean this many times the slow one (or its inverse) is a change, not noise.
-const CHANGE: f64 = 1.7;
+/// Time constant of what all servers have in common: the part of answers that are seen, and flows
+/// to a question.
+const COMMON: Duration = Duration::from_secs(60);
 
 /// Estimates of one server.
 #[derive(Debug, Clone, Default)]
 struct Estimate {
     fast: Window,
     slow: Window,
+    speed: Speed,
     spill: f64,
     distrusted: bool,
     leaving: bool,
 }
 
+impl Estimate {
+    /// Work in progress (Little's law: arrivals a second times the time each takes), in questions.
+    /// Nothing without samples.
+    fn progress(&self) -> Option<f64> {
+        let network = self.slow.network().unwrap_or(0.0);
+        self.fast.work(network).map(|work| work * self.fast.rate())
+    }
+}
+
 /// Demand of one class, in flows a second.
 #[derive(Debug, Clone, Copy, Default)]
 struct Flow {
@@ -43,6 +55,7 @@
     threads: u32,
     peers: Peers,
     estimates: Vec<Estimate>,
+    common: Window,
     demand: Vec<Flow>,
     bench: Bench,
     pace: Pace,
@@ -74,6 +87,7 @@
         Controller {
             peers: Peers::new(servers, classes),
             estimates: vec![Estimate::default(); servers],
+            common: Window::default(),
             demand: vec![Flow::default(); classes],
             bench: Bench::new(servers),
             pace: Pace::default(),
@@ -140,7 +154,7 @@
             if self.out(server) {
                 continue;
             }
-            if let Some(own) = self.estimates[server].fast.progress() {
+            if let Some(own) = self.estimates[server].progress() {
                 progress += own;
                 slots += f64::from(host.slots.max(1));
             }
@@ -151,13 +165,13 @@
     /// Measured capacity of a server in new flows a second.
     #[must_use]
     pub fn capacity(&self, server: Server) -> Option<f64> {
-        let slow = &self.estimates.get(server.index())?.slow;
-        let host = self.pool.hosts.get(server.index())?;
-        if slow.answered < self.limits.samples {
-            return None;
-        }
-        let used = utilization(slow.progress()? / f64::from(host.slots.max(1)), host.slots);
-        (used > 0.0).then(|| slow.flows() / used)
+        let questions = self.estimates.get(server.index())?.speed.questions()?;
+        let flows = if self.common.asked > 0.0 {
+            self.common.opened / self.common.asked
+        } else {
+            1.0
+        };
+        Some(questions * flows)
     }
 
     /// Ends a second (or so): takes what was absorbed and merged since the last call, and gives
@@ -224,13 +238,21 @@
         if seen.servers.iter().any(|count| count.answered > 0) {
             self.sampled = Some(now);
         }
-        for (estimate, count) in self.estimates.iter_mut().zip(&seen.servers) {
+        for count in &seen.servers {
+            self.common.add(count, Duration::ZERO, COMMON);
+        }
+        self.common.add(&Count::default(), passed, COMMON);
+        let visible = self.common.answered / self.common.asked.max(1.0);
+        for (server, count) in seen.servers.iter().enumerate() {
             let count = scaled(count, scale);
+            let estimate = &mut self.estimates[server];
             estimate.fast.add(&count, passed, fast);
             estimate.slow.add(&count, passed, slow);
-            if changed(estimate, &self.limits) {
-                estimate.slow = estimate.fast;
-            }
+            let network = estimate.slow.network().unwrap_or(0.0);
+            let slots = self.pool.hosts[server].slots;
+            estimate
+                .speed
+                .learn(&count, passed, network, visible, slots, &self.limits);
         }
         let keep = (-passed.as_secs_f64() / fast.as_secs_f64()).exp();
         for (flow, demand) in self.demand.iter_mut().zip(&seen.classes) {
@@ -265,7 +287,6 @@
         for (server, estimate) in self.estimates.iter_mut().enumerate() {
             let host = &self.pool.hosts[server];
             let progress = estimate
-                .fast
                 .progress()
                 .filter(|_| estimate.fast.answered >= self.limits.evidence)
                 .map_or(0.0, |progress| progress / f64::from(host.slots.max(1)));
@@ -364,13 +385,3 @@
         closed: times(count.closed),
     }
 }
-
-/// Whether a server's speed has changed so much that the slow mean is of another server, as it
-/// were. Waiting for it to forget would keep the old part of the flows for many seconds.
-fn changed(estimate: &Estimate, limits: &Limits) -> bool {
-    let (Some(fast), Some(slow)) = (estimate.fast.work(), estimate.slow.work()) else {
-        return false;
-    };
-    estimate.fast.answered >= 2.0 * limits.evidence
-        && (fast > slow * CHANGE || slow > fast * CHANGE)
-}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -38,6 +38,8 @@
 pub mod report;
 /// Estimates for each server from merged counts.
 pub mod signal;
+/// How fast a server is.
+pub mod speed;
 /// Counts of what one traffic thread has seen since the last tick.
 pub mod tally;
 /// Sampled sight of flows: from decoded packets to events.
--- a/crates/load/src/limits.rs
+++ b/crates/load/src/limits.rs
@@ -9,8 +9,11 @@
     /// Time constant of the slow estimates (speed, capacity). At 100 samples/s a server, 20 s give
     /// an error of a few percent, which is what an even spread needs.
     pub slow: Duration,
-    /// Samples that an estimate of speed needs before weights follow it.
+    /// Answers that one measurement of a server's speed needs.
     pub samples: f64,
+    /// A measurement of speed this many times the mean (or its inverse), twice running, is a change
+    /// of the server and not noise: the mean starts anew from it.
+    pub change: f64,
     /// A peer that has not reported for this long no longer counts as a sharer of the work.
     pub stale: Duration,
     /// Without any sample for this long, weights return to plain shares and nothing is refused
@@ -53,9 +56,13 @@
     /// Part of the measured capacity that all admitted work may reach. Above it, waits grow
     /// faster than goodput.
     pub ceiling: f64,
-    /// Part of the measured capacity that admitted work may reach while trial borrows. What lies
-    /// between it and `ceiling` is never lent to trial, so paying callers keep short waits.
+    /// Part of the measured capacity that admitted work may reach while trial borrows and paying
+    /// callers are about. What lies between it and `ceiling` is headroom: it keeps their waits
+    /// short.
     pub lent: f64,
+    /// Paying callers are about if one came to this thread within this time. Without any, the
+    /// headroom would keep nobody's wait short and is lent as well.
+    pub about: Duration,
     /// Work in progress a slot that the pool is steered to at saturation.
     pub target: f64,
     /// Largest relative change of the correction of the capacity at one tick.
@@ -83,7 +90,8 @@
         Limits {
             fast: seconds(1),
             slow: seconds(20),
-            samples: 100.0,
+            samples: 50.0,
+            change: 1.6,
             stale: seconds(4),
             blind: seconds(30),
             rise: 1.25,
@@ -103,9 +111,10 @@
             full: 0.9,
             ceiling: 0.95,
             lent: 0.75,
-            target: 3.0,
+            about: seconds(1),
+            target: 6.0,
             gain: 0.05,
-            burst: Duration::from_millis(1000),
+            burst: Duration::from_millis(200),
             slack: Duration::from_millis(100),
             least: 20.0,
             least_lent: 4.0,
--- a/crates/load/src/signal.rs
+++ b/crates/load/src/signal.rs
@@ -36,20 +36,20 @@
         step(&mut self.answering, count.answering.as_secs_f64());
     }
 
+    /// Mean time that an opening takes, in seconds. The server's kernel answers it, so it is the
+    /// network's part of any answer. Nothing without samples.
+    #[must_use]
+    pub fn network(&self) -> Option<f64> {
+        (self.completed >= 1.0).then(|| self.opening / self.completed)
+    }
+
     /// Mean time that the server takes for a question, in seconds: from data to the moving
-    /// acknowledgement, less the time that an opening takes, which the server's kernel answers
-    /// and which is therefore the network's part. Nothing without samples.
+    /// acknowledgement, less the network's part. Nothing without samples.
     #[must_use]
-    pub fn work(&self) -> Option<f64> {
-        if self.answered < 1.0 {
-            return None;
-        }
-        let network = if self.completed >= 1.0 {
-            self.opening / self.completed
-        } else {
-            0.0
-        };
-        Some((self.answering / self.answered - network).max(0.0))
+    pub fn work(&self, network: f64) -> Option<f64> {
+        /// What the subtraction of two means leaves at least, in seconds.
+        const LEAST: f64 = 1e-4;
+        (self.answered >= 1.0).then(|| (self.answering / self.answered - network).max(LEAST))
     }
 
     /// Questions a second.
@@ -61,23 +61,6 @@
             0.0
         }
     }
-
-    /// New flows a second.
-    #[must_use]
-    pub fn flows(&self) -> f64 {
-        if self.span > 0.0 {
-            self.opened / self.span
-        } else {
-            0.0
-        }
-    }
-
-    /// Work in progress (Little's law: arrivals a second times the time each takes), in
-    /// questions. Nothing without samples.
-    #[must_use]
-    pub fn progress(&self) -> Option<f64> {
-        self.work().map(|work| work * self.rate())
-    }
 }
 
 /// The use of a server (0 to 1) whose `slots` have `progress` questions each in progress.
