Judge a silent server by unscaled counts, also at small services

Cause of servers left alone without fault while balancers hear nothing of each other: counts were scaled up for the silent peers, so one sample passed for eight. Now the scale applies to rates only, and 12 answers must be expected instead of 8. Questions since the last answer are judged too, as one second holds too little evidence at a small service. Spilling rises at once and falls by halves.

--- a/crates/bench/src/balance/simulation.rs
+++ b/crates/bench/src/balance/simulation.rs
@@ -536,7 +536,11 @@
             arrived += mark.arrived;
             good += mark.good;
         }
-        let possible = self.scene.capacity * (END - BEGIN);
+        let servers = 0..self.servers.len();
+        let possible: f64 = servers
+            .map(|index| able(self.scene, index, BEGIN, END))
+            .sum();
+        let possible = possible / self.scene.mean;
         self.outcome.goodput = good as f64 / possible.min(arrived as f64);
         self.outcome.tables = self.fleet.tables;
         self.outcome
--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -16,6 +16,8 @@
 /// Lowest and highest correction of the measured capacity; beyond them the estimate is wrong in
 /// a way that a factor doesn't mend.
 const CORRECTION: std::ops::RangeInclusive<f64> = 0.5..=4.0;
+/// A part of the flows that isn't worth the pins.
+const NEGLIGIBLE: f64 = 0.01;
 /// Time constant of what all servers have in common: the part of answers that are seen, and flows
 /// to a question.
 const COMMON: Duration = Duration::from_secs(60);
@@ -26,6 +28,11 @@
     fast: Window,
     slow: Window,
     speed: Speed,
+    /// Questions since the last tick that saw an answer.
+    waiting: f64,
+    /// All flows over those that the counts are of. It isn't applied to the counts themselves: few
+    /// samples must go on looking like few when they are taken as evidence.
+    scale: f64,
     spill: f64,
     distrusted: bool,
     leaving: bool,
@@ -36,7 +43,9 @@
     /// Nothing without samples.
     fn progress(&self) -> Option<f64> {
         let network = self.slow.network().unwrap_or(0.0);
-        self.fast.work(network).map(|work| work * self.fast.rate())
+        self.fast
+            .work(network)
+            .map(|work| work * self.fast.rate() * self.scale)
     }
 }
 
@@ -244,15 +253,19 @@
         self.common.add(&Count::default(), passed, COMMON);
         let visible = self.common.answered / self.common.asked.max(1.0);
         for (server, count) in seen.servers.iter().enumerate() {
-            let count = scaled(count, scale);
             let estimate = &mut self.estimates[server];
-            estimate.fast.add(&count, passed, fast);
-            estimate.slow.add(&count, passed, slow);
+            estimate.fast.add(count, passed, fast);
+            estimate.slow.add(count, passed, slow);
+            estimate.scale = scale;
+            estimate.waiting = match count.answered {
+                0 => estimate.waiting + f64::from(count.asked),
+                _ => 0.0,
+            };
             let network = estimate.slow.network().unwrap_or(0.0);
             let slots = self.pool.hosts[server].slots;
             estimate
                 .speed
-                .learn(&count, passed, network, visible, slots, &self.limits);
+                .learn(count, passed, network, visible / scale, slots, &self.limits);
         }
         let keep = (-passed.as_secs_f64() / fast.as_secs_f64()).exp();
         for (flow, demand) in self.demand.iter_mut().zip(&seen.classes) {
@@ -265,22 +278,43 @@
     }
 
     fn silent(&self) -> Vec<bool> {
-        let mut all = Window::default();
-        for estimate in &self.estimates {
-            all.answered += estimate.fast.answered;
-            all.asked += estimate.fast.asked;
-            all.completed += estimate.fast.completed;
-            all.opened += estimate.fast.opened;
-        }
-        let judge =
-            |estimate: &Estimate| silent(&estimate.fast, &all, !estimate.distrusted, &self.limits);
+        let sum = |of: fn(&Estimate) -> &Window| {
+            self.estimates
+                .iter()
+                .map(of)
+                .fold(Window::default(), |sum, own| Window {
+                    asked: sum.asked + own.asked,
+                    answered: sum.answered + own.answered,
+                    opened: sum.opened + own.opened,
+                    completed: sum.completed + own.completed,
+                    ..Window::default()
+                })
+        };
+        let (fast, slow) = (sum(|own| &own.fast), sum(|own| &own.slow));
+        // If nobody answers at all, the fault is not with one server.
+        let any = self
+            .estimates
+            .iter()
+            .any(|own| own.waiting == 0.0 && own.fast.asked >= 1.0);
+        let judge = |own: &Estimate| {
+            // At a small service, one second holds too little evidence: there the questions since
+            // the last answer are set against the usual part of answers.
+            let lasting = Window {
+                asked: own.waiting,
+                ..Window::default()
+            };
+            let trusted = !own.distrusted;
+            silent(&own.fast, &fast, trusted, &self.limits)
+                || (any && silent(&lasting, &slow, trusted, &self.limits))
+        };
         self.estimates.iter().map(judge).collect()
     }
 
     /// Sets what part of a server's flows takes its second choice: the excess of its work in
-    /// progress over `bound` times the pool's mean, eased in by halves so that balancers that act
-    /// on the same figures don't swing between two servers; all of it when its connections are
-    /// nearly used up.
+    /// progress over `bound` times the pool's mean. It rises at once, since each second of a server
+    /// four times too slow adds two seconds of queue, and falls by halves, so that balancers that
+    /// act on the same figures don't swing between two servers. All of it when the server's
+    /// connections are nearly used up.
     fn spill(&mut self) {
         let mean = self.progress().unwrap_or(0.0).max(self.limits.calm);
         let open = self.peers.open();
@@ -291,7 +325,10 @@
                 .filter(|_| estimate.fast.answered >= self.limits.evidence)
                 .map_or(0.0, |progress| progress / f64::from(host.slots.max(1)));
             let excess = (1.0 - self.limits.bound * mean / progress.max(1e-9)).max(0.0);
-            estimate.spill = (estimate.spill + excess) / 2.0;
+            estimate.spill = excess.max((estimate.spill + excess) / 2.0);
+            if estimate.spill < NEGLIGIBLE {
+                estimate.spill = 0.0;
+            }
             if open.servers[server] >= self.limits.full * f64::from(host.connections) {
                 estimate.spill = 1.0;
             }
@@ -372,16 +409,3 @@
         open.classes.iter().enumerate().map(left).collect()
     }
 }
-
-fn scaled(count: &Count, scale: f64) -> Count {
-    let times = |value: u32| (f64::from(value) * scale).round() as u32;
-    Count {
-        opened: times(count.opened),
-        completed: times(count.completed),
-        opening: count.opening.mul_f64(scale),
-        asked: times(count.asked),
-        answered: times(count.answered),
-        answering: count.answering.mul_f64(scale),
-        closed: times(count.closed),
-    }
-}
--- a/crates/load/src/limits.rs
+++ b/crates/load/src/limits.rs
@@ -14,7 +14,8 @@
     /// A measurement of speed this many times the mean (or its inverse), twice running, is a change
     /// of the server and not noise: the mean starts anew from it.
     pub change: f64,
-    /// A peer that has not reported for this long no longer counts as a sharer of the work.
+    /// The counts of a peer that has not reported for this long are taken for missing, and what the
+    /// others saw stands for them. One lost heartbeat in a row is borne.
     pub stale: Duration,
     /// Without any sample for this long, weights return to plain shares and nothing is refused
     /// for want of capacity: a missing signal costs fairness, not availability.
@@ -38,8 +39,9 @@
     pub rest: Duration,
     /// Longest time that a server is left alone before it is tried again.
     pub rest_most: Duration,
-    /// Answers (or completed openings) that must be missing before a server is left alone. With 8
-    /// expected and none seen, chance is e^-8.
+    /// Answers (or completed openings) that must be expected before a server that gives next to none
+    /// is left alone. Of 12 expected, one or none come by chance in 1 of 12,000 seconds; of 8, in 1
+    /// of 330, which left fine servers alone.
     pub evidence: f64,
     /// A server that gives less than this part of the answers that others give is hung.
     pub silence: f64,
@@ -92,7 +94,7 @@
             slow: seconds(20),
             samples: 50.0,
             change: 1.6,
-            stale: seconds(4),
+            stale: Duration::from_millis(2_500),
             blind: seconds(30),
             rise: 1.25,
             fall: 2.0,
@@ -103,8 +105,8 @@
             eject: 0.34,
             rest: seconds(10),
             rest_most: seconds(160),
-            evidence: 8.0,
-            silence: 0.2,
+            evidence: 12.0,
+            silence: 0.15,
             distrust: 0.7,
             bound: 1.5,
             calm: 1.0,
