--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -7,7 +7,8 @@
     plan::{Plan, Rates, Standing},
     pool::{Mark, Pool, Server},
     report::Report,
-    signal::{Window, utilization},
+    signal::Window,
+    speed::Speed,
     tally::{Count, Demand, Tally},
     weight::{self, Pace, Sight},
 };
@@ -15,19 +16,39 @@
 /// Lowest and highest correction of the measured capacity; beyond them the estimate is wrong in
 /// a way that a factor doesn't mend.
 const CORRECTION: std::ops::RangeInclusive<f64> = 0.5..=4.0;
-/// A fast mean this many times the slow one (or its inverse) is a change, not noise.
-const CHANGE: f64 = 1.7;
+/// A part of the flows that isn't worth the pins.
+const NEGLIGIBLE: f64 = 0.01;
+/// Time constant of what all servers have in common: the part of answers that are seen, and flows
+/// to a question.
+const COMMON: Duration = Duration::from_secs(60);
 
 /// Estimates of one server.
 #[derive(Debug, Clone, Default)]
 struct Estimate {
     fast: Window,
     slow: Window,
+    speed: Speed,
+    /// Questions since the last tick that saw an answer.
+    waiting: f64,
+    /// All flows over those that the counts are of. It isn't applied to the counts themselves: few
+    /// samples must go on looking like few when they are taken as evidence.
+    scale: f64,
     spill: f64,
     distrusted: bool,
     leaving: bool,
 }
 
+impl Estimate {
+    /// Work in progress (Little's law: arrivals a second times the time each takes), in questions.
+    /// Nothing without samples.
+    fn progress(&self) -> Option<f64> {
+        let network = self.slow.network().unwrap_or(0.0);
+        self.fast
+            .work(network)
+            .map(|work| work * self.fast.rate() * self.scale)
+    }
+}
+
 /// Demand of one class, in flows a second.
 #[derive(Debug, Clone, Copy, Default)]
 struct Flow {
@@ -43,6 +64,7 @@
     threads: u32,
     peers: Peers,
     estimates: Vec<Estimate>,
+    common: Window,
     demand: Vec<Flow>,
     bench: Bench,
     pace: Pace,
@@ -74,6 +96,7 @@
         Controller {
             peers: Peers::new(servers, classes),
             estimates: vec![Estimate::default(); servers],
+            common: Window::default(),
             demand: vec![Flow::default(); classes],
             bench: Bench::new(servers),
             pace: Pace::default(),
@@ -140,7 +163,7 @@
             if self.out(server) {
                 continue;
             }
-            if let Some(own) = self.estimates[server].fast.progress() {
+            if let Some(own) = self.estimates[server].progress() {
                 progress += own;
                 slots += f64::from(host.slots.max(1));
             }
@@ -151,13 +174,13 @@
     /// Measured capacity of a server in new flows a second.
     #[must_use]
     pub fn capacity(&self, server: Server) -> Option<f64> {
-        let slow = &self.estimates.get(server.index())?.slow;
-        let host = self.pool.hosts.get(server.index())?;
-        if slow.answered < self.limits.samples {
-            return None;
-        }
-        let used = utilization(slow.progress()? / f64::from(host.slots.max(1)), host.slots);
-        (used > 0.0).then(|| slow.flows() / used)
+        let questions = self.estimates.get(server.index())?.speed.questions()?;
+        let flows = if self.common.asked > 0.0 {
+            self.common.opened / self.common.asked
+        } else {
+            1.0
+        };
+        Some(questions * flows)
     }
 
     /// Ends a second (or so): takes what was absorbed and merged since the last call, and gives
@@ -224,13 +247,25 @@
         if seen.servers.iter().any(|count| count.answered > 0) {
             self.sampled = Some(now);
         }
-        for (estimate, count) in self.estimates.iter_mut().zip(&seen.servers) {
-            let count = scaled(count, scale);
-            estimate.fast.add(&count, passed, fast);
-            estimate.slow.add(&count, passed, slow);
-            if changed(estimate, &self.limits) {
-                estimate.slow = estimate.fast;
-            }
+        for count in &seen.servers {
+            self.common.add(count, Duration::ZERO, COMMON);
+        }
+        self.common.add(&Count::default(), passed, COMMON);
+        let visible = self.common.answered / self.common.asked.max(1.0);
+        for (server, count) in seen.servers.iter().enumerate() {
+            let estimate = &mut self.estimates[server];
+            estimate.fast.add(count, passed, fast);
+            estimate.slow.add(count, passed, slow);
+            estimate.scale = scale;
+            estimate.waiting = match count.answered {
+                0 => estimate.waiting + f64::from(count.asked),
+                _ => 0.0,
+            };
+            let network = estimate.slow.network().unwrap_or(0.0);
+            let slots = self.pool.hosts[server].slots;
+            estimate
+                .speed
+                .learn(count, passed, network, visible / scale, slots, &self.limits);
         }
         let keep = (-passed.as_secs_f64() / fast.as_secs_f64()).exp();
         for (flow, demand) in self.demand.iter_mut().zip(&seen.classes) {
@@ -243,34 +278,57 @@
     }
 
     fn silent(&self) -> Vec<bool> {
-        let mut all = Window::default();
-        for estimate in &self.estimates {
-            all.answered += estimate.fast.answered;
-            all.asked += estimate.fast.asked;
-            all.completed += estimate.fast.completed;
-            all.opened += estimate.fast.opened;
-        }
-        let judge =
-            |estimate: &Estimate| silent(&estimate.fast, &all, !estimate.distrusted, &self.limits);
+        let sum = |of: fn(&Estimate) -> &Window| {
+            self.estimates
+                .iter()
+                .map(of)
+                .fold(Window::default(), |sum, own| Window {
+                    asked: sum.asked + own.asked,
+                    answered: sum.answered + own.answered,
+                    opened: sum.opened + own.opened,
+                    completed: sum.completed + own.completed,
+                    ..Window::default()
+                })
+        };
+        let (fast, slow) = (sum(|own| &own.fast), sum(|own| &own.slow));
+        // If nobody answers at all, the fault is not with one server.
+        let any = self
+            .estimates
+            .iter()
+            .any(|own| own.waiting == 0.0 && own.fast.asked >= 1.0);
+        let judge = |own: &Estimate| {
+            // At a small service, one second holds too little evidence: there the questions since
+            // the last answer are set against the usual part of answers.
+            let lasting = Window {
+                asked: own.waiting,
+                ..Window::default()
+            };
+            let trusted = !own.distrusted;
+            silent(&own.fast, &fast, trusted, &self.limits)
+                || (any && silent(&lasting, &slow, trusted, &self.limits))
+        };
         self.estimates.iter().map(judge).collect()
     }
 
     /// Sets what part of a server's flows takes its second choice: the excess of its work in
-    /// progress over `bound` times the pool's mean, eased in by halves so that balancers that act
-    /// on the same figures don't swing between two servers; all of it when its connections are
-    /// nearly used up.
+    /// progress over `bound` times the pool's mean. It rises at once, since each second of a server
+    /// four times too slow adds two seconds of queue, and falls by halves, so that balancers that
+    /// act on the same figures don't swing between two servers. All of it when the server's
+    /// connections are nearly used up.
     fn spill(&mut self) {
         let mean = self.progress().unwrap_or(0.0).max(self.limits.calm);
         let open = self.peers.open();
         for (server, estimate) in self.estimates.iter_mut().enumerate() {
             let host = &self.pool.hosts[server];
             let progress = estimate
-                .fast
                 .progress()
                 .filter(|_| estimate.fast.answered >= self.limits.evidence)
                 .map_or(0.0, |progress| progress / f64::from(host.slots.max(1)));
             let excess = (1.0 - self.limits.bound * mean / progress.max(1e-9)).max(0.0);
-            estimate.spill = (estimate.spill + excess) / 2.0;
+            estimate.spill = excess.max((estimate.spill + excess) / 2.0);
+            if estimate.spill < NEGLIGIBLE {
+                estimate.spill = 0.0;
+            }
             if open.servers[server] >= self.limits.full * f64::from(host.connections) {
                 estimate.spill = 1.0;
             }
@@ -351,26 +409,3 @@
         open.classes.iter().enumerate().map(left).collect()
     }
 }
-
-fn scaled(count: &Count, scale: f64) -> Count {
-    let times = |value: u32| (f64::from(value) * scale).round() as u32;
-    Count {
-        opened: times(count.opened),
-        completed: times(count.completed),
-        opening: count.opening.mul_f64(scale),
-        asked: times(count.asked),
-        answered: times(count.answered),
-        answering: count.answering.mul_f64(scale),
-        closed: times(count.closed),
-    }
-}
-
-/// Whether a server's speed has changed so much that the slow mean is of another server, as it
-/// were. Waiting for it to forget would keep the old part of the flows for many seconds.
-fn changed(estimate: &Estimate, limits: &Limits) -> bool {
-    let (Some(fast), Some(slow)) = (estimate.fast.work(), estimate.slow.work()) else {
-        return false;
-    };
-    estimate.fast.answered >= 2.0 * limits.evidence
-        && (fast > slow * CHANGE || slow > fast * CHANGE)
-}
