Watch through a restored platform: an older answer is given as it is

A platform restored from a backup numbers its writes from there. A watch that refused its older revisions would miss every later change; what the value says of itself decides instead. A change below the bounded history stays unknown.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -134,9 +134,25 @@
     /// # Errors
     /// When no try has given an answer that is as new as those before.
     pub async fn get(&self, key: &Arc<str>) -> Result<Entry, Error> {
+        self.retry(async || {
+            let entry = self.read(key).await?;
+            self.judge(key, entry)
+        })
+        .await
+    }
+
+    /// Reads a key once.
+    async fn read(&self, key: &Arc<str>) -> Result<Entry, Error> {
+        let wait = self.options.deadline;
+        let get = async |rpc: &PlatformClient, ctx| rpc.get(ctx, Arc::clone(key)).await;
+        self.call(&self.calls, wait, Effect::None, get).await
+    }
+
+    /// Tries a read by the schedule.
+    async fn retry(&self, read: impl AsyncFn() -> Result<Entry, Error>) -> Result<Entry, Error> {
         let mut tried = 1;
         loop {
-            let answer = self.get_once(key).await;
+            let answer = read().await;
             let Err(error) = answer else { return answer };
             let pause = self.options.retry.pause(tried, &mut self.state().random);
             let Some(pause) = pause else {
@@ -147,13 +163,6 @@
         }
     }
 
-    async fn get_once(&self, key: &Arc<str>) -> Result<Entry, Error> {
-        let wait = self.options.deadline;
-        let get = async |rpc: &PlatformClient, ctx| rpc.get(ctx, Arc::clone(key)).await;
-        let entry = self.call(&self.calls, wait, Effect::None, get).await?;
-        self.judge(key, entry)
-    }
-
     /// Writes a key if it has the expected revision. Made once: after [`Error::Unknown`], read
     /// the key to learn whether the write took effect.
     ///
@@ -173,6 +182,11 @@
     /// what it holds then. A watch that fails or stays silent is replaced by a read over a new
     /// connection, since what it would have told may have been lost.
     ///
+    /// The answer is given as it is, also when it is older than others before: a platform that
+    /// was restored from a backup numbers its writes from there, and a watcher that refused them
+    /// would miss every later change. Whoever watches compares what the values themselves say.
+    /// The next watch names the revision of this answer.
+    ///
     /// # Errors
     /// When the read fails as well.
     pub async fn watch(&self, key: &Arc<str>, above: u64) -> Result<Entry, Error> {
@@ -180,10 +194,9 @@
         let wait = self.options.watch + self.options.deadline;
         let watch =
             async |rpc: &PlatformClient, ctx| rpc.watch(ctx, Arc::clone(key), above, wait_ms).await;
-        let answer = self.call(&self.watches, wait, Effect::None, watch).await;
-        match answer.and_then(|entry| self.judge(key, entry)) {
+        match self.call(&self.watches, wait, Effect::None, watch).await {
             Ok(entry) => Ok(entry),
-            Err(_) => self.get(key).await,
+            Err(_) => self.retry(async || self.read(key).await).await,
         }
     }
 
--- a/crates/platform/tests/it/apply/decide.rs
+++ b/crates/platform/tests/it/apply/decide.rs
@@ -1,4 +1,7 @@
-use acacia_config::{Config, document::Document};
+use acacia_config::{
+    Config,
+    document::{Document, HISTORY},
+};
 use acacia_platform::apply::Verdict;
 use proptest::prelude::*;
 
@@ -112,6 +115,33 @@
     assert_eq!(world.applied.len(), 1, "it arrived in the end");
 }
 
+/// The answer is lost and so many others write before it can be read back that the history no
+/// longer reaches down to the change. Not finding it proves nothing then.
+#[test]
+fn a_change_below_the_history_stays_unknown() {
+    let (mut world, _) = play(1, &[]);
+    let mut operator = Operator::new(request(200));
+    world.step(&mut operator, Fault::None);
+    world.step(&mut operator, Fault::AnswerLost);
+    for other in 1..=HISTORY as u8 {
+        let mut other = Operator::new(request(other));
+        while other.verdict.is_none() {
+            world.step(&mut other, Fault::None);
+        }
+    }
+    while operator.verdict.is_none() {
+        world.step(&mut operator, Fault::None);
+    }
+    let change = operator.change;
+    assert!(
+        world
+            .applied
+            .iter()
+            .any(|document| document.change == change)
+    );
+    assert_eq!(operator.verdict, Some(Verdict::Unknown { change }));
+}
+
 /// The operator reviewed the change against revision 1; meanwhile another made revision 2.
 #[test]
 fn a_change_reviewed_against_another_revision_is_not_written() {
--- a/crates/platform/tests/it/client.rs
+++ b/crates/platform/tests/it/client.rs
@@ -148,6 +148,20 @@
     stand.stop().await;
 }
 
+/// The platform was restored from a backup. A watcher that refused its older revisions would not
+/// hear of any change until the platform has counted up again.
+#[tokio::test]
+async fn a_watch_gives_an_older_answer_as_it_is() {
+    let stand = stand().await;
+    let client = patient(&stand);
+    client.swap(swap(0, "one")).await.expect("written");
+    client.swap(swap(1, "two")).await.expect("written");
+    stand.steer(|faults| faults.stale = true);
+    let entry = client.watch(&key(), 2).await.expect("an answer");
+    assert_eq!(entry.value.as_deref(), Some("one"));
+    stand.stop().await;
+}
+
 /// A holder is paused beyond its lease. When it wakes it must learn that the lease is gone, and
 /// the key that it protected with it.
 #[tokio::test]
