--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -135,9 +135,11 @@
                 Ok(Vec::new())
             }
             Message::Batch(batch) => {
-                let answer = self.flow.receive_batch(&batch, millis(now), |key, pin| {
-                    shards.of(key.hash()).adopt(key, pin);
-                });
+                let answer = self
+                    .flow
+                    .receive_batch(from, &batch, millis(now), |key, pin| {
+                        shards.of(key.hash()).adopt(key, pin);
+                    });
                 let message = Message::Acknowledgement(answer);
                 Ok(vec![Outgoing {
                     to: from,
