--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -34,6 +34,9 @@
 /// How long a process may take to end when asked to.
 const ENDING: Duration = Duration::from_secs(20);
 
+/// Balancers that start together own flows after this long, several times over.
+const SETTLED: Duration = Duration::from_secs(4);
+
 /// A service of the deployment, and how its backend servers behave.
 #[derive(Debug, Clone)]
 pub struct Service {
@@ -203,6 +206,41 @@
         self.balancers.keys().copied().collect()
     }
 
+    /// Waits until the balancers know each other and own flows: they start joining, and are ready
+    /// after some heartbeats.
+    pub fn settle(&self) {
+        std::thread::sleep(SETTLED);
+    }
+
+    /// Replaces balancer `id` as a planned change: the fabric stops sending to it, it hands over
+    /// and ends, a new one starts under the same number and joins.
+    pub fn replace_balancer(&mut self, id: u16) -> anyhow::Result<()> {
+        let others: Vec<u16> = self
+            .balancers()
+            .into_iter()
+            .filter(|other| *other != id)
+            .collect();
+        self.spray_over(&others)?;
+        let status = self.end_balancer(id)?;
+        anyhow::ensure!(status == 0, "balancer {id} ended with status {status}");
+        self.start_balancer(id)?;
+        self.settle();
+        self.spray_over_all()
+    }
+
+    /// Connections that the backend server `name` has taken since its start.
+    pub fn opened(&self, name: &str) -> anyhow::Result<u64> {
+        let server = self
+            .servers
+            .iter()
+            .find(|s| s.name == name)
+            .context("no such server")?;
+        let address = SocketAddr::V4(self.network.port(server.host, ADMIN));
+        admin::ask(address, &Command::Opened)?
+            .parse()
+            .context("a count was expected")
+    }
+
     /// The fabric sprays over `ids` from now on.
     pub fn spray_over(&self, ids: &[u16]) -> anyhow::Result<()> {
         let addresses = ids
--- a/crates/e2e/tests/it/fixture.rs
+++ b/crates/e2e/tests/it/fixture.rs
@@ -1,6 +1,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
-use acacia_e2e::deployment::{Plan, Service};
+use acacia_e2e::{
+    deployment::{Deployment, Plan, Service},
+    process::Process,
+};
 
 /// Longest time that a caller may take to end by itself.
 pub const CALLER: Duration = Duration::from_secs(60);
@@ -29,8 +32,28 @@
     }
 }
 
+/// Counts by name.
+pub type Counts = BTreeMap<String, u64>;
+
+/// Feeds of talkoo-live, held open for `seconds`, with a line a second.
+pub fn feeds(deployment: &Deployment, number: u8, count: usize, seconds: u64) -> Process {
+    let arguments = [
+        ("feeds", count.to_string()),
+        ("interval", "1000".to_owned()),
+        ("seconds", seconds.to_string()),
+    ];
+    deployment
+        .caller(number, "talkoo-live", &arguments)
+        .unwrap()
+}
+
+/// One count, summed over several lines.
+pub fn sum(lines: &[String], name: &str) -> u64 {
+    lines.iter().map(|line| counts(line)[name]).sum()
+}
+
 /// The counts of a line of key=value pairs; values that are no numbers are left out.
-pub fn counts(line: &str) -> BTreeMap<String, u64> {
+pub fn counts(line: &str) -> Counts {
     line.split_whitespace()
         .filter_map(|pair| pair.split_once('='))
         .filter_map(|(key, value)| Some((key.to_owned(), value.parse().ok()?)))
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -138,7 +138,7 @@
                 let answer = self
                     .flow
                     .receive_batch(from, &batch, millis(now), |key, pin| {
-                        shards.of(key.hash()).adopt(key, pin);
+                        shards.of(key.hash()).adopt(key, pin)
                     });
                 let message = Message::Acknowledgement(answer);
                 Ok(vec![Outgoing {
--- a/crates/stand/src/admin.rs
+++ b/crates/stand/src/admin.rs
@@ -1,4 +1,4 @@
-//! Commands to a running stand-in: one JSON value in a UDP datagram, answered by `ok`.
+//! Commands to a running stand-in: one JSON value in a UDP datagram, answered by [`DONE`] or a value.
 
 use std::{
     net::{SocketAddr, UdpSocket},
@@ -25,10 +25,22 @@
     Work(u64),
     /// The fabric stops or starts to lose this share of packets, in thousandths.
     Loss(u32),
+    /// The backend server answers how many connections it has taken.
+    Opened,
 }
 
+/// The answer to a command that has none of its own.
+pub const DONE: &str = "ok";
+
 /// Sends `command` to the stand-in whose administration socket is `to`, until it answers.
 pub fn send(to: SocketAddr, command: &Command) -> anyhow::Result<()> {
+    let answer = ask(to, command)?;
+    anyhow::ensure!(answer == DONE, "the stand-in refused the command");
+    Ok(())
+}
+
+/// Like [`send`], for a command that has an answer of its own.
+pub fn ask(to: SocketAddr, command: &Command) -> anyhow::Result<String> {
     let socket = UdpSocket::bind(("127.0.0.1", 0))?;
     socket.set_read_timeout(Some(ANSWER))?;
     let bytes = serde_json::to_vec(command)?;
@@ -36,28 +48,31 @@
         socket.send_to(&bytes, to)?;
         let mut answer = [0; 64];
         if let Ok((len, _)) = socket.recv_from(&mut answer) {
-            anyhow::ensure!(&answer[..len] == b"ok", "the stand-in refused the command");
-            return Ok(());
+            return Ok(String::from_utf8_lossy(&answer[..len]).into_owned());
         }
     }
     anyhow::bail!("no answer from {to}")
 }
 
-/// Receives at most one command, waiting no longer than the socket's read timeout.
-pub fn receive(socket: &UdpSocket) -> anyhow::Result<Option<Command>> {
+/// Receives at most one command, waiting no longer than the socket's read timeout, obeys it, and
+/// answers with what `obey` gives.
+pub fn receive(socket: &UdpSocket, obey: impl FnOnce(Command) -> String) -> anyhow::Result<()> {
     let mut bytes = [0; LARGEST];
     let Ok((len, from)) = socket.recv_from(&mut bytes) else {
-        return Ok(None);
+        return Ok(());
     };
     match serde_json::from_slice(&bytes[..len]) {
         Ok(command) => {
-            socket.send_to(b"ok", from).context("answering a command")?;
-            Ok(Some(command))
+            log::info!("event=command command=\"{command:?}\"");
+            let answer = obey(command);
+            socket
+                .send_to(answer.as_bytes(), from)
+                .context("answering a command")?;
         }
         Err(error) => {
             socket.send_to(b"bad", from)?;
             log::warn!("event=command-refused error=\"{error}\"");
-            Ok(None)
         }
     }
+    Ok(())
 }
--- a/crates/stand/src/backend.rs
+++ b/crates/stand/src/backend.rs
@@ -10,7 +10,7 @@
 use smoltcp::{iface::SocketHandle, socket::tcp};
 
 use crate::{
-    admin::{self, Command},
+    admin::{self, Command, DONE},
     dialog::{Answer, Request, take_line},
     stack::Stack,
     stop::{Flag, POLL},
@@ -133,16 +133,23 @@
         server.stack.turn(wait)?;
         server.serve_connections();
         server.run_jobs(Instant::now());
-        if let Some(Command::Work(millis)) =
-            commands.as_ref().map(admin::receive).transpose()?.flatten()
-        {
-            server.work = Duration::from_millis(millis);
+        if let Some(commands) = &commands {
+            admin::receive(commands, |command| server.obey(&command))?;
         }
     }
     Ok(server.outcome)
 }
 
 impl Server<'_> {
+    fn obey(&mut self, command: &Command) -> String {
+        match command {
+            Command::Work(millis) => self.work = Duration::from_millis(*millis),
+            Command::Opened => return self.outcome.opened.to_string(),
+            Command::Balancers(_) | Command::Loss(_) => return "not for a backend server".into(),
+        }
+        DONE.to_owned()
+    }
+
     fn idle(&self) -> bool {
         self.running.is_empty()
             && self
--- a/crates/stand/src/fabric.rs
+++ b/crates/stand/src/fabric.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    admin::{self, Command},
+    admin::{self, Command, DONE},
     stop::{Flag, POLL},
 };
 
@@ -75,10 +75,8 @@
             });
         });
         while !stop.is_raised() {
-            match admin::receive(&commands) {
-                Ok(Some(command)) => obey(&state, command),
-                Ok(None) => {}
-                Err(error) => log::warn!("event=command-failed error=\"{error}\""),
+            if let Err(error) = admin::receive(&commands, |command| obey(&state, command)) {
+                log::warn!("event=command-failed error=\"{error}\"");
             }
         }
     });
@@ -114,14 +112,14 @@
     Some(state.balancers[choice])
 }
 
-fn obey(state: &Mutex<State>, command: Command) {
-    log::info!("event=command command=\"{command:?}\"");
+fn obey(state: &Mutex<State>, command: Command) -> String {
     let mut state = lock(state);
     match command {
         Command::Balancers(balancers) => state.balancers = balancers,
         Command::Loss(loss) => state.loss = loss,
-        Command::Work(_) => {}
+        Command::Work(_) | Command::Opened => return "not for the fabric".to_owned(),
     }
+    DONE.to_owned()
 }
 
 fn address(packet: &[u8], at: usize) -> Option<Ipv4Addr> {
