--- a/crates/peer/tests/it/main.rs
+++ b/crates/peer/tests/it/main.rs
@@ -3,4 +3,5 @@
 mod limits;
 mod mesh;
 mod relay;
+mod restart;
 mod watch;
