Count a returned balancer's flags, and tell every owner whatever the order of the views

Wider runs of the property tests showed two causes of wrong servers: flags were taken for known while a member was dead, which then came back without them; and the marks of who in the chain had been told went by places, which differ between two views of one handover.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -293,6 +293,9 @@
             self.stage = Stage::Joining;
             self.settled = self.ready();
             self.previous = Arc::clone(&self.settled);
+            self.peers
+                .values_mut()
+                .for_each(|peer| peer.has_flags = false);
             self.news = true;
         }
     }
--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -378,7 +378,7 @@
     /// Hands the packet to the next balancer that must know of the flow, or to its server after
     /// the last. The server's answer can't reach the caller before all of them know.
     ///
-    /// `told` has a bit for each place in the chain that knows already.
+    /// `told` has a bit for each balancer of the chain that knows already, by its number there.
     fn pass_on(&self, server: u16, chain: &Chain, told: u8) -> Verdict {
         let purpose = match self.packet.kind {
             Kind::Closing | Kind::Reset => Purpose::Release,
@@ -386,10 +386,11 @@
         };
         let mut told = told;
         let mut next = None;
-        for (place, &id) in chain.ids().iter().enumerate() {
+        for &id in chain.ids() {
+            let bit = 1 << chain.number(id);
             if id == self.snapshot.me.id {
-                told |= 1 << place;
-            } else if told & 1 << place == 0 && next.is_none() && self.snapshot.is_heard(id) {
+                told |= bit;
+            } else if told & bit == 0 && next.is_none() && self.snapshot.is_heard(id) {
                 next = Some(id);
             }
         }
