--- a/crates/load/src/limits.rs
+++ b/crates/load/src/limits.rs
@@ -11,6 +11,12 @@
     pub slow: Duration,
     /// Answers that one measurement of a server's speed needs.
     pub samples: f64,
+    /// Time after which fewer answers have to do, for services with few callers.
+    pub patience: Duration,
+    /// How many have to do then.
+    pub samples_least: f64,
+    /// Answers that the mean of a server's speed stands for at least, whatever the time.
+    pub memory: f64,
     /// A measurement of speed this many times the mean (or its inverse), twice running, is a change
     /// of the server and not noise: the mean starts anew from it.
     pub change: f64,
@@ -93,6 +99,9 @@
             fast: seconds(1),
             slow: seconds(20),
             samples: 50.0,
+            patience: seconds(5),
+            samples_least: 15.0,
+            memory: 400.0,
             change: 1.6,
             stale: Duration::from_millis(2_500),
             blind: seconds(30),
--- a/crates/load/src/speed.rs
+++ b/crates/load/src/speed.rs
@@ -43,7 +43,11 @@
         limits: &Limits,
     ) {
         self.stretch.add(count, passed, Duration::MAX);
-        if self.stretch.answered < limits.samples || visible <= 0.0 {
+        let enough = match self.stretch.span < limits.patience.as_secs_f64() {
+            true => limits.samples,
+            false => limits.samples_least,
+        };
+        if self.stretch.answered < enough || visible <= 0.0 {
             return;
         }
         let stretch = std::mem::take(&mut self.stretch);
@@ -52,25 +56,29 @@
         };
         let answers = stretch.answered / visible / stretch.span;
         let progress = answers * work / f64::from(slots.max(1));
-        self.take(answers / utilization(progress, slots), stretch.span, limits);
+        self.take(answers / utilization(progress, slots), &stretch, limits);
     }
 
-    fn take(&mut self, value: f64, span: f64, limits: &Limits) {
+    fn take(&mut self, value: f64, stretch: &Window, limits: &Limits) {
         let Some(mean) = self.mean else {
-            (self.mean, self.span) = (Some(value), span);
+            (self.mean, self.span) = (Some(value), stretch.span);
             return;
         };
-        let far = |other: f64| value > other * limits.change || other > value * limits.change;
+        // The fewer answers, the more a measurement scatters, and the less it proves.
+        let scatter = (limits.samples / stretch.answered).sqrt().max(1.0);
+        let factor = 1.0 + (limits.change - 1.0) * scatter;
         let odd = self.odd.take();
-        if far(mean) {
+        if value > mean * factor || mean > value * factor {
             if odd.is_some_and(|odd| (odd > mean) == (value > mean)) {
-                (self.mean, self.span) = (Some(value), span);
+                (self.mean, self.span) = (Some(value), stretch.span);
                 return;
             }
             self.odd = Some(value);
         }
-        self.span = (self.span + span).min(limits.slow.as_secs_f64());
-        let part = (span / self.span).min(1.0);
+        let memory = stretch.span * limits.memory / stretch.answered;
+        let memory = memory.max(limits.slow.as_secs_f64());
+        self.span = (self.span + stretch.span).min(memory);
+        let part = (stretch.span / self.span).min(1.0);
         self.mean = Some(mean + part * (value - mean));
     }
 }
