--- a/crates/config/tests/it/document.rs
+++ b/crates/config/tests/it/document.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use crate::fixture::cases;
 use acacia_config::{
     Config, Server, Service,
     document::{Document, Draft, Error, HISTORY, Id, MAX_SIZE},
@@ -89,6 +90,8 @@
 }
 
 proptest! {
+    #![proptest_config(cases(256))]
+
     #[test]
     fn a_document_reads_back_as_the_same_value(config in any_config(), change: u128) {
         let document = follow(None, change, config.clone());
--- a/crates/config/tests/it/fixture.rs
+++ b/crates/config/tests/it/fixture.rs
@@ -1,3 +1,4 @@
+use proptest::{prelude::ProptestConfig, test_runner::RngSeed};
 use std::net::{IpAddr, SocketAddr};
 
 use acacia_config::{
@@ -6,6 +7,16 @@
 };
 use proptest::prelude::*;
 
+/// So many cases from a fixed seed: the verdict is the same on every run.
+pub fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0xacac1a),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 /// A small configuration: two services with two servers each, and a customer.
 pub fn config() -> Config {
     let mut config = Config::default();
--- a/crates/config/tests/it/parse.rs
+++ b/crates/config/tests/it/parse.rs
@@ -1,3 +1,4 @@
+use crate::fixture::cases;
 use acacia_code::Code;
 use acacia_config::{parse, print};
 use proptest::prelude::*;
@@ -81,6 +82,8 @@
 }
 
 proptest! {
+    #![proptest_config(cases(256))]
+
     /// Whatever text an operator hands in, there is a value or a list of problems, never a crash.
     #[test]
     fn arbitrary_text_never_panics(text in any::<String>()) {
--- a/crates/config/tests/it/plan.rs
+++ b/crates/config/tests/it/plan.rs
@@ -1,3 +1,4 @@
+use crate::fixture::cases;
 use acacia_config::{
     Mark, Server, Service, State,
     plan::{Change, Step, compare},
@@ -65,6 +66,8 @@
 }
 
 proptest! {
+    #![proptest_config(cases(256))]
+
     /// No difference goes unseen: changes are listed exactly when the values differ, and exactly
     /// then the texts differ.
     #[test]
--- a/crates/config/tests/it/print.rs
+++ b/crates/config/tests/it/print.rs
@@ -1,3 +1,4 @@
+use crate::fixture::cases;
 use acacia_config::{check, parse, print};
 use proptest::prelude::*;
 
@@ -42,6 +43,8 @@
 }
 
 proptest! {
+    #![proptest_config(cases(256))]
+
     /// What an operator reviews and keeps is exactly what is put in force.
     #[test]
     fn text_reads_back_as_the_same_value(config in any_config()) {
--- a/crates/platform/tests/it/apply/decide.rs
+++ b/crates/platform/tests/it/apply/decide.rs
@@ -1,3 +1,4 @@
+use crate::fixture::cases;
 use acacia_config::{
     Config,
     document::{Document, HISTORY},
@@ -37,7 +38,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(1024))]
+    #![proptest_config(cases(1024))]
 
     /// Operators write at the same moment while the store loses answers, delays writes and times
     /// out. Whoever is told "accepted" must find the change made, whoever is told that another
--- a/crates/platform/tests/it/fixture.rs
+++ b/crates/platform/tests/it/fixture.rs
@@ -1,8 +1,19 @@
+use proptest::{prelude::ProptestConfig, test_runner::RngSeed};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use acacia_platform::{Client, Options, limit::Rate, retry::Schedule, store::Swap};
 use acacia_stand::platform::Stand;
 
+/// So many cases from a fixed seed: the verdict is the same on every run.
+pub fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0xacac1a),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 /// Any free port of this machine.
 pub fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
--- a/crates/platform/tests/it/limit.rs
+++ b/crates/platform/tests/it/limit.rs
@@ -1,9 +1,12 @@
 use std::time::Duration;
 
+use crate::fixture::cases;
 use acacia_platform::limit::{Bucket, Rate};
 use proptest::prelude::*;
 
 proptest! {
+    #![proptest_config(cases(256))]
+
     /// A client that loops on an error must not take the platform away from all others: in no
     /// stretch of time does it make more calls than the limit states.
     #[test]
--- a/crates/platform/tests/it/retry.rs
+++ b/crates/platform/tests/it/retry.rs
@@ -1,11 +1,14 @@
 use std::time::Duration;
 
+use crate::fixture::cases;
 use acacia_platform::retry::Schedule;
 use proptest::prelude::*;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64;
 
 proptest! {
+    #![proptest_config(cases(256))]
+
     /// All clients lose the platform in the same instant. If they came back together, or for
     /// ever, they would bring it down again.
     #[test]
--- a/crates/platform/tests/it/seen.rs
+++ b/crates/platform/tests/it/seen.rs
@@ -1,9 +1,12 @@
 use std::sync::Arc;
 
+use crate::fixture::cases;
 use acacia_platform::seen::{Seen, Verdict};
 use proptest::prelude::*;
 
 proptest! {
+    #![proptest_config(cases(256))]
+
     /// Answers come late, twice and out of order, from a platform that may have been restored.
     /// What is taken never goes back.
     #[test]
--- /dev/null
+++ b/crates/rollout/tests/it/fixture.rs
@@ -0,0 +1,64 @@
+use proptest::{prelude::ProptestConfig, test_runner::RngSeed};
+use std::{sync::Arc, time::Duration};
+
+use acacia_config::{
+    Config, Service,
+    document::{Document, Draft, Id},
+};
+use acacia_rollout::{Answer, Options, Peer, Rollout};
+
+/// So many cases from a fixed seed: the verdict is the same on every run.
+pub fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0xacac1a),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn peer(id: u16, data_centre: &str) -> Peer {
+    Peer {
+        id,
+        data_centre: data_centre.into(),
+    }
+}
+
+pub fn rollout(id: u16, data_centre: &str) -> Rollout {
+    let options = Options {
+        me: peer(id, data_centre),
+        seed: id.into(),
+    };
+    Rollout::new(options, Duration::ZERO)
+}
+
+/// The document of that revision, as in a history without conflicts.
+pub fn document(revision: u64) -> Arc<Document> {
+    let mut config = Config::default();
+    config.add_service(Service::new(
+        "live",
+        [10, 77, 0, 1],
+        443,
+        (revision % 100) as u8 + 1,
+    ));
+    let draft = Draft {
+        change: Id::new(revision.into()),
+        author: "aino".into(),
+        time: revision,
+        config,
+        floor: revision - 1,
+    };
+    Arc::new(Document::follow(None, &draft).expect("a document"))
+}
+
+/// What a store answers that holds that revision.
+pub fn answer(revision: u64) -> Answer {
+    Answer {
+        revision,
+        document: Some(document(revision)),
+    }
+}
