Measure what heartbeats cost over real connections

The estimate of a heartbeat's frame lacked the transport's own echo and addressing: 85 bytes instead of 72; a test holds it against a sealed frame. Intervals are no longer rounded up to the next tick.

--- a/crates/member/src/cost.rs
+++ b/crates/member/src/cost.rs
@@ -1,9 +1,9 @@
 use crate::Settings;
 
-/// Bytes of a heartbeat's frame without its payload when all is well: 18 of envelope, 16 of
-/// authenticator, about 3 of addressing, 8 of transport echo and length, and 27 of heartbeat.
-/// `tests/it/cost.rs` holds it against an encoded one.
-pub const FRAME: usize = 72;
+/// Bytes of a heartbeat's frame without its payload when all is well: 8 of nng's length, 18 of
+/// envelope, 16 of authenticator, 15 of addressing and transport echo, one that tells the kind of
+/// message, and 27 of heartbeat. A test of `acacia-peer` holds it against a sealed frame.
+pub const FRAME: usize = 85;
 /// Bytes of TCP and IP headers around a frame (20 + 20, 12 of timestamps).
 pub const HEADERS: usize = 52;
 
@@ -23,7 +23,7 @@
 /// use acacia_member::{Settings, cost};
 /// let settings = Settings::default();
 /// assert_eq!(cost(&settings, 9, 16), cost(&settings, 64, 16));
-/// assert!(cost(&settings, 9, 16).sent < 2300.0);
+/// assert!(cost(&settings, 9, 16).sent < 2500.0);
 /// ```
 #[must_use]
 pub fn cost(settings: &Settings, group: usize, payload: usize) -> Cost {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -21,7 +21,7 @@
 mod tick;
 mod view;
 
-pub use cost::{Cost, cost};
+pub use cost::{Cost, FRAME, HEADERS, cost};
 pub use error::Refusal;
 pub use group::Group;
 pub use message::{Contact, Echo, Heartbeat, Intro, Phase};
--- a/crates/member/src/tick.rs
+++ b/crates/member/src/tick.rs
@@ -71,7 +71,9 @@
             State::Dead => interval * self.settings.probe,
             _ => interval,
         };
-        now.saturating_sub(last) >= gap
+        // Half a tick early rather than half a tick late: otherwise every interval is rounded up
+        // to the next tick, and the bounds lose that much of their reserve.
+        now.saturating_sub(last) + self.settings.tick / 2 >= gap
     }
 
     fn outgoing(&mut self, now: Duration, id: u16, payload: Vec<u8>) -> Option<Outgoing> {
--- a/crates/member/tests/it/cost.rs
+++ b/crates/member/tests/it/cost.rs
@@ -1,33 +1,8 @@
 use std::time::Duration;
 
-use acacia_member::{Echo, Heartbeat, Phase, Settings, cost};
+use acacia_member::{Settings, cost};
 use rstest::rstest;
 
-/// The estimate for docs/CAPACITY.md rests on the size of a heartbeat when all is well, with
-/// incarnations in milliseconds since 1970 and numbers after a day.
-#[test]
-fn a_heartbeat_has_the_size_that_the_estimate_takes() {
-    let heartbeat = Heartbeat {
-        number: 200_000,
-        phase: Phase::Ready,
-        echo: Some(Echo {
-            incarnation: 1_800_000_000_000,
-            number: 200_000,
-        }),
-        ask: vec![],
-        hear: vec![],
-        prompt: false,
-        revision: 100_000,
-        table: 100_000,
-        intro: None,
-        payload: vec![],
-    };
-
-    let encoded = postcard::to_allocvec(&heartbeat).expect("encodes");
-
-    assert!(encoded.len() <= 27, "{}", encoded.len());
-}
-
 #[rstest]
 #[case::today(9)]
 #[case::small(16)]
@@ -37,7 +12,7 @@
 
     let cost = cost(&settings, group, 16);
 
-    assert!((cost.sent - 2240.0).abs() < 1.0, "{cost:?}");
+    assert!((cost.sent - 2448.0).abs() < 1.0, "{cost:?}");
     assert!(cost.sent + cost.acknowledgements < 8000.0 / 2.0);
 }
 
--- a/crates/peer/tests/it/main.rs
+++ b/crates/peer/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the control transport.
 
+mod frame;
 mod limits;
 mod mesh;
 mod relay;
