--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,7 +4,9 @@
 //! goes on while the process is suspended: `CLOCK_BOOTTIME`) and heartbeats come in; heartbeats to
 //! send, a [`View`] and [`Event`]s go out. The caller's loop is: [`Group::hint`] whenever the
 //! platform's list was read, [`Group::receive`] for each heartbeat, [`Group::tick`] every
-//! [`Settings::tick`], then [`Group::view`] for the threads that serve traffic.
+//! [`Settings::tick`], then [`Group::view`] for the threads that serve traffic. The thread that
+//! ticks must not wait for the platform or anything else: a pause of [`Settings::frozen_for`]
+//! counts as a suspension, and this balancer joins again.
 //!
 //! A member counts as fresh by the *sending* time of our own heartbeat that it echoes, not by the
 //! arrival of its heartbeat: a heartbeat that waited in a queue, was replayed, or was answered
--- a/crates/member/src/tick.rs
+++ b/crates/member/src/tick.rs
@@ -17,7 +17,8 @@
 
 impl Group {
     /// Brings all states up to date and gives the heartbeats that are due. `payload` fills the
-    /// part of other crates for each receiver.
+    /// part of other crates for each receiver. They belong to [`Group::incarnation`] as it is after
+    /// the call.
     pub fn tick(
         &mut self,
         now: Duration,
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -106,7 +106,8 @@
         self.shared.wake(&mut state);
     }
 
-    /// Sets the incarnation, when this balancer joins again.
+    /// Sets the incarnation, when this balancer joins again, and drops what still waits to be
+    /// sent. Does nothing if it is the present one, so it may be called in every round.
     pub fn set_incarnation(&self, incarnation: u64) {
         self.shared.lock().set_incarnation(incarnation);
     }
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -77,13 +77,18 @@
         self.stats.peers.retain(|id, _| known.contains_key(id));
     }
 
-    /// A new incarnation begins a new sequence, of which nothing was echoed yet.
+    /// A new incarnation begins a new sequence, of which nothing was echoed yet. What waits was
+    /// said in the former life; sealed now, it would pass for the new one's word.
     pub(crate) fn set_incarnation(&mut self, incarnation: u64) {
+        if incarnation == self.settings.incarnation {
+            return;
+        }
         self.settings.incarnation = incarnation;
         self.sequence = 0;
-        self.peers
-            .values_mut()
-            .for_each(|peer| peer.watch = Watch::new());
+        for peer in self.peers.values_mut() {
+            peer.queue = Queue::new(self.settings.queue_messages, self.settings.queue_bytes);
+            peer.watch = Watch::new();
+        }
     }
 
     /// The next frame for a peer, if something waits that may pass, or its connection needs to be
--- a/crates/peer/tests/it/mesh.rs
+++ b/crates/peer/tests/it/mesh.rs
@@ -196,3 +196,29 @@
         (2, "new key")
     );
 }
+
+/// A suspended balancer wakes and joins again while messages from before still wait. Sent under
+/// its new incarnation they would be taken for what it says now.
+#[test]
+fn what_waited_in_a_former_incarnation_is_not_sent_in_the_next() {
+    let (one, _) = open(7, 1);
+    one.set_peers(&[(2, address(7, 2))]);
+    for _ in 0..3 {
+        one.send(2, Class::Urgent, &"old".into()).expect("queued");
+    }
+
+    one.set_incarnation(2);
+    one.send(2, Class::Urgent, &"new".into()).expect("queued");
+
+    let (_two, inbox) = open(7, 2);
+    let life =
+        |received: &Received<String>| (received.envelope.incarnation, received.message.clone());
+    let mut lives = vec![];
+    while !lives.contains(&(2, "new".to_string())) {
+        let received = inbox
+            .recv_timeout(Duration::from_secs(20))
+            .expect("arrives");
+        lives.push(life(&received));
+    }
+    assert!(!lives.contains(&(2, "old".to_string())), "{lives:?}");
+}
