--- a/crates/member/src/tick.rs
+++ b/crates/member/src/tick.rs
@@ -17,7 +17,8 @@
 
 impl Group {
     /// Brings all states up to date and gives the heartbeats that are due. `payload` fills the
-    /// part of other crates for each receiver.
+    /// part of other crates for each receiver. They belong to [`Group::incarnation`] as it is after
+    /// the call.
     pub fn tick(
         &mut self,
         now: Duration,
@@ -71,7 +72,9 @@
             State::Dead => interval * self.settings.probe,
             _ => interval,
         };
-        now.saturating_sub(last) >= gap
+        // Half a tick early rather than half a tick late: otherwise every interval is rounded up
+        // to the next tick, and the bounds lose that much of their reserve.
+        now.saturating_sub(last) + self.settings.tick / 2 >= gap
     }
 
     fn outgoing(&mut self, now: Duration, id: u16, payload: Vec<u8>) -> Option<Outgoing> {
