Make agreed bucket tables from the configuration

The balancers had no common source of base and next tables. The new crate acacia-tables has the document for the platform's store and follow(), which makes the next document from the one before: drains, new servers and weights change only where new flows go; the base of a bucket moves only away from a server that is gone, in a second step after all balancers know that it takes no new flows; a service created again on an address is strict and shares no server number.

New flows go to the base wherever weights allow, not to the former next: only then does a drain that is taken back leave no flows that need pins.

Codes 44 to 49.

--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -55,6 +55,12 @@
     34 PlatformTooLarge "platform-too-large": "The platform's store refuses a value as too large."; "Make the value smaller".
     35 PlatformLeaseGone "platform-lease-gone": "A lease has lapsed or was revoked."; "Nothing, unless its rate rises".
     36 PlatformLimited "platform-limited": "The limit on calls to the platform is reached; the call was not made."; "Try again after the time named".
+    44 TablesUndecodable "tables-undecodable": "The bucket tables in the platform's store can't be decoded."; "Remove the key acaciatrack/tables; the balancers write again what they have in force".
+    45 TablesLater "tables-later": "A later version of the balancer wrote the bucket tables."; "Finish the update of the balancers, or remove the key acaciatrack/tables after going back".
+    46 TablesInconsistent "tables-inconsistent": "The bucket tables in the platform's store contradict themselves."; "Remove the key acaciatrack/tables; the balancers write again what they have in force".
+    47 TablesTooLarge "tables-too-large": "The bucket tables of the configuration are larger than the platform's store holds in one value; it is not in force."; "Split the deployment, or shorten names".
+    48 TablesNumbersUsed "tables-numbers-used": "A service's address has had so many backend servers that no number is left; new ones get no work."; "Move the service to another address or port".
+    49 TablesFamily "tables-family": "A service is at an IPv6 address, which the balancers do not serve."; "Give it an IPv4 address".
     50 SocketFailed "socket-failed": "A socket can't be opened or bound."; "Check that the address is this machine's and the port is free".
     51 ServiceDied "service-died": "A service inside the process ended unexpectedly."; "Restart the process; report the log line before it".
     52 Forced "forced": "A second signal ended the process before its shutdown was complete."; "Expect flows handed over late to be lost".
--- /dev/null
+++ b/crates/tables/src/follow.rs
@@ -0,0 +1,353 @@
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
+
+use acacia_code::Code;
+use acacia_config::{self as config, Config};
+use acacia_flow::snapshot::Address;
+use acacia_wire::flow::Protocol;
+
+use crate::{
+    Error,
+    document::{Document, Service, State},
+    number::{self, MAX_RELEASED, Released, Retired},
+};
+
+mod service;
+
+/// The weight of a server of average speed, and of one whose speed is not known.
+pub const UNIT: u32 = 1_000;
+
+/// What the next tables depend on besides the tables before and the configuration.
+#[derive(Clone, Copy)]
+pub struct Situation<'a> {
+    /// Seconds of Unix time.
+    pub now: u64,
+    /// Whether every balancer is known to have tables of a version
+    /// ([`acacia_flow::Control::is_known_everywhere`]).
+    pub is_known: &'a dyn Fn(u64) -> bool,
+    /// The weight of a server of a service, by their names, in [`UNIT`]s of 1,000; none leaves it
+    /// as it is.
+    pub weight: &'a dyn Fn(&str, &str) -> Option<u32>,
+}
+
+/// The document that follows `previous` under a configuration; none if nothing changes, or if
+/// `previous` follows a later configuration.
+///
+/// The base of a bucket moves only away from a server that is gone, and only once every balancer
+/// is known to have a version in which that server takes no new flows. So a change takes effect
+/// over several documents: call this again when more is known, or when a deadline has passed.
+///
+/// What can't be served is left out and does not hold up the rest: see [`unserved`].
+///
+/// # Errors
+/// When the configuration can't be read, or the document would not fit into the store.
+///
+/// ```
+/// use acacia_config::{Config, Server, Service, document};
+/// use acacia_tables::{Situation, follow};
+///
+/// let mut config = Config::default();
+/// config
+///     .add_service(Service::new("live", [10, 77, 0, 1], 443, 70))
+///     .add_server(Server::new("live-1", "live", "10.1.0.1:6080".parse()?, "hervanta"));
+/// let draft = document::Draft {
+///     change: document::Id::new(1),
+///     author: "aino".into(),
+///     time: 0,
+///     config,
+///     floor: 0,
+/// };
+/// let accepted = document::Document::follow(None, &draft)?;
+/// let situation = Situation { now: 0, is_known: &|_| false, weight: &|_, _| None };
+/// let first = follow(None, &accepted, &situation)?.ok_or("a document")?;
+/// assert_eq!((first.version, first.config), (1, 1));
+/// assert_eq!(first.services[0].base, first.services[0].next);
+/// assert_eq!(follow(Some(&first), &accepted, &situation)?, None);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+pub fn follow(
+    previous: Option<&Document>,
+    accepted: &config::document::Document,
+    situation: &Situation<'_>,
+) -> Result<Option<Document>, Error> {
+    let empty = Document::default();
+    let before = previous.unwrap_or(&empty);
+    if accepted.revision < before.config {
+        return Ok(None);
+    }
+    let config = accepted.config()?;
+    let fronts = fronts(accepted, &config)?;
+    let next = Step::new(before, &config, situation).run(&fronts);
+    if previous.is_some() && next.services == before.services {
+        return Ok(None);
+    }
+    let next = Document {
+        config: accepted.revision,
+        ..next
+    };
+    next.encode()?;
+    Ok(Some(next))
+}
+
+/// A service of the configuration that can be served.
+struct Front<'a> {
+    service: &'a config::Service,
+    address: Address,
+    instance: u64,
+}
+
+fn fronts<'a>(
+    accepted: &config::document::Document,
+    config: &'a Config,
+) -> Result<Vec<Front<'a>>, Error> {
+    let served = config.services().iter();
+    let served = served.filter_map(|service| Some((service, address(service)?)));
+    let front = |(service, address): (&'a config::Service, Address)| {
+        let instance = accepted.instances.get(&service.name).copied();
+        let missing = || Error::InstanceMissing {
+            service: Arc::clone(&service.name),
+        };
+        Ok(Front {
+            service,
+            address,
+            instance: instance.ok_or_else(missing)?,
+        })
+    };
+    served.map(front).collect()
+}
+
+/// Where callers reach a service; none at addresses that flow resolution doesn't carry.
+fn address(service: &config::Service) -> Option<Address> {
+    let IpAddr::V4(ip) = service.address else {
+        return None;
+    };
+    let protocol = match service.protocol {
+        config::Protocol::Tcp => Protocol::Tcp,
+        config::Protocol::Udp => Protocol::Udp,
+    };
+    Some(Address {
+        ip,
+        port: service.port,
+        protocol,
+    })
+}
+
+/// One step from a document to the next.
+struct Step<'a> {
+    before: &'a Document,
+    config: &'a Config,
+    situation: &'a Situation<'a>,
+    version: u64,
+    retired: Vec<Retired>,
+    released: Vec<Released>,
+}
+
+impl<'a> Step<'a> {
+    fn new(before: &'a Document, config: &'a Config, situation: &'a Situation<'a>) -> Self {
+        let waiting = |released: &&Released| !(situation.is_known)(released.version);
+        Step {
+            before,
+            config,
+            situation,
+            version: before.version + 1,
+            retired: before.retired.clone(),
+            released: before.released.iter().filter(waiting).copied().collect(),
+        }
+    }
+
+    fn run(mut self, fronts: &[Front<'_>]) -> Document {
+        for old in &self.before.services {
+            let stays = |front: &Front<'_>| is_same(front, old);
+            if !fronts.iter().any(stays) {
+                self.remove(old);
+            }
+        }
+        let mut services: Vec<Service> = fronts.iter().map(|front| self.aged(front)).collect();
+        for at in 0..services.len() {
+            let fresh = self.fresh(&services, at);
+            services[at].add(fresh, self.version);
+        }
+        for service in &mut services {
+            self.finish(service);
+        }
+        let mut fold = self.before.fold;
+        number::fold(&mut self.retired, &mut fold, self.situation.now);
+        let beyond = self.released.len().saturating_sub(MAX_RELEASED);
+        self.released.drain(..beyond);
+        Document {
+            version: self.version,
+            config: self.before.config,
+            services,
+            retired: self.retired,
+            fold,
+            released: self.released,
+        }
+    }
+
+    /// Ends a service: it was removed, or another was created on its address.
+    fn remove(&mut self, old: &Service) {
+        self.retired.push(Retired {
+            address: old.address,
+            next_number: old.next_number,
+            at: self.situation.now,
+        });
+        for server in &old.servers {
+            self.release(server.address);
+        }
+    }
+
+    fn release(&mut self, server: SocketAddr) {
+        let version = self.version;
+        self.released.push(Released { server, version });
+    }
+
+    /// The service as it was, with its servers' states brought up to date, or a new one without
+    /// servers.
+    fn aged(&mut self, front: &Front<'_>) -> Service {
+        let olds = &self.before.services;
+        if let Some(old) = olds.iter().find(|old| is_same(front, old)) {
+            let mut service = old.clone();
+            service.name = Arc::clone(&front.service.name);
+            let is_over = |until: u64| until <= self.situation.now;
+            service.strict_until = old.strict_until.filter(|until| !is_over(*until));
+            service.age(self.config, front.service, self.situation.now, self.version);
+            return service;
+        }
+        let now = self.situation.now;
+        let (next_number, strict_until) =
+            number::revive(&mut self.retired, &self.before.fold, &front.address, now);
+        Service {
+            name: Arc::clone(&front.service.name),
+            address: front.address,
+            instance: front.instance,
+            since: self.version,
+            strict_until,
+            next_number,
+            base: Arc::default(),
+            next: Arc::default(),
+            servers: Vec::new(),
+        }
+    }
+
+    /// The configuration's servers that the service at `at` doesn't have yet.
+    fn fresh(&self, services: &[Service], at: usize) -> Vec<(&'a config::Server, config::Limit)> {
+        let service = &services[at];
+        let Some(front) = self.config.service(&service.name) else {
+            return Vec::new();
+        };
+        let listed = |address| {
+            let mut servers = services.iter().flat_map(|service| &service.servers);
+            servers.any(|server| server.address == address)
+        };
+        // New flows of a service are held back until every balancer knows of it, so a new one
+        // need not wait for servers.
+        let is_new = service.since == self.version;
+        let in_use = |address| {
+            let mut released = self.released.iter();
+            !is_new && released.any(|released| released.server == address)
+        };
+        let servers = self.config.servers_of(&front.name);
+        servers
+            .filter(|server| !server.state.is_gone(self.situation.now))
+            .filter(|server| !listed(server.address) && !in_use(server.address))
+            .map(|server| (server, server.limit_in(front)))
+            .collect()
+    }
+
+    /// Brings weights and tables up to date, and lets go of servers that are no longer needed.
+    fn finish(&mut self, service: &mut Service) {
+        let before = self.before.services.iter();
+        let before = before
+            .clone()
+            .find(|old| old.address == service.address && old.instance == service.instance);
+        service.weigh(before, self.situation.weight);
+        service.place_new(before);
+        let known = self.situation.is_known;
+        service.move_base(|closed| closed < self.version && known(closed));
+        let servers = std::mem::take(&mut service.servers);
+        let (kept, gone): (Vec<_>, Vec<_>) = servers.into_iter().partition(|server| {
+            let is_known = server.closed.is_some_and(|v| v < self.version && known(v));
+            server.state != State::Gone || !is_known || service.names(server.number)
+        });
+        service.servers = kept;
+        gone.iter().for_each(|server| self.release(server.address));
+    }
+}
+
+fn is_same(front: &Front<'_>, old: &Service) -> bool {
+    front.address == old.address && front.instance == old.instance
+}
+
+/// Part of a configuration that the tables don't serve.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unserved {
+    /// The service.
+    pub service: Arc<str>,
+    /// The server; none if it is the whole service.
+    pub server: Option<Arc<str>>,
+    /// Why not.
+    pub code: Code,
+}
+
+/// What of a configuration the tables leave out for good, to be logged when they change: services
+/// at addresses that can't be served, and servers for which no number is left. The rest of the
+/// configuration is in force all the same.
+#[must_use]
+pub fn unserved(document: &Document, config: &Config) -> Vec<Unserved> {
+    let mut found = Vec::new();
+    for service in config.services() {
+        let Some(address) = address(service) else {
+            found.push(Unserved {
+                service: Arc::clone(&service.name),
+                server: None,
+                code: Code::TablesFamily,
+            });
+            continue;
+        };
+        let used_up = |service: &&Service| service.next_number > u32::from(u16::MAX);
+        let Some(full) = document.service(&address).filter(used_up) else {
+            continue;
+        };
+        let listed = |server: &config::Server| {
+            let mut servers = full.servers.iter();
+            servers.any(|listed| listed.address == server.address)
+        };
+        let missing = config.servers_of(&service.name);
+        found.extend(
+            missing
+                .filter(|server| !listed(server))
+                .map(|server| Unserved {
+                    service: Arc::clone(&service.name),
+                    server: Some(Arc::clone(&server.name)),
+                    code: Code::TablesNumbersUsed,
+                }),
+        );
+    }
+    found
+}
+
+impl Document {
+    /// Whether [`follow`] may give another document under the same configuration: a deadline has
+    /// passed, or more is known everywhere. Cheap, so that it can be asked often.
+    ///
+    /// ```
+    /// use acacia_tables::Document;
+    /// assert!(!Document::default().is_due(0, &|_| true));
+    /// ```
+    #[must_use]
+    pub fn is_due(&self, now: u64, is_known: &dyn Fn(u64) -> bool) -> bool {
+        let is_over = |until: Option<u64>| until.is_some_and(|until| until <= now);
+        let mut services = self.services.iter();
+        let mut released = self.released.iter();
+        let due = |server: &crate::Server| match server.state {
+            State::Up => false,
+            State::Draining { deadline } => is_over(deadline),
+            State::Gone => server.closed.is_some_and(is_known),
+        };
+        services.any(|service| is_over(service.strict_until))
+            || self.servers().any(due)
+            || released.any(|released| is_known(released.version))
+    }
+}
--- /dev/null
+++ b/crates/tables/tests/it/follow.rs
@@ -0,0 +1,218 @@
+use acacia_config::{Config, Service};
+use acacia_flow::pin::IDLE;
+use acacia_tables::{BUCKETS, Lookup, NOBODY, State, UNIT, tables, unserved};
+
+use crate::fixture::{Chain, add_server, add_service, count, draining, front, host, live, without};
+
+/// A server is drained while feeds are open on it. If the base of its buckets moved, a balancer
+/// that never saw those feeds would send their packets to another server, which resets them.
+#[test]
+fn a_drain_moves_new_flows_and_no_base() {
+    let mut chain = Chain::new(&live(4));
+    let before = chain.tables().services[0].clone();
+
+    chain.apply(&draining(&live(4), 2, None));
+    chain.spread();
+
+    let service = &chain.tables().services[0];
+    assert_eq!(service.base, before.base);
+    assert_eq!(count(&service.next, chain.number(2)), 0);
+    let pairs = before.next.iter().zip(service.next.iter());
+    assert_eq!(pairs.filter(|(old, new)| old != new).count(), BUCKETS / 4);
+    assert!(!chain.step(), "nothing is left to do");
+}
+
+/// A drain is taken back. New flows that kept away from the buckets of which the server is the
+/// base would cost a pin each for as long as the tables stay.
+#[test]
+fn a_server_that_comes_back_gets_its_own_buckets() {
+    let mut chain = Chain::new(&live(4));
+    chain.apply(&draining(&live(4), 2, Some(100)));
+    chain.apply(&live(4));
+    let service = &chain.tables().services[0];
+    assert_eq!(service.next, service.base);
+}
+
+/// A drain's deadline passes. Balancers that have not heard of the drain still place flows on the
+/// server's buckets; their flows would be cut off if the base moved under them.
+#[test]
+fn the_base_moves_only_once_every_balancer_knows_of_the_drain() {
+    let mut chain = Chain::new(&live(4));
+    chain.apply(&draining(&live(4), 2, Some(100)));
+    let old = chain.number(2);
+
+    chain.now = 100;
+    assert!(chain.step());
+    let service = &chain.tables().services[0];
+    assert_eq!(count(&service.base, old), BUCKETS / 4);
+    assert_eq!(service.servers[1].state, State::Gone);
+    assert!(!chain.step(), "not every balancer knows");
+
+    chain.spread();
+    assert!(chain.step());
+    let service = &chain.tables().services[0];
+    assert_eq!(service.base, service.next);
+    assert_eq!(chain.number(2), None);
+}
+
+/// Every server of a service is drained, for instance before it is moved. With nowhere to go, a
+/// table emptied or dealt out anew would cut the flows that are still open.
+#[test]
+fn with_all_servers_draining_the_tables_stay() {
+    let mut chain = Chain::new(&live(2));
+    let before = chain.tables().services[0].clone();
+    let config = draining(&draining(&live(2), 1, Some(50)), 2, Some(60));
+    chain.apply(&config);
+    for now in [50, 60, 70] {
+        chain.spread();
+        chain.now = now;
+        chain.step();
+    }
+    let service = &chain.tables().services[0];
+    assert_eq!(service.next, before.next);
+    assert!(
+        service
+            .base
+            .iter()
+            .all(|number| service.server(*number).is_some())
+    );
+}
+
+/// A service starts with no server, as when it is created before its VMs. Its first server must
+/// get all flows, and nothing may index into a table that isn't there.
+#[test]
+fn the_first_server_of_an_empty_service_gets_every_bucket() {
+    let mut chain = Chain::new(&live(0));
+    assert!(
+        chain.tables().services[0]
+            .base
+            .iter()
+            .all(|&number| number == NOBODY)
+    );
+    chain.apply(&live(1));
+    let service = &chain.tables().services[0];
+    assert_eq!(count(&service.base, chain.number(1)), BUCKETS);
+    assert_eq!(service.base, service.next);
+}
+
+/// A backend server is taken from one service and given to another. Until every balancer has
+/// stopped sending it the first service's packets, it must not work for the second: a check-in
+/// would reach the map service.
+#[test]
+fn a_server_changes_services_only_once_the_first_has_let_go() {
+    let mut config = live(2);
+    add_service(&mut config, "maps", 2);
+    add_server(&mut config, "maps", 9);
+    let mut chain = Chain::new(&config);
+    let mut moved = without(&config, 2);
+    add_server(&mut moved, "maps", 2);
+
+    chain.apply(&moved);
+    let in_maps = |chain: &Chain| {
+        let maps = chain.tables().service(&front(2)).expect("maps");
+        maps.servers.iter().any(|server| server.address == host(2))
+    };
+    assert!(!in_maps(&chain), "still the base of live's buckets");
+    chain.spread();
+    assert!(chain.step());
+    assert!(!in_maps(&chain), "some balancers have the tables before");
+    assert!(!chain.step());
+    chain.spread();
+    assert!(chain.step());
+    assert!(in_maps(&chain));
+}
+
+/// A service is removed and another created on its address. Pins and packets of the first that
+/// are still under way must not reach the servers of the second.
+#[test]
+fn a_service_created_again_is_strict_and_shares_no_number() {
+    let mut chain = Chain::new(&live(3));
+    let first = chain.tables().services[0].clone();
+    chain.apply(&Config::default());
+    assert!(chain.tables().services.is_empty());
+    chain.now = 1_000;
+    chain.apply(&live(3));
+
+    let again = chain.tables().services[0].clone();
+    assert_eq!(again.since, chain.tables().version);
+    assert!(tables(chain.tables()).services[0].strict);
+    assert!(
+        again
+            .servers
+            .iter()
+            .all(|server| first.server(server.number).is_none())
+    );
+    assert_eq!(again.base, again.next);
+
+    chain.now += IDLE / 1_000 - 1;
+    assert!(!chain.step());
+    chain.now += 1;
+    assert!(chain.step());
+    assert!(!tables(chain.tables()).services[0].strict);
+}
+
+/// A server moves to another VM under its name. Flows of the old VM are unknown to the new one,
+/// so a pin that names the old must not lead there.
+#[test]
+fn a_server_at_another_address_is_another_server() {
+    let mut chain = Chain::new(&live(2));
+    let old = chain.number(2);
+    let mut moved = live(2);
+    moved.server_mut("server-2").expect("a server").address = host(7);
+    chain.apply(&moved);
+    assert_eq!(chain.number(2), old);
+    assert_ne!(chain.number(7), old);
+    let lookup = Lookup::new(chain.tables());
+    let address = |number: Option<u16>| lookup.server(&front(1), number.expect("a number"));
+    assert_eq!(address(old), Some(host(2)));
+    assert_eq!(address(chain.number(7)), Some(host(7)));
+}
+
+/// A slow server gets as many new flows as a fast one, drowns, and its callers wait.
+#[test]
+fn new_flows_follow_the_weights_and_the_base_stays() {
+    let mut chain = Chain::new(&live(4));
+    let before = chain.tables().services[0].clone();
+    let slow = |_: &str, server: &str| Some(if server == "server-1" { UNIT / 4 } else { UNIT });
+    assert!(chain.step_weighed(&slow));
+    let service = &chain.tables().services[0];
+    assert_eq!(service.base, before.base);
+    assert_eq!(count(&service.next, chain.number(1)), 315);
+    assert!(!chain.step(), "weights that nobody measures stay");
+}
+
+/// A balancer that lags behind has an older configuration than the tables. What it wrote from it
+/// would take back a change that an operator was told is accepted.
+#[test]
+fn an_older_configuration_changes_nothing() {
+    let mut chain = Chain::new(&live(2));
+    let older = chain.operator.accepted.clone();
+    chain.apply(&live(3));
+    chain.operator.accepted = older;
+    assert!(!chain.step());
+}
+
+/// An address has had 65,535 servers. One more must not get the number of an earlier one, to
+/// which pins may lead; and other services must not wait for this one to be mended.
+#[test]
+fn servers_without_a_number_are_left_out_and_named() {
+    let mut chain = Chain::new(&live(2));
+    chain.document.as_mut().expect("tables").services[0].next_number = 65_535;
+    let mut config = live(4);
+    add_service(&mut config, "maps", 2);
+    add_server(&mut config, "maps", 9);
+    config.add_service(Service::new("six", std::net::Ipv6Addr::LOCALHOST, 443, 1));
+    chain.apply(&config);
+
+    assert_eq!(chain.number(3), Some(65_535));
+    assert_eq!(chain.number(4), None);
+    assert_eq!(chain.number(9), Some(1));
+    let left = unserved(chain.tables(), &config);
+    let left = left
+        .iter()
+        .map(|u| (&*u.service, u.server.as_deref(), u.code.number()));
+    assert_eq!(
+        left.collect::<Vec<_>>(),
+        [("live", Some("server-4"), 48), ("six", None, 49)]
+    );
+}
--- /dev/null
+++ b/crates/tables/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the agreed tables: their stored form, their construction and who writes them.
+
+mod document;
+mod fixture;
+mod follow;
+mod sequence;
