Decide which balancer writes the tables, and when

Nothing said who makes the next tables once all balancers hear of a change. acacia_tables::Writer decides it from events, without a socket or clock: the first ready balancer at once, the others a second later each, one call at a time, pauses after failures, weights alone at most every 10 s and by the first balancer only. The compare-and-swap keeps a paused writer from writing; a lost answer is settled by the next read; a store that lost its tables gets them again; tables that can't be read are left alone.

--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! All balancers send a flow by the same tables. A [`Document`] in the platform's store holds them
 //! with a version that only rises. [`follow`] makes the next document from the one before and the
-//! operators' configuration, and [`tables`] and [`Lookup`] give what a balancer has in force. docs/DESIGN.md, section 7, gives
+//! operators' configuration, [`Writer`] decides which balancer writes it and when, and
+//! [`tables`] and [`Lookup`] give what a balancer has in force. docs/DESIGN.md, section 7, gives
 //! the rules.
 //!
 //! Nothing here opens a socket, reads a clock or draws a random number.
@@ -13,9 +14,11 @@
 mod lookup;
 mod number;
 mod pack;
+pub mod writer;
 
 pub use document::{BUCKETS, Document, FORMAT, KEY, MAX_SIZE, NOBODY, Server, Service, State};
 pub use error::Error;
 pub use follow::{Situation, UNIT, Unserved, follow, unserved};
 pub use lookup::{Lookup, tables};
 pub use number::{Fold, MAX_RELEASED, MAX_RETIRED, Released, Retired};
+pub use writer::Writer;
--- a/crates/tables/tests/it/main.rs
+++ b/crates/tables/tests/it/main.rs
@@ -4,3 +4,4 @@
 mod fixture;
 mod follow;
 mod sequence;
+mod writer;
