Agree on bucket tables through the store, and pass configuration on between balancers

Now the first ready balancer writes them by compare-and-swap, all others follow the store or their peers, and none serves before it holds the highest it could learn of.

--- /dev/null
+++ b/crates/node/src/control/agreement.rs
@@ -0,0 +1,382 @@
+//! What all balancers must agree on: the configuration and the bucket tables, from the platform's
+//! store or from peers. No sockets; [`Order`]s for the platform's thread come out.
+
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use acacia_code::Code;
+use acacia_config::document::Document as Config;
+use acacia_flow::{control::Tables, snapshot::Address};
+use acacia_member::{State, View};
+use acacia_rollout::{Action, Answer, Event, Options, Peer, Rollout, Version, WATCHERS};
+use acacia_tables::{
+    Document, tables,
+    writer::{self, Moment, Writer},
+};
+use acacia_wire::collections::Map;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+
+use super::spread::Spread;
+use crate::settings::Settings;
+
+/// Longest pause after a watch of the tables failed. Load: all watchers lose the store at the same
+/// moment. Harm: they come back together and keep it down. Hence a pause drawn at random.
+const PAUSE: Duration = Duration::from_secs(2);
+/// A watch that has not ended by then was lost: the client ends one within 7 s.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A call to the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Watch the configuration's key; takes the place of a watch that still waits.
+    WatchConfig {
+        /// The revision to rise above.
+        above: u64,
+    },
+    /// Watch the tables' key; takes the place of a watch that still waits.
+    WatchTables {
+        /// The revision to rise above.
+        above: u64,
+    },
+    /// Read the tables' key.
+    ReadTables,
+    /// Write the tables' key by compare-and-swap.
+    WriteTables {
+        /// The revision that the key must have.
+        expected: u64,
+        /// The value.
+        text: Arc<str>,
+    },
+}
+
+/// What the store holds under the tables' key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The key's revision.
+    pub revision: u64,
+    /// The value, if any.
+    pub value: Option<Arc<str>>,
+}
+
+/// A message to a peer that this module wants sent.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Ask {
+    /// For the configuration.
+    Config(u16),
+    /// For the tables.
+    Tables(u16),
+}
+
+/// Everything that follows from an event.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Calls to the platform.
+    pub orders: Vec<Order>,
+    /// Questions to peers.
+    pub asks: Vec<Ask>,
+    /// Whether new tables are in force.
+    pub tables: bool,
+}
+
+/// This balancer's part in what is agreed.
+#[derive(Debug)]
+pub struct Agreement {
+    rollout: Rollout,
+    writer: Writer,
+    spread: Spread,
+    watch: Watch,
+    random: Pcg64,
+    id: u16,
+    data_centre: Arc<str>,
+    ranked: bool,
+}
+
+/// The watch of the tables' key.
+#[derive(Debug, Default)]
+struct Watch {
+    above: u64,
+    since: Option<Duration>,
+    not_before: Duration,
+}
+
+impl Agreement {
+    /// The state of a balancer that has just started.
+    #[must_use]
+    pub fn new(settings: &Settings, seed: u64, now: Duration) -> Self {
+        let me = Peer {
+            id: settings.id,
+            data_centre: Arc::clone(&settings.data_centre),
+        };
+        Agreement {
+            rollout: Rollout::new(Options { me, seed }, now),
+            writer: Writer::new(millis(now)),
+            spread: Spread::default(),
+            watch: Watch::default(),
+            random: Pcg64::seed_from_u64(seed),
+            id: settings.id,
+            data_centre: Arc::clone(&settings.data_centre),
+            ranked: false,
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.rollout.held().map(|held| &held.document)
+    }
+
+    /// Its version, for heartbeats.
+    #[must_use]
+    pub fn version(&self) -> Option<Version> {
+        self.rollout.version()
+    }
+
+    /// The tables in force.
+    #[must_use]
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.writer.current()
+    }
+
+    /// The tables in force as flow resolution takes them, and where their servers are.
+    #[must_use]
+    pub fn tables(&self) -> (Tables, Map<(Address, u16), SocketAddrV4>) {
+        let Some(document) = self.document() else {
+            return (Tables::default(), Map::default());
+        };
+        let servers = document.services.iter().flat_map(|service| {
+            service
+                .servers
+                .iter()
+                .filter_map(|server| match server.address {
+                    std::net::SocketAddr::V4(at) => Some(((service.address, server.number), at)),
+                    std::net::SocketAddr::V6(_) => None,
+                })
+        });
+        (tables(document), servers.collect())
+    }
+
+    /// Whether this balancer may serve: it has asked the store and its peers, and holds the
+    /// highest configuration and tables that it could learn of.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.rollout.is_ready() && self.document().is_some() && !self.spread.is_behind()
+    }
+
+    /// Measured weights of backend servers by name.
+    pub fn set_weights(&mut self, weights: Map<Arc<str>, u32>) {
+        self.writer.set_weights(weights);
+    }
+
+    /// The group has changed, or may have.
+    pub fn saw_view(&mut self, now: Duration, view: &View) -> Outcome {
+        let peers = view
+            .members
+            .iter()
+            .filter(|member| member.state.is_heard())
+            .filter_map(|member| {
+                Some(Peer {
+                    id: member.id,
+                    data_centre: member.data_centre.clone()?,
+                })
+            })
+            .collect();
+        let rank = view.ready().position(|id| id == self.id);
+        self.writer
+            .set_rank(rank.and_then(|rank| u16::try_from(rank).ok()));
+        self.ranked = self.is_watcher(view);
+        self.spread.saw_view(view);
+        self.step_rollout(now, Event::View(peers))
+    }
+
+    /// A heartbeat of `peer` named these versions.
+    pub fn heard(
+        &mut self,
+        now: Duration,
+        peer: u16,
+        config: Option<Version>,
+        tables: u64,
+    ) -> Outcome {
+        self.spread.heard(peer, tables);
+        self.step_rollout(
+            now,
+            Event::Heard {
+                peer,
+                version: config,
+            },
+        )
+    }
+
+    /// The end of a watch of the configuration; none if the store could not be reached.
+    pub fn saw_config(&mut self, now: Duration, answer: Option<Answer>) -> Outcome {
+        self.step_rollout(now, Event::Store(answer))
+    }
+
+    /// A peer's answer to [`Ask::Config`].
+    pub fn fetched_config(
+        &mut self,
+        now: Duration,
+        peer: u16,
+        document: Option<Arc<Config>>,
+    ) -> Outcome {
+        self.step_rollout(now, Event::Fetched { peer, document })
+    }
+
+    /// The end of a watch of the tables; none if the store could not be reached.
+    pub fn saw_tables(&mut self, now: Duration, entry: Option<Entry>) -> Outcome {
+        self.watch.since = None;
+        match &entry {
+            Some(entry) => self.watch.above = entry.revision,
+            None => {
+                let pause = PAUSE.mul_f64(self.random.random::<f64>());
+                self.watch.not_before = now + pause;
+            }
+        }
+        self.take_entry(now, entry.as_ref())
+    }
+
+    /// The end of [`Order::ReadTables`]; none if the store could not be reached.
+    pub fn read_tables(&mut self, now: Duration, entry: Option<Entry>) -> Outcome {
+        let mut outcome = self.take_entry(now, entry.as_ref());
+        let answer = match entry {
+            Some(_) => writer::Answer::Read,
+            None => writer::Answer::Unreached,
+        };
+        outcome.tables |= self.writer.answered(answer, millis(now));
+        outcome
+    }
+
+    /// The end of [`Order::WriteTables`].
+    pub fn wrote_tables(&mut self, now: Duration, answer: writer::Answer) -> Outcome {
+        let tables = self.writer.answered(answer, millis(now));
+        Outcome {
+            tables,
+            ..Outcome::default()
+        }
+    }
+
+    /// A peer's answer to [`Ask::Tables`].
+    pub fn fetched_tables(
+        &mut self,
+        now: Duration,
+        peer: u16,
+        text: Option<&str>,
+    ) -> Result<Outcome, Code> {
+        self.spread.ended(peer);
+        let Some(text) = text else {
+            return Ok(Outcome::default());
+        };
+        let document = Document::decode(text).map_err(|error| error.code())?;
+        let tables = self.writer.saw_tables(Arc::new(document), millis(now));
+        Ok(Outcome {
+            tables,
+            ..Outcome::default()
+        })
+    }
+
+    /// Time has passed. `is_known` tells whether every balancer has tables of a version.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        unix: Duration,
+        is_known: &dyn Fn(u64) -> bool,
+    ) -> Outcome {
+        let mut outcome = self.step_rollout(now, Event::Tick);
+        self.watch_tables(now, &mut outcome);
+        let version = self.document().map_or(0, |document| document.version);
+        if let Some(peer) = self.spread.fetch(now, version) {
+            outcome.asks.push(Ask::Tables(peer));
+        }
+        let moment = Moment {
+            monotonic: millis(now),
+            unix: unix.as_secs(),
+        };
+        match self.writer.step(moment, is_known) {
+            Ok(writer::Action::Idle) => {}
+            Ok(writer::Action::Read) => outcome.orders.push(Order::ReadTables),
+            Ok(writer::Action::Write { expected, document }) => {
+                self.write(now, expected, &document, &mut outcome);
+            }
+            Err(error) => log::error!("event=tables-not-made code={}", error.code()),
+        }
+        outcome
+    }
+
+    fn write(&mut self, now: Duration, expected: u64, document: &Document, out: &mut Outcome) {
+        match document.encode() {
+            Ok(text) => out.orders.push(Order::WriteTables {
+                expected,
+                text: text.into(),
+            }),
+            Err(error) => {
+                log::error!("event=tables-not-made code={}", error.code());
+                self.writer.answered(writer::Answer::Unreached, millis(now));
+            }
+        }
+    }
+
+    fn watch_tables(&mut self, now: Duration, outcome: &mut Outcome) {
+        let waits = self.watch.since.is_some_and(|since| now < since + PATIENCE);
+        // One that has just started asks once, whatever its rank.
+        let wanted = self.ranked || self.document().is_none();
+        if wanted && !waits && now >= self.watch.not_before {
+            self.watch.since = Some(now);
+            outcome.orders.push(Order::WatchTables {
+                above: self.watch.above,
+            });
+        }
+    }
+
+    fn take_entry(&mut self, now: Duration, entry: Option<&Entry>) -> Outcome {
+        let Some(entry) = entry else {
+            return Outcome::default();
+        };
+        let seen = self
+            .writer
+            .saw_store(entry.revision, entry.value.as_deref(), millis(now));
+        let tables = seen.unwrap_or_else(|error| {
+            log::error!(
+                "event=tables-unreadable code={} error=\"{error}\"",
+                error.code()
+            );
+            false
+        });
+        Outcome {
+            tables,
+            ..Outcome::default()
+        }
+    }
+
+    fn step_rollout(&mut self, now: Duration, event: Event) -> Outcome {
+        let mut outcome = Outcome::default();
+        for action in self.rollout.step(now, event) {
+            match action {
+                Action::Watch { above } => outcome.orders.push(Order::WatchConfig { above }),
+                Action::Fetch { peer } => outcome.asks.push(Ask::Config(peer)),
+                Action::Enforce(held) => {
+                    log::info!("event=config-in-force revision={}", held.document.revision);
+                    self.writer.saw_config(held.document);
+                }
+                Action::Ready => log::info!("event=config-complete"),
+                Action::Reject(version) => {
+                    let code = Code::ConfigInvalid;
+                    log::error!("event=config-refused version=\"{version:?}\" code={code}");
+                }
+            }
+        }
+        outcome
+    }
+
+    /// The lowest numbers of each data centre watch the store, so that its calls don't grow with
+    /// the fleet.
+    fn is_watcher(&self, view: &View) -> bool {
+        let before = view.members.iter().filter(|member| {
+            let here = member.data_centre.as_ref() == Some(&self.data_centre);
+            here && member.id < self.id && !matches!(member.state, State::Dead | State::Unheard)
+        });
+        before.count() < WATCHERS
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -7,7 +7,6 @@
 };
 
 use acacia_code::Code;
-use acacia_config::document::Document;
 use acacia_flow::{
     Control, Shards,
     control::{Member, Settings as FlowSettings, Stage, Tables},
@@ -16,16 +15,23 @@
     snapshot::Address,
     verdict::Notice,
 };
-use acacia_member::{Contact, Event, Group, Hint, Phase, Settings as MemberSettings, State};
+use acacia_member::{
+    Contact, Event, Group, Heartbeat, Hint, Phase, Settings as MemberSettings, State,
+};
 use acacia_peer::Class;
 use acacia_platform::machine;
+use acacia_rollout::Version;
 use acacia_wire::{
     collections::{Map, Set},
     control::Envelope,
+    flow::Key,
 };
 
+use super::{
+    agreement::{self, Agreement, Ask, Order},
+    platform::News,
+};
 use crate::{
-    control::tables,
     message::{Message, Payload},
     settings::Settings,
     view::View,
@@ -57,8 +63,10 @@
     pub peers: Vec<(u16, SocketAddr)>,
     /// This balancer's incarnation.
     pub incarnation: u64,
-    /// What traffic threads are to go by.
-    pub view: View,
+    /// What traffic threads are to go by; none while this balancer must not serve.
+    pub view: Option<View>,
+    /// Calls to the platform.
+    pub orders: Vec<Order>,
 }
 
 /// The state of one balancer's control.
@@ -70,9 +78,11 @@
     stages: Map<u16, Stage>,
     listed: Set<u16>,
     gone: Set<u16>,
+    agreement: Agreement,
     tables: Tables,
     servers: Arc<Map<(Address, u16), SocketAddrV4>>,
-    revision: u64,
+    orders: Vec<Order>,
+    outgoing: Vec<Outgoing>,
     swept: usize,
     leaving: bool,
 }
@@ -104,9 +114,11 @@
             stages: Map::default(),
             listed: Set::default(),
             gone: Set::default(),
+            agreement: Agreement::new(&settings, incarnation, now),
             tables: Tables::default(),
             servers: Arc::default(),
-            revision: 0,
+            orders: Vec::new(),
+            outgoing: Vec::new(),
             swept: 0,
             leaving: false,
             settings,
@@ -124,59 +136,100 @@
     ) -> Result<Vec<Outgoing>, Code> {
         let from = envelope.sender;
         match message {
-            Message::Heartbeat(heartbeat) => {
-                self.group
-                    .receive(now, from, envelope.incarnation, &heartbeat)
-                    .map_err(|refusal| refusal.code())?;
-                self.refresh_members(now);
-                let payload =
-                    Payload::decode(&heartbeat.payload).ok_or(Code::ControlUndecodable)?;
-                self.flow.receive(from, envelope.incarnation, payload.flow);
-                Ok(Vec::new())
-            }
+            Message::Heartbeat(heartbeat) => self.heartbeat(now, envelope, &heartbeat)?,
             Message::Batch(batch) => {
-                let answer = self
-                    .flow
-                    .receive_batch(from, &batch, millis(now), |key, pin| {
-                        shards.of(key.hash()).adopt(key, pin)
-                    });
-                let message = Message::Acknowledgement(answer);
-                Ok(vec![Outgoing {
-                    to: from,
-                    class: Class::Urgent,
-                    message,
-                }])
+                let adopt = |key: Key, pin| shards.of(key.hash()).adopt(key, pin);
+                let answer = self.flow.receive_batch(from, &batch, millis(now), adopt);
+                self.send(from, Class::Urgent, Message::Acknowledgement(answer));
             }
-            Message::Acknowledgement(answer) => {
-                self.flow.receive_acknowledgement(from, answer);
-                Ok(Vec::new())
+            Message::Acknowledgement(answer) => self.flow.receive_acknowledgement(from, answer),
+            Message::Notice(notice) => take_notice(notice, shards, millis(now)),
+            Message::AskConfig => {
+                let document = self.agreement.config().cloned();
+                self.send(from, Class::Bulk, Message::Config(document));
             }
-            Message::Notice(notice) => {
-                take_notice(notice, shards, millis(now));
-                Ok(Vec::new())
+            Message::Config(document) => {
+                let outcome = self.agreement.fetched_config(now, from, document);
+                self.follow(outcome);
+            }
+            Message::AskTables => {
+                let text = self
+                    .agreement
+                    .document()
+                    .and_then(|tables| tables.encode().ok());
+                self.send(from, Class::Bulk, Message::Tables(text.map(Into::into)));
+            }
+            Message::Tables(text) => {
+                let outcome = self.agreement.fetched_tables(now, from, text.as_deref())?;
+                self.follow(outcome);
             }
         }
+        Ok(std::mem::take(&mut self.outgoing))
     }
 
-    /// Puts a configuration in force; an older one than that in force changes nothing.
-    pub fn set_document(&mut self, document: &Document) -> Result<(), Code> {
-        if document.revision <= self.revision {
-            return Ok(());
-        }
-        let config = document.config().map_err(|error| error.code())?;
-        let (tables, servers) = tables::build(document.revision, &config, &self.tables);
-        self.revision = document.revision;
-        self.tables = tables;
-        self.servers = Arc::new(servers);
-        self.flow.set_tables(self.tables.clone());
-        self.group.set_versions(self.revision, self.tables.version);
-        self.group.hasten();
-        log::info!("event=config-in-force revision={}", self.revision);
+    fn heartbeat(
+        &mut self,
+        now: Duration,
+        envelope: &Envelope,
+        heartbeat: &Heartbeat,
+    ) -> Result<(), Code> {
+        let (from, incarnation) = (envelope.sender, envelope.incarnation);
+        self.group
+            .receive(now, from, incarnation, heartbeat)
+            .map_err(|refusal| refusal.code())?;
+        self.refresh_members(now);
+        let payload = Payload::decode(&heartbeat.payload).ok_or(Code::ControlUndecodable)?;
+        self.flow.receive(from, incarnation, payload.flow);
+        let version = payload
+            .config
+            .map(|(revision, change)| Version { revision, change });
+        let outcome = self.agreement.heard(now, from, version, heartbeat.table);
+        self.follow(outcome);
         Ok(())
     }
 
+    /// Takes in what the platform said.
+    pub fn news(&mut self, now: Duration, news: News) {
+        let outcome = match news {
+            News::Config(answer) => self.agreement.saw_config(now, answer),
+            News::Tables(entry) => self.agreement.saw_tables(now, entry),
+            News::ReadTables(entry) => self.agreement.read_tables(now, entry),
+            News::WroteTables(answer) => self.agreement.wrote_tables(now, answer),
+            News::Machines(machines) => return self.set_machines(now, &machines),
+        };
+        self.follow(outcome);
+    }
+
+    /// Carries out what follows from an event of the agreement.
+    fn follow(&mut self, outcome: agreement::Outcome) {
+        self.orders.extend(outcome.orders);
+        for ask in outcome.asks {
+            match ask {
+                Ask::Config(peer) => self.send(peer, Class::Urgent, Message::AskConfig),
+                Ask::Tables(peer) => self.send(peer, Class::Urgent, Message::AskTables),
+            }
+        }
+        if outcome.tables {
+            let (tables, servers) = self.agreement.tables();
+            log::info!("event=tables-in-force version={}", tables.version);
+            self.servers = Arc::new(servers);
+            self.flow.set_tables(tables.clone());
+            self.tables = tables;
+            self.group.hasten();
+        }
+        let revision = self
+            .agreement
+            .version()
+            .map_or(0, |version| version.revision);
+        self.group.set_versions(revision, self.tables.version);
+    }
+
+    fn send(&mut self, to: u16, class: Class, message: Message) {
+        self.outgoing.push(Outgoing { to, class, message });
+    }
+
     /// Takes in the platform's list of VMs.
-    pub fn set_machines(&mut self, now: Duration, machines: &[machine::Machine]) {
+    fn set_machines(&mut self, now: Duration, machines: &[machine::Machine]) {
         let hints: Vec<Hint> = machines.iter().filter_map(|vm| self.hint(vm)).collect();
         let listed: Set<u16> = hints.iter().map(|hint| hint.contact.id).collect();
         // Who was listed and no longer is has been stopped: its pins can't be in use any more.
@@ -212,8 +265,8 @@
         }
     }
 
-    /// Brings everything up to date.
-    pub fn tick(&mut self, now: Duration, shards: &Shards) -> Outcome {
+    /// Brings everything up to date. `unix` is the time of day, for deadlines of drains.
+    pub fn tick(&mut self, now: Duration, unix: Duration, shards: &Shards) -> Outcome {
         let time = millis(now);
         self.refresh_members(now);
         self.sweep(time, shards);
@@ -224,48 +277,62 @@
         if self.flow.has_news() {
             self.group.hasten();
         }
-        let flow = &mut self.flow;
-        let heartbeats = self.group.tick(now, |to| {
-            Payload {
-                flow: flow.report(to, time),
-            }
-            .encode()
-        });
-        let mut outgoing: Vec<Outgoing> = heartbeats
-            .into_iter()
-            .map(|heartbeat| Outgoing {
-                to: heartbeat.to,
-                class: Class::Urgent,
-                message: Message::Heartbeat(heartbeat.heartbeat),
-            })
-            .collect();
-        outgoing.extend(
-            self.flow
-                .batches(time)
-                .into_iter()
-                .map(|(to, batch)| Outgoing {
-                    to,
-                    class: Class::Bulk,
-                    message: Message::Batch(batch),
-                }),
-        );
+        self.agree(now, unix);
+        self.speak(now);
         self.take_events(now, shards);
         let peers = self.peers(now);
         let traffic = peers
             .iter()
             .filter_map(|(id, address)| Some((*id, self.traffic(*address)?)));
+        let view = View {
+            snapshot,
+            servers: Arc::clone(&self.servers),
+            peers: traffic.collect(),
+        };
         Outcome {
-            outgoing,
+            outgoing: std::mem::take(&mut self.outgoing),
+            orders: std::mem::take(&mut self.orders),
             incarnation: self.group.incarnation(),
-            view: View {
-                snapshot,
-                servers: Arc::clone(&self.servers),
-                peers: traffic.collect(),
-            },
+            view: self.agreement.is_ready().then_some(view),
             peers,
         }
     }
 
+    fn agree(&mut self, now: Duration, unix: Duration) {
+        let view = self.group.view(now);
+        let outcome = self.agreement.saw_view(now, &view);
+        self.follow(outcome);
+        let flow = &self.flow;
+        let outcome = self
+            .agreement
+            .tick(now, unix, &|version| flow.is_known_everywhere(version));
+        self.follow(outcome);
+    }
+
+    /// Heartbeats and copies of pins that are due.
+    fn speak(&mut self, now: Duration) {
+        let time = millis(now);
+        let config = self
+            .agreement
+            .version()
+            .map(|version| (version.revision, version.change));
+        let flow = &mut self.flow;
+        let payload = |to| {
+            Payload {
+                flow: flow.report(to, time),
+                config,
+            }
+            .encode()
+        };
+        for heartbeat in self.group.tick(now, payload) {
+            let message = Message::Heartbeat(heartbeat.heartbeat);
+            self.send(heartbeat.to, Class::Heartbeat, message);
+        }
+        for (to, batch) in self.flow.batches(time) {
+            self.send(to, Class::Bulk, Message::Batch(batch));
+        }
+    }
+
     fn sweep(&mut self, time: u64, shards: &Shards) {
         for _ in 0..SWEPT {
             let index = self.swept % shards.count();
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -1,4 +1,4 @@
-//! The thread that talks with the platform, and tells the control thread what it hears.
+//! The thread that calls the platform, and tells the control thread what it hears.
 
 use std::{
     net::SocketAddr,
@@ -9,14 +9,23 @@
     time::Duration,
 };
 
-use acacia_config::document::{Document, KEY};
-use acacia_platform::{Client, Options, machine::Machine};
+use acacia_config::document::{self, Document};
+use acacia_platform::{
+    Client, Error, Options,
+    machine::Machine,
+    store::{Outcome, Swap},
+};
+use acacia_rollout::Answer;
+use acacia_tables::writer;
 use crossbeam_channel::Sender;
+use tokio::{
+    sync::mpsc::Receiver,
+    task::{AbortHandle, JoinSet, LocalSet},
+};
 
+use super::agreement::{Entry, Order};
 use crate::settings::Settings;
 
-/// Between two tries to reach a platform that does not answer. A client's own retries come on top.
-const PAUSE: Duration = Duration::from_millis(500);
 /// Between two looks at the list of VMs. It lags by more than that anyway, and 8 balancers make
 /// 1.6 calls a second of the platform's two thousand.
 const MACHINES: Duration = Duration::from_secs(5);
@@ -26,14 +35,25 @@
 /// What the platform said.
 #[derive(Debug, Clone, PartialEq)]
 pub enum News {
-    /// The configuration in the store.
-    Document(Box<Document>),
+    /// The end of a watch of the configuration.
+    Config(Option<Answer>),
+    /// The end of a watch of the tables.
+    Tables(Option<Entry>),
+    /// The end of a read of the tables.
+    ReadTables(Option<Entry>),
+    /// The end of a write of the tables.
+    WroteTables(writer::Answer),
     /// The list of VMs.
     Machines(Vec<Machine>),
 }
 
-/// Follows the platform until `stop` is raised.
-pub fn run(settings: &Settings, news: &Sender<News>, stop: &AtomicBool) -> std::io::Result<()> {
+/// Carries out orders until `stop` is raised.
+pub fn run(
+    settings: &Settings,
+    orders: &mut Receiver<Order>,
+    news: &Sender<News>,
+    stop: &AtomicBool,
+) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -41,13 +61,29 @@
         seed: u64::from(settings.id),
         ..Options::default()
     };
-    let client = Client::new(SocketAddr::V4(settings.platform), options);
-    runtime.block_on(async {
-        tokio::select! {
-            () = follow_config(&client, news) => {}
-            () = follow_machines(&client, news) => {}
-            () = stopped(stop) => {}
+    let client = Arc::new(Client::new(SocketAddr::V4(settings.platform), options));
+    // The client's futures stay on this thread: nothing here gains from others.
+    LocalSet::new().block_on(&runtime, async {
+        let mut calls = Calls {
+            client,
+            news: news.clone(),
+            tasks: JoinSet::new(),
+        };
+        calls
+            .tasks
+            .spawn_local(follow_machines(Arc::clone(&calls.client), news.clone()));
+        let mut watching = [None, None];
+        loop {
+            tokio::select! {
+                () = stopped(stop) => break,
+                order = orders.recv() => match order {
+                    Some(order) => calls.begin(order, &mut watching),
+                    None => break,
+                },
+                Some(_) = calls.tasks.join_next() => {}
+            }
         }
+        calls.tasks.shutdown().await;
     });
     Ok(())
 }
@@ -58,45 +94,101 @@
     }
 }
 
-async fn follow_config(client: &Client, news: &Sender<News>) {
-    let key: Arc<str> = KEY.into();
-    let mut seen = 0;
-    loop {
-        match client.watch(&key, seen).await {
-            Ok(entry) if entry.revision > seen => {
-                seen = entry.revision;
-                tell(news, entry.value.as_deref().map(Document::decode));
-            }
-            Ok(_) => {}
-            Err(error) => {
-                log::warn!("event=platform-unanswered call=watch error=\"{error}\"");
-                tokio::time::sleep(PAUSE).await;
-            }
+struct Calls {
+    client: Arc<Client>,
+    news: Sender<News>,
+    tasks: JoinSet<()>,
+}
+
+impl Calls {
+    /// Begins a call; a watch takes the place of the one on the same key that still waits.
+    fn begin(&mut self, order: Order, watching: &mut [Option<AbortHandle>; 2]) {
+        let slot = match order {
+            Order::WatchConfig { .. } => Some(0),
+            Order::WatchTables { .. } => Some(1),
+            Order::ReadTables | Order::WriteTables { .. } => None,
+        };
+        let (client, news) = (Arc::clone(&self.client), self.news.clone());
+        let task = self.tasks.spawn_local(async move {
+            let result = call(client, order).await;
+            // A full queue means that the control thread is stuck; it asks again when it goes on.
+            let _ = news.try_send(result);
+        });
+        if let Some(slot) = slot
+            && let Some(before) = watching[slot].replace(task)
+        {
+            before.abort();
+        }
+    }
+}
+
+async fn call(client: Arc<Client>, order: Order) -> News {
+    let (config, tables): (Arc<str>, Arc<str>) = (document::KEY.into(), acacia_tables::KEY.into());
+    match order {
+        Order::WatchConfig { above } => {
+            let entry = client.watch(&config, above).await;
+            News::Config(note(entry).map(|entry| Answer {
+                revision: entry.revision,
+                document: entry.value.and_then(|value| decode(&value)),
+            }))
+        }
+        Order::WatchTables { above } => {
+            let entry = client.watch(&tables, above).await;
+            News::Tables(note(entry).map(|e| Entry {
+                revision: e.revision,
+                value: e.value,
+            }))
+        }
+        Order::ReadTables => {
+            let entry = client.get(&tables).await;
+            News::ReadTables(note(entry).map(|e| Entry {
+                revision: e.revision,
+                value: e.value,
+            }))
+        }
+        Order::WriteTables { expected, text } => {
+            let swap = Swap {
+                key: tables,
+                expected,
+                value: Some(text),
+                lease: None,
+            };
+            News::WroteTables(match client.swap(swap).await {
+                Ok(Outcome::Written { revision }) => writer::Answer::Written { revision },
+                Ok(Outcome::Conflict { .. }) => writer::Answer::Conflict,
+                Err(Error::Unknown) => writer::Answer::Lost,
+                Err(error) => {
+                    log::warn!("event=platform-unanswered call=swap error=\"{error}\"");
+                    writer::Answer::Unreached
+                }
+            })
         }
     }
 }
 
-fn tell(news: &Sender<News>, document: Option<Result<Document, acacia_config::document::Error>>) {
-    match document {
-        // A full queue means that the control thread is stuck; the next change tells it again.
-        Some(Ok(document)) => drop(news.try_send(News::Document(Box::new(document)))),
-        Some(Err(error)) => {
+fn note<T>(result: Result<T, Error>) -> Option<T> {
+    result
+        .inspect_err(|error| log::warn!("event=platform-unanswered error=\"{error}\""))
+        .ok()
+}
+
+fn decode(value: &str) -> Option<Arc<Document>> {
+    match Document::decode(value) {
+        Ok(document) => Some(Arc::new(document)),
+        Err(error) => {
             log::error!(
                 "event=document-unreadable code={} error=\"{error}\"",
                 error.code()
             );
+            None
         }
-        None => {}
     }
 }
 
-async fn follow_machines(client: &Client, news: &Sender<News>) {
+async fn follow_machines(client: Arc<Client>, news: Sender<News>) {
     loop {
-        match client.machines().await {
-            Ok(machines) => drop(news.try_send(News::Machines(machines))),
-            Err(error) => {
-                log::warn!("event=platform-unanswered call=machines error=\"{error}\"");
-            }
+        if let Some(machines) = note(client.machines().await) {
+            let _ = news.try_send(News::Machines(machines));
         }
         tokio::time::sleep(MACHINES).await;
     }
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -12,8 +12,10 @@
 use acacia_flow::{Shards, verdict::Notice};
 use acacia_peer::{Mesh, Received};
 use crossbeam_channel::{Receiver, select, tick};
+use tokio::sync::mpsc;
 
 use super::{
+    agreement::Order,
     core::{Core, Outgoing},
     platform::News,
 };
@@ -40,6 +42,8 @@
     pub settings: Arc<Settings>,
     /// From the platform's thread.
     pub news: Receiver<News>,
+    /// To the platform's thread.
+    pub orders: mpsc::Sender<Order>,
     /// From the traffic threads.
     pub notices: Receiver<(u16, Notice)>,
     /// For the traffic threads.
@@ -75,7 +79,7 @@
 /// Runs until `stop` is raised.
 pub fn run(context: &Context) -> anyhow::Result<()> {
     let now = clock::now();
-    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
+    let incarnation = time_of_day().as_millis() as u64;
     let settings = &context.settings;
     let mesh_settings =
         acacia_peer::Settings::new(settings.id, SocketAddr::V4(settings.control), incarnation);
@@ -93,7 +97,7 @@
     while !context.stop.load(Ordering::Relaxed) {
         select! {
             recv(inbox) -> received => state.receive(received?),
-            recv(context.news) -> news => state.news(news?),
+            recv(context.news) -> news => state.core.news(clock::now(), news?),
             recv(context.notices) -> notice => {
                 let (to, notice) = notice?;
                 state.send(Core::notice(to, notice));
@@ -117,22 +121,9 @@
         }
     }
 
-    fn news(&mut self, news: News) {
-        match news {
-            News::Document(document) => {
-                if let Err(code) = self.core.set_document(&document) {
-                    let revision = document.revision;
-                    log::error!("event=config-refused revision={revision} code={code}");
-                    self.context.counter.code(code);
-                }
-            }
-            News::Machines(machines) => self.core.set_machines(clock::now(), &machines),
-        }
-    }
-
     fn tick(&mut self) {
         let now = clock::now();
-        let outcome = self.core.tick(now, &self.context.shards);
+        let outcome = self.core.tick(now, time_of_day(), &self.context.shards);
         if outcome.incarnation != self.incarnation {
             self.incarnation = outcome.incarnation;
             self.mesh.set_incarnation(outcome.incarnation);
@@ -141,7 +132,11 @@
             self.mesh.set_peers(&outcome.peers);
             self.peers = outcome.peers;
         }
-        self.context.published.store(Some(Arc::new(outcome.view)));
+        self.context.published.store(outcome.view.map(Arc::new));
+        for order in outcome.orders {
+            // A full queue means a stuck platform thread; what it can't take is asked again.
+            let _ = self.context.orders.try_send(order);
+        }
         outcome
             .outgoing
             .into_iter()
@@ -180,3 +175,10 @@
         }
     }
 }
+
+/// Time since 1970 by the machine's clock; before that, nothing.
+fn time_of_day() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -18,10 +18,12 @@
     iterator::Signals,
 };
 use socket2::{Domain, Protocol, Socket, Type};
+use tokio::sync::mpsc;
 
 use crate::{
     control::{
         self,
+        agreement::Order,
         platform::{self, News},
     },
     counter::Counter,
@@ -55,6 +57,12 @@
     left: Arc<AtomicBool>,
 }
 
+/// The platform thread's ends of its channels.
+struct Platform {
+    news: Receiver<News>,
+    orders: mpsc::Sender<Order>,
+}
+
 /// Runs the balancer until it is asked to end or a service of it dies.
 pub fn run(settings: Settings) -> anyhow::Result<Code> {
     journal::start(settings.log)?;
@@ -119,23 +127,32 @@
 
 fn platform_service(shared: Arc<Shared>) -> Service {
     Service::new("platform", [], move |context| {
-        let (sender, receiver) = bounded::<News>(QUEUE);
+        let (sender, news) = bounded::<News>(QUEUE);
+        let (orders, mut received) = mpsc::channel::<Order>(QUEUE);
         let stop = Arc::new(AtomicBool::new(false));
         let flag = Arc::clone(&stop);
-        context.spawn(move || Ok(platform::run(&shared.settings, &sender, &flag)?))?;
+        context.spawn(move || {
+            Ok(platform::run(
+                &shared.settings,
+                &mut received,
+                &sender,
+                &flag,
+            )?)
+        })?;
         context.on_stop(move || stop.store(true, Ordering::Relaxed));
-        Ok(receiver)
+        Ok(Platform { news, orders })
     })
 }
 
 fn control_service(shared: Arc<Shared>) -> Service {
     Service::new("control", ["platform"], move |context| {
-        let news = context.find::<Receiver<News>>("platform")?;
+        let platform = context.find::<Platform>("platform")?;
         let (sender, notices) = bounded::<(u16, Notice)>(QUEUE);
         let stop = Arc::new(AtomicBool::new(false));
         let control = control::service::Context {
             settings: Arc::clone(&shared.settings),
-            news: (*news).clone(),
+            news: platform.news.clone(),
+            orders: platform.orders.clone(),
             notices,
             published: Arc::clone(&shared.published),
             shards: Arc::clone(&shared.shards),
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,5 +1,8 @@
 //! What balancers tell each other over the control connections.
 
+use std::sync::Arc;
+
+use acacia_config::document::{Document, Id};
 use acacia_flow::{
     control::{Acknowledgement, Batch, Report},
     verdict::Notice,
@@ -18,6 +21,14 @@
     Acknowledgement(Acknowledgement),
     /// A pin that the receiver should know.
     Notice(Notice),
+    /// Asks for the configuration in force.
+    AskConfig,
+    /// The configuration in force, if there is one.
+    Config(Option<Arc<Document>>),
+    /// Asks for the tables in force.
+    AskTables,
+    /// The tables in force as they stand in the store, if there are any.
+    Tables(Option<Arc<str>>),
 }
 
 /// What the crates above the membership add to a heartbeat.
@@ -25,6 +36,8 @@
 pub struct Payload {
     /// Flags, versions and handovers.
     pub flow: Report,
+    /// The configuration in force: its revision, and the change that made it.
+    pub config: Option<(u64, Id)>,
 }
 
 impl Payload {
