--- a/crates/stand/src/caller.rs
+++ b/crates/stand/src/caller.rs
@@ -70,7 +70,7 @@
     pub opened: u64,
     /// Requests answered in full with the right hash.
     pub done: u64,
-    /// Feeds that lasted to the end.
+    /// Feeds that were answered and lasted to the end.
     pub lasted: u64,
     /// Established flows that ended otherwise, and answers that were wrong.
     pub broken: u64,
@@ -344,7 +344,7 @@
                 Result::Unanswered
             })
         } else if over {
-            Some(Result::Lasted)
+            Some(if self.received.is_empty() { Result::Unanswered } else { Result::Lasted })
         } else {
             None
         }
