Know a peer's flags only after hearing them, and let a frozen owner join anew

Flag versions began at 0, which an uninformed peer seemed to acknowledge, so that a balancer in a quiet fleet never became sure and redirected everything.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -293,9 +293,7 @@
             self.stage = Stage::Joining;
             self.settled = self.ready();
             self.previous = Arc::clone(&self.settled);
-            self.peers
-                .values_mut()
-                .for_each(|peer| peer.has_flags = false);
+            self.peers.values_mut().for_each(Peer::forget_flags);
             self.news = true;
         }
     }
--- a/crates/flow/src/control/flags.rs
+++ b/crates/flow/src/control/flags.rs
@@ -7,9 +7,9 @@
 };
 
 /// Which buckets this balancer wants flagged, and since when all others know.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Flags {
-    /// Rises with every change of what is wanted.
+    /// Rises with every change of what is wanted. From 1: a peer that acknowledges 0 knows nothing.
     pub(super) version: u32,
     services: Map<Address, Buckets>,
     guarded: Map<Address, Option<u64>>,
@@ -29,6 +29,18 @@
     since: Vec<u64>,
 }
 
+impl Default for Flags {
+    fn default() -> Self {
+        Flags {
+            version: 1,
+            services: Map::default(),
+            guarded: Map::default(),
+            moves: Map::default(),
+            acknowledged: 0,
+        }
+    }
+}
+
 impl Flags {
     pub(super) fn wanted(&self, address: &Address) -> Bitmap {
         let buckets = self.services.get(address);
--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -123,9 +123,12 @@
 
     /// Who has to get a copy from this balancer: the new owners, from the first owner alive.
     fn receivers(&self, hash: u64) -> impl Iterator<Item = Node> + use<> {
-        let old = pair(hash, self.settled);
-        let sender = old.iter().flatten().find(|node| self.alive.contains(node));
-        let sends = sender.is_none_or(|sender| *sender == self.me);
+        let old = pair(hash, self.settled).map(|node| node.filter(|n| self.ready.contains(n)));
+        let sends = old
+            .iter()
+            .flatten()
+            .next()
+            .is_none_or(|sender| *sender == self.me);
         let new = pair(hash, self.target).map(|node| {
             node.filter(|node| sends && *node != self.me && !old.contains(&Some(*node)))
         });
--- a/crates/flow/src/control/peer.rs
+++ b/crates/flow/src/control/peer.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Asks for its flags anew, with its next report.
+    pub(super) fn forget_flags(&mut self) {
+        self.has_flags = false;
+        self.version = 0;
+    }
+
     pub(super) fn is_heard(&self, now: u64, bound: u64) -> bool {
         now <= self.echoed + bound
     }
--- a/crates/flow/src/snapshot.rs
+++ b/crates/flow/src/snapshot.rs
@@ -216,17 +216,18 @@
             ids: [0; CHAIN],
             len: 0,
         };
-        let sets: &[&Arc<[Node]>] = if self.steady {
-            &[&self.settled]
-        } else {
-            &[&self.settled, &self.ready, &self.target, &self.previous]
+        let mut add = |set: &[Node], among: &[Node]| {
+            let nodes = pair(hash, set).into_iter().flatten();
+            nodes
+                .filter(|node| among.contains(node))
+                .for_each(|node| chain.push(node.id));
         };
-        for set in sets {
-            for node in pair(hash, set).into_iter().flatten() {
-                if self.alive.contains(&node) {
-                    chain.push(node.id);
-                }
-            }
+        // One that was an owner and joins anew after a freeze is in `settled` but not in `ready`.
+        add(&self.settled, &self.ready);
+        if !self.steady {
+            add(&self.ready, &self.alive);
+            add(&self.target, &self.alive);
+            add(&self.previous, &self.ready);
         }
         chain
     }
