Keep a bucket flagged until no thread can still be pinning in it

A change that made new flows go to the base again took the bucket's flag away at once, also while pins made since the last pass over the shards were not counted: their next packet went to base.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -127,6 +127,9 @@
     handover: Handover,
 }
 
+/// Milliseconds for which a bucket stays flagged beyond the life of any snapshot in which flows
+/// could be placed off its base: two passes over the shards, in which their pins are met.
+const LINGER: u64 = 2_500;
 /// Most reports of which the time of sending is remembered: several seconds' worth for 64 peers.
 const REMEMBERED: usize = 4_096;
 
@@ -180,28 +183,28 @@
     }
 
     /// Takes over new tables; older ones than those in force are ignored.
-    pub fn set_tables(&mut self, tables: Tables) {
+    pub fn set_tables(&mut self, tables: Tables, now: u64) {
         if tables.version <= self.tables.version && self.tables.version > 0 {
             return;
         }
         self.flags.note_moves(&self.tables, &tables);
         self.agreed = tables;
-        self.apply();
+        self.apply(now);
     }
 
     /// Notes that this balancer can't reach a server that the tables list, or can again.
-    pub fn set_down(&mut self, address: Address, server: u16, down: bool) {
+    pub fn set_down(&mut self, address: Address, server: u16, down: bool, now: u64) {
         let changed = match down {
             true => self.down.insert((address, server)),
             false => self.down.remove(&(address, server)),
         };
         if changed {
-            self.apply();
+            self.apply(now);
         }
     }
 
     /// Brings the tables in use in line with what was agreed and what was found here.
-    fn apply(&mut self) {
+    fn apply(&mut self, now: u64) {
         let mut services = self.agreed.services.clone();
         let listed = |address: &Address| {
             let mut agreed = self.agreed.services.iter();
@@ -222,7 +225,7 @@
             services,
         };
         self.news = true;
-        self.flags.refresh(&self.tables);
+        self.refresh(now);
     }
 
     /// Takes over what the membership knows of all other balancers.
@@ -406,6 +409,19 @@
             .collect()
     }
 
+    fn refresh(&mut self, now: u64) {
+        let linger = self.settings.sure + LINGER;
+        self.news |= self.flags.refresh(&self.tables, now, linger);
+    }
+
+    /// Lets the policy choose among servers in every bucket of a service, or ends that. Without,
+    /// it can in buckets whose `next` differs from their base, or whose base takes no new flows.
+    /// All packets in mid-flow then pass an owner if they are not known where they come in.
+    pub fn loosen(&mut self, address: Address, loose: bool, now: u64) {
+        self.flags.loosen(address, loose);
+        self.refresh(now);
+    }
+
     /// Guards a service, or ends that: openings then pass through the owners, who may refuse.
     pub fn guard(&mut self, address: Address, guarded: bool) {
         self.news |= self.flags.guard(address, guarded);
@@ -448,7 +464,7 @@
         });
         if index + 1 == count {
             self.flags.finish_pass();
-            self.news |= self.flags.refresh(&self.tables);
+            self.refresh(now);
         }
     }
 
@@ -481,7 +497,7 @@
                 self.handover.list(from, &key, &better);
             }
         }
-        self.news |= self.flags.refresh(&self.tables);
+        self.refresh(now);
         Acknowledgement {
             number: batch.number,
         }
--- a/crates/flow/src/control/flags.rs
+++ b/crates/flow/src/control/flags.rs
@@ -15,6 +15,8 @@
     guarded: Map<Address, Option<u64>>,
     /// Moves of base buckets that wait until all balancers have the tables: version, buckets.
     moves: Map<Address, (u64, Bitmap)>,
+    /// Services whose policy may place flows off base in any bucket.
+    loose: Set<Address>,
     acknowledged: u32,
 }
 
@@ -27,6 +29,10 @@
     noted: Bitmap,
     /// Per bucket, when all balancers had acknowledged its flag; 0 while they have not.
     since: Vec<u64>,
+    /// Per bucket, when flows last had reason to be placed off its base; 0 for never.
+    needed: Vec<u64>,
+    /// Buckets in which they have now.
+    needs: Bitmap,
 }
 
 impl Default for Flags {
@@ -36,6 +42,7 @@
             services: Map::default(),
             guarded: Map::default(),
             moves: Map::default(),
+            loose: Set::default(),
             acknowledged: 0,
         }
     }
@@ -61,13 +68,13 @@
             .unwrap_or_default()
     }
 
-    /// Buckets that have been flagged everywhere for `settle` milliseconds.
+    /// Buckets that need flows off their base, flagged everywhere for `settle` milliseconds.
     pub(super) fn open(&self, address: &Address, now: u64, settle: u64) -> Bitmap {
         let mut open = Bitmap::default();
         if let Some(buckets) = self.services.get(address) {
             let since = |bucket: usize| buckets.since.get(bucket).copied().unwrap_or(0);
             buckets
-                .wanted
+                .needs
                 .iter()
                 .filter(|&bucket| since(bucket) > 0 && now >= since(bucket) + settle)
                 .for_each(|bucket| open.insert(bucket));
@@ -135,11 +142,21 @@
         }
     }
 
+    /// Gives the policy a choice of servers in every bucket of a service, or ends that.
+    pub(super) fn loosen(&mut self, address: Address, loose: bool) {
+        if loose {
+            self.loose.insert(address);
+        } else {
+            self.loose.remove(&address);
+        }
+    }
+
     /// Brings what is wanted in line with tables and pins; gives whether it changed.
     ///
-    /// A bucket stays flagged through one pass over the shards after new flows go to its base
-    /// again: a traffic thread with the last snapshot may still be pinning.
-    pub(super) fn refresh(&mut self, tables: &Tables) -> bool {
+    /// A bucket stays flagged for `linger` milliseconds after new flows go to its base again: a
+    /// traffic thread with an older snapshot may still be pinning, and the next pass over the
+    /// shards has yet to meet those pins.
+    pub(super) fn refresh(&mut self, tables: &Tables, now: u64, linger: u64) -> bool {
         let mut changed = false;
         let listed: Set<Address> = tables
             .services
@@ -149,15 +166,26 @@
         self.services.retain(|address, _| listed.contains(address));
         for service in &tables.services {
             let moved = self.moved(&service.address);
+            let all = service.strict || self.loose.contains(&service.address);
             let buckets = self.services.entry(service.address).or_default();
             buckets.since.resize(service.base.len(), 0);
+            buckets.needed.resize(service.base.len(), 0);
+            let mut needs = moved;
+            for bucket in 0..service.base.len() {
+                if all || is_off_base(service, bucket) {
+                    needs.insert(bucket);
+                }
+            }
+            needs.iter().for_each(|bucket| buckets.needed[bucket] = now);
             let mut wanted = Bitmap::new(service.base.len());
-            (0..service.base.len())
-                .filter(|&bucket| service.strict || is_off_base(service, bucket))
-                .for_each(|bucket| wanted.insert(bucket));
-            wanted.union(&moved);
+            for (bucket, &needed) in buckets.needed.iter().enumerate() {
+                if needed > 0 && now <= needed + linger {
+                    wanted.insert(bucket);
+                }
+            }
             wanted.union(&buckets.pinned);
             wanted.union(&buckets.noted);
+            buckets.needs = needs;
             if wanted != buckets.wanted {
                 for (bucket, since) in buckets.since.iter_mut().enumerate() {
                     *since = if wanted.contains(bucket) { *since } else { 0 };
--- a/crates/flow/tests/it/fleet.rs
+++ b/crates/flow/tests/it/fleet.rs
@@ -149,7 +149,7 @@
     /// tables from one of them.
     pub fn start(&mut self, node: Node) {
         let mut control = Control::new(node, Settings::default(), self.now);
-        control.set_tables(self.tables.clone());
+        control.set_tables(self.tables.clone(), self.now);
         let others = self.balancers.iter().filter(|other| other.running);
         let heard = others
             .map(|other| (other.node, (self.now, other.control.stage())))
@@ -389,7 +389,7 @@
                 balancer.shards.of(key.hash()).remember(key, server, now);
             }
             Message::Bye => balancer.left.push(event.from),
-            Message::Tables(tables) => balancer.control.set_tables(tables),
+            Message::Tables(tables) => balancer.control.set_tables(tables, now),
         }
     }
 
