--- a/crates/flow/src/shard.rs
+++ b/crates/flow/src/shard.rs
@@ -140,6 +140,8 @@
     pub fn correct(&mut self, key: &Key, server: u16) {
         if let Some(pin) = self.pins.get_mut(key) {
             pin.server = server;
+            // The server may not be the base: the flow can't be left to the table any more.
+            pin.light = false;
         }
     }
 
--- a/crates/flow/tests/it/fleet.rs
+++ b/crates/flow/tests/it/fleet.rs
@@ -24,9 +24,10 @@
 
 /// Milliseconds between two turns of a control thread.
 const TURN: u64 = 100;
-/// Milliseconds of silence after which a member is taken for dead, and for gone.
+/// Milliseconds of silence after which a member is taken for dead.
 const DEAD: u64 = 4_000;
-const GONE: u64 = 40_000;
+/// Milliseconds after which the platform's list shows that a process has ended.
+const LISTED: u64 = 6_000;
 
 pub struct Balancer {
     pub node: Node,
@@ -104,6 +105,8 @@
     pub refusing: bool,
     /// Latest opening of a flow on each server.
     pub last_new: Map<u16, u64>,
+    /// Processes that have ended, and when.
+    ended: Vec<(Node, u64)>,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
 }
@@ -127,6 +130,7 @@
             limits: Limits::default(),
             refusing: false,
             last_new: Map::default(),
+            ended: Vec::new(),
             events: BTreeMap::new(),
             sequence: 0,
         };
@@ -180,7 +184,9 @@
 
     /// Ends a process without notice.
     pub fn crash(&mut self, id: u16) {
-        self.balancers[usize::from(id)].running = false;
+        let balancer = &mut self.balancers[usize::from(id)];
+        balancer.running = false;
+        self.ended.push((balancer.node, self.now));
     }
 
     /// Stops a process in order and starts its successor.
@@ -286,10 +292,15 @@
             return;
         }
         let silent = |since: u64| now.saturating_sub(since);
-        let left = balancer.left.clone();
+        let ended: Vec<Node> = self
+            .ended
+            .iter()
+            .filter(|(_, at)| now > at + LISTED)
+            .map(|e| e.0)
+            .collect();
         balancer
             .heard
-            .retain(|node, (since, _)| silent(*since) < GONE && !left.contains(node));
+            .retain(|node, _| !balancer.left.contains(node) && !ended.contains(node));
         let members: Vec<Member> = balancer
             .heard
             .iter()
