--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -256,15 +256,13 @@
             return forward(pin.server);
         }
         let synced = self.seconds();
-        self.shard.store(
-            self.packet.key,
-            Pin {
-                phase,
-                synced,
-                ..pin
-            },
-        );
-        self.pass_on(pin.server, chain, 0)
+        let pin = Pin {
+            phase,
+            synced,
+            ..pin
+        };
+        self.shard.store(self.packet.key, pin);
+        self.pass_on(&pin, chain, 0)
     }
 
     fn hears_all(&self, chain: &Chain) -> bool {
@@ -360,7 +358,7 @@
             asked: false,
         };
         self.shard.store(self.packet.key, pin);
-        self.pass_on(server, chain, 0)
+        self.pass_on(&pin, chain, 0)
     }
 
     /// A flood of openings fills the room for pins. Flows that need none still open; the others
@@ -376,27 +374,33 @@
     }
 
     /// Hands the packet to the next balancer that must know of the flow, or to its server after
-    /// the last. The server's answer can't reach the caller before all of them know.
+    /// the last. The server's answer can't reach the caller before all of them know: one that
+    /// does not would later answer base. Hence the opening of a flow off its base waits while one
+    /// of them can't be reached.
     ///
     /// `told` has a bit for each balancer of the chain that knows already, by its number there.
-    fn pass_on(&self, server: u16, chain: &Chain, told: u8) -> Verdict {
+    fn pass_on(&self, pin: &Pin, chain: &Chain, told: u8) -> Verdict {
+        let me = self.snapshot.me.id;
+        let is_told = |id: u16| id == me || told & 1 << chain.number(id) != 0;
+        let waits = pin.phase == Phase::Opening && !pin.light;
+        let rest = || chain.ids().iter().copied().filter(|&id| !is_told(id));
+        if waits && rest().any(|id| !self.snapshot.is_heard(id)) {
+            return drop(Code::OwnersUnreachable);
+        }
         let purpose = match self.packet.kind {
             Kind::Closing | Kind::Reset => Purpose::Release,
             _ => Purpose::Replicate,
         };
-        let mut told = told;
-        let mut next = None;
-        for &id in chain.ids() {
-            let bit = 1 << chain.number(id);
-            if id == self.snapshot.me.id {
-                told |= bit;
-            } else if told & bit == 0 && next.is_none() && self.snapshot.is_heard(id) {
-                next = Some(id);
+        let told = chain
+            .ids()
+            .iter()
+            .filter(|&&id| id == me)
+            .fold(told, |told, &id| told | 1 << chain.number(id));
+        match rest().find(|&id| self.snapshot.is_heard(id)) {
+            Some(to) if waits || self.hops < MAX_HOPS => {
+                self.redirect(to, purpose, pin.server, told)
             }
-        }
-        match next {
-            Some(to) if self.hops < MAX_HOPS => self.redirect(to, purpose, server, told),
-            _ => forward(server),
+            _ => forward(pin.server),
         }
     }
 
@@ -424,7 +428,7 @@
         if !self.shard.store(self.packet.key, pin) {
             return drop(Code::PinsFull);
         }
-        let mut verdict = self.pass_on(server, &chain, header.asked);
+        let mut verdict = self.pass_on(&pin, &chain, header.asked);
         if server != header.server {
             let key = self.packet.key;
             verdict.notice = Some((header.sender, Notice::Correct { key, server }));
