Let the owner that ranks higher in the set to come prevail, whoever places a flow first

While a new owner is promoted, it and the former first owner may both place the same flow when its opening is resent through balancers of different views; which pin won went by the order of the packets. Now a rank decides that both know. A joining owner also takes pins from the chain instead of dropping the opening.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -362,7 +362,8 @@
         Snapshot {
             me: self.me,
             sure_until: if informed { oldest + sure } else { 0 },
-            own_until: if owns { latest + sure } else { 0 },
+            awake_until: latest + sure,
+            owner: owns,
             free: free && owns,
             strangers: self.strangers(),
             missing: dead.map(|peer| peer.member.node).collect(),
--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     pin::{CACHE, Phase, Pin},
+    rank::pair,
     shard::Shard,
     snapshot::{Address, Chain, Entry, Service, Snapshot, State},
     verdict::{Action, Arrival, Notice, Placement, Request, Verdict},
@@ -406,11 +407,13 @@
 
     /// An owner before this one in the chain has placed the flow, or followed its pin.
     fn told(&mut self, header: &Redirect) -> Verdict {
-        if !self.snapshot.is_owner(self.now) {
+        if !self.snapshot.is_awake(self.now) {
             return drop(Code::NotOwner);
         }
         let chain = self.snapshot.chain(self.hash);
-        let known = self.known_pin();
+        let known = self
+            .known_pin()
+            .filter(|pin| pin.server == header.server || self.prevails(pin, &chain, header.asked));
         let server = known.map_or(header.server, |pin| pin.server);
         if !self.service.servers.contains_key(&server) {
             return drop(Code::ServerUnknown);
@@ -436,6 +439,31 @@
         verdict
     }
 
+    /// Whether the pin known here goes before that of the owners told so far.
+    ///
+    /// While a change of the owners' set spreads, two of them may each take itself for the first
+    /// and place the same flow. Both know the set to come: who ranks higher there prevails, at
+    /// whichever of them the packets meet. A flow that got beyond its opening stays where it is.
+    fn prevails(&self, pin: &Pin, chain: &Chain, told: u8) -> bool {
+        if pin.phase != Phase::Opening && matches!(self.packet.kind, Kind::Opening { .. }) {
+            return true;
+        }
+        let owners = pair(self.hash, &self.snapshot.target).map(|node| node.map(|node| node.id));
+        let rank = |id: u16| {
+            owners
+                .iter()
+                .position(|owner| *owner == Some(id))
+                .unwrap_or(2)
+        };
+        let told = chain
+            .ids()
+            .iter()
+            .filter(|&&id| told & 1 << chain.number(id) != 0);
+        told.map(|&id| rank(id))
+            .min()
+            .is_some_and(|best| rank(self.snapshot.me.id) < best)
+    }
+
     fn isn(&self, known: Option<Pin>) -> u32 {
         match self.packet.kind {
             Kind::Opening { isn } if known.is_none() => isn,
--- a/crates/flow/src/snapshot.rs
+++ b/crates/flow/src/snapshot.rs
@@ -161,8 +161,10 @@
     pub me: Node,
     /// Until when the flags are known to be complete. Later, every bucket counts as flagged.
     pub sure_until: u64,
-    /// Until when this balancer answers as an owner.
-    pub own_until: u64,
+    /// Until when this snapshot is in touch with the others. One from before a freeze is not.
+    pub awake_until: u64,
+    /// Whether this balancer answers as an owner.
+    pub owner: bool,
     /// Whether flows may be placed off their base: no balancer is out of hearing.
     pub free: bool,
     /// Balancers that are neither dead nor gone, this one included.
@@ -200,7 +202,13 @@
     /// by now.
     #[must_use]
     pub fn is_owner(&self, now: u64) -> bool {
-        now <= self.own_until
+        self.owner && self.is_awake(now)
+    }
+
+    /// Whether the snapshot is recent enough at `now` to act on what it says of ownership.
+    #[must_use]
+    pub fn is_awake(&self, now: u64) -> bool {
+        now <= self.awake_until
     }
 
     /// Whether `id` can be reached.
