--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     pin::{CACHE, Phase, Pin},
+    rank::pair,
     shard::Shard,
     snapshot::{Address, Chain, Entry, Service, Snapshot, State},
     verdict::{Action, Arrival, Notice, Placement, Request, Verdict},
@@ -256,15 +257,13 @@
             return forward(pin.server);
         }
         let synced = self.seconds();
-        self.shard.store(
-            self.packet.key,
-            Pin {
-                phase,
-                synced,
-                ..pin
-            },
-        );
-        self.pass_on(pin.server, chain, 0)
+        let pin = Pin {
+            phase,
+            synced,
+            ..pin
+        };
+        self.shard.store(self.packet.key, pin);
+        self.pass_on(&pin, chain, 0)
     }
 
     fn hears_all(&self, chain: &Chain) -> bool {
@@ -360,7 +359,7 @@
             asked: false,
         };
         self.shard.store(self.packet.key, pin);
-        self.pass_on(server, chain, 0)
+        self.pass_on(&pin, chain, 0)
     }
 
     /// A flood of openings fills the room for pins. Flows that need none still open; the others
@@ -376,37 +375,45 @@
     }
 
     /// Hands the packet to the next balancer that must know of the flow, or to its server after
-    /// the last. The server's answer can't reach the caller before all of them know.
+    /// the last. The server's answer can't reach the caller before all of them know: one that
+    /// does not would later answer base. Hence the opening of a flow off its base waits while one
+    /// of them can't be reached.
     ///
     /// `told` has a bit for each balancer of the chain that knows already, by its number there.
-    fn pass_on(&self, server: u16, chain: &Chain, told: u8) -> Verdict {
+    fn pass_on(&self, pin: &Pin, chain: &Chain, told: u8) -> Verdict {
+        let me = self.snapshot.me.id;
+        let is_told = |id: u16| id == me || told & 1 << chain.number(id) != 0;
+        let waits = pin.phase == Phase::Opening && !pin.light;
+        let rest = || chain.ids().iter().copied().filter(|&id| !is_told(id));
+        if waits && rest().any(|id| !self.snapshot.is_heard(id)) {
+            return drop(Code::OwnersUnreachable);
+        }
         let purpose = match self.packet.kind {
             Kind::Closing | Kind::Reset => Purpose::Release,
             _ => Purpose::Replicate,
         };
-        let mut told = told;
-        let mut next = None;
-        for &id in chain.ids() {
-            let bit = 1 << chain.number(id);
-            if id == self.snapshot.me.id {
-                told |= bit;
-            } else if told & bit == 0 && next.is_none() && self.snapshot.is_heard(id) {
-                next = Some(id);
+        let told = chain
+            .ids()
+            .iter()
+            .filter(|&&id| id == me)
+            .fold(told, |told, &id| told | 1 << chain.number(id));
+        match rest().find(|&id| self.snapshot.is_heard(id)) {
+            Some(to) if waits || self.hops < MAX_HOPS => {
+                self.redirect(to, purpose, pin.server, told)
             }
-        }
-        match next {
-            Some(to) if self.hops < MAX_HOPS => self.redirect(to, purpose, server, told),
-            _ => forward(server),
+            _ => forward(pin.server),
         }
     }
 
     /// An owner before this one in the chain has placed the flow, or followed its pin.
     fn told(&mut self, header: &Redirect) -> Verdict {
-        if !self.snapshot.is_owner(self.now) {
+        if !self.snapshot.is_awake(self.now) {
             return drop(Code::NotOwner);
         }
         let chain = self.snapshot.chain(self.hash);
-        let known = self.known_pin();
+        let known = self
+            .known_pin()
+            .filter(|pin| pin.server == header.server || self.prevails(pin, &chain, header.asked));
         let server = known.map_or(header.server, |pin| pin.server);
         if !self.service.servers.contains_key(&server) {
             return drop(Code::FlowServerUnknown);
@@ -424,7 +431,7 @@
         if !self.shard.store(self.packet.key, pin) {
             return drop(Code::PinsFull);
         }
-        let mut verdict = self.pass_on(server, &chain, header.asked);
+        let mut verdict = self.pass_on(&pin, &chain, header.asked);
         if server != header.server {
             let key = self.packet.key;
             verdict.notice = Some((header.sender, Notice::Correct { key, server }));
@@ -432,6 +439,31 @@
         verdict
     }
 
+    /// Whether the pin known here goes before that of the owners told so far.
+    ///
+    /// While a change of the owners' set spreads, two of them may each take itself for the first
+    /// and place the same flow. Both know the set to come: who ranks higher there prevails, at
+    /// whichever of them the packets meet. A flow that got beyond its opening stays where it is.
+    fn prevails(&self, pin: &Pin, chain: &Chain, told: u8) -> bool {
+        if pin.phase != Phase::Opening && matches!(self.packet.kind, Kind::Opening { .. }) {
+            return true;
+        }
+        let owners = pair(self.hash, &self.snapshot.target).map(|node| node.map(|node| node.id));
+        let rank = |id: u16| {
+            owners
+                .iter()
+                .position(|owner| *owner == Some(id))
+                .unwrap_or(2)
+        };
+        let told = chain
+            .ids()
+            .iter()
+            .filter(|&&id| told & 1 << chain.number(id) != 0);
+        told.map(|&id| rank(id))
+            .min()
+            .is_some_and(|best| rank(self.snapshot.me.id) < best)
+    }
+
     fn isn(&self, known: Option<Pin>) -> u32 {
         match self.packet.kind {
             Kind::Opening { isn } if known.is_none() => isn,
--- a/crates/flow/src/snapshot.rs
+++ b/crates/flow/src/snapshot.rs
@@ -161,8 +161,10 @@
     pub me: Node,
     /// Until when the flags are known to be complete. Later, every bucket counts as flagged.
     pub sure_until: u64,
-    /// Until when this balancer answers as an owner.
-    pub own_until: u64,
+    /// Until when this snapshot is in touch with the others. One from before a freeze is not.
+    pub awake_until: u64,
+    /// Whether this balancer answers as an owner.
+    pub owner: bool,
     /// Whether flows may be placed off their base: no balancer is out of hearing.
     pub free: bool,
     /// Balancers that are neither dead nor gone, this one included.
@@ -200,7 +202,13 @@
     /// by now.
     #[must_use]
     pub fn is_owner(&self, now: u64) -> bool {
-        now <= self.own_until
+        self.owner && self.is_awake(now)
+    }
+
+    /// Whether the snapshot is recent enough at `now` to act on what it says of ownership.
+    #[must_use]
+    pub fn is_awake(&self, now: u64) -> bool {
+        now <= self.awake_until
     }
 
     /// Whether `id` can be reached.
@@ -216,17 +224,18 @@
             ids: [0; CHAIN],
             len: 0,
         };
-        let sets: &[&Arc<[Node]>] = if self.steady {
-            &[&self.settled]
-        } else {
-            &[&self.settled, &self.ready, &self.target, &self.previous]
+        let mut add = |set: &[Node], among: &[Node]| {
+            let nodes = pair(hash, set).into_iter().flatten();
+            nodes
+                .filter(|node| among.contains(node))
+                .for_each(|node| chain.push(node.id));
         };
-        for set in sets {
-            for node in pair(hash, set).into_iter().flatten() {
-                if self.alive.contains(&node) {
-                    chain.push(node.id);
-                }
-            }
+        // One that was an owner and joins anew after a freeze is in `settled` but not in `ready`.
+        add(&self.settled, &self.ready);
+        if !self.steady {
+            add(&self.ready, &self.alive);
+            add(&self.target, &self.alive);
+            add(&self.previous, &self.ready);
         }
         chain
     }
