--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -247,10 +247,12 @@
         if seen.servers.iter().any(|count| count.answered > 0) {
             self.sampled = Some(now);
         }
-        for count in &seen.servers {
-            self.common.add(count, Duration::ZERO, COMMON);
-        }
         self.common.add(&Count::default(), passed, COMMON);
+        for (server, count) in seen.servers.iter().enumerate() {
+            if self.keeps_up(server) {
+                self.common.add(count, Duration::ZERO, COMMON);
+            }
+        }
         let visible = self.common.answered / self.common.asked.max(1.0);
         for (server, count) in seen.servers.iter().enumerate() {
             let estimate = &mut self.estimates[server];
@@ -277,6 +279,19 @@
         }
     }
 
+    /// Whether a server's answers are as many as its questions. Where a queue grows they are fewer,
+    /// and the part of answers that is seen would look smaller than it is for a minute, hence the
+    /// capacity of all servers larger.
+    fn keeps_up(&self, server: usize) -> bool {
+        let own = &self.estimates[server];
+        let slots = f64::from(self.pool.hosts[server].slots.max(1));
+        let usual = self.common.answered / self.common.asked.max(1.0);
+        let calm = own
+            .progress()
+            .is_none_or(|progress| progress <= self.limits.target * slots);
+        calm && own.waiting * usual <= self.limits.evidence / 2.0
+    }
+
     fn silent(&self) -> Vec<bool> {
         let sum = |of: fn(&Estimate) -> &Window| {
             self.estimates
