--- a/crates/bench/src/balance/case.rs
+++ b/crates/bench/src/balance/case.rs
@@ -77,6 +77,8 @@
     Slow,
     /// One server answers nothing until [`HEAL`]; its health endpoint says fine.
     Hung,
+    /// One server resets most openings until [`HEAL`].
+    Shed,
     /// One server joins, a tenth as fast at first and warm after 20 s.
     Cold,
     /// One balancer of eight dies for good; the fabric and its peers notice after 2 s.
@@ -132,6 +134,7 @@
             },
             case("slow", usual(), Fault::Slow),
             case("hung", usual(), Fault::Hung),
+            case("shed", usual(), Fault::Shed),
             case("lies", usual(), Fault::Lies),
             case("cold", usual(), Fault::Cold),
             case("balancer", usual(), Fault::Balancer),
--- a/crates/bench/src/balance/simulation.rs
+++ b/crates/bench/src/balance/simulation.rs
@@ -23,6 +23,8 @@
 const DEAD: usize = 0;
 /// Delay of a health endpoint, in seconds.
 const HEALTH_LAG: f64 = 10.0;
+/// Part of the openings that a shedding server resets.
+const SHED: f64 = 0.7;
 /// Buckets into which skewed demand falls.
 const HOT: usize = 8;
 /// Part of a long request's work after which its first byte is sent.
@@ -307,12 +309,9 @@
             self.servers[server].offered += work;
         }
         self.servers[server].promised += work;
-        if self.servers[server].open >= CONNECTIONS {
+        if self.sheds(server, now) {
+            // The reset goes straight to the caller: no balancer sees anything of it.
             self.servers[server].promised -= work;
-            self.outcome.marks[class].failed += u64::from(measured);
-            self.fleet.saw(ingress, |tally| {
-                tally.closed(pool::Server(server as u16), class)
-            });
             return;
         }
         self.servers[server].open += 1;
@@ -373,6 +372,12 @@
         Some(server)
     }
 
+    fn sheds(&mut self, server: usize, now: f64) -> bool {
+        let faulty = self.scene.case.fault == Fault::Shed && server == VICTIM;
+        let shedding = faulty && (BEGIN..HEAL).contains(&now);
+        self.servers[server].open >= CONNECTIONS || (shedding && self.chance.random_bool(SHED))
+    }
+
     fn usable(&self, server: usize, now: f64) -> bool {
         self.scene.case.fault != Fault::Cold || server != VICTIM || now >= BEGIN
     }
@@ -521,7 +526,8 @@
 
     fn result(mut self) -> Outcome {
         for (index, server) in self.servers.iter().enumerate() {
-            let whole = self.scene.case.fault != Fault::Hung || index != VICTIM;
+            let faulty = matches!(self.scene.case.fault, Fault::Hung | Fault::Shed);
+            let whole = !faulty || index != VICTIM;
             if whole {
                 self.outcome
                     .uses
--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use crate::{
-    eject::{Bench, silent},
+    eject::{Bench, shed, silent},
     limits::Limits,
     peer::{Open, Peers},
     plan::{Plan, Rates, Standing},
@@ -33,6 +33,8 @@
     /// All flows over those that the counts are of. It isn't applied to the counts themselves: few
     /// samples must go on looking like few when they are taken as evidence.
     scale: f64,
+    /// Part of its flows that it sheds.
+    shed: f64,
     spill: f64,
     distrusted: bool,
     leaving: bool,
@@ -171,10 +173,11 @@
         (slots > 0.0).then(|| progress / slots)
     }
 
-    /// Measured capacity of a server in new flows a second.
+    /// Measured capacity of a server in new flows a second, less what it sheds.
     #[must_use]
     pub fn capacity(&self, server: Server) -> Option<f64> {
-        let questions = self.estimates.get(server.index())?.speed.questions()?;
+        let estimate = self.estimates.get(server.index())?;
+        let questions = estimate.speed.questions()? * (1.0 - estimate.shed);
         let flows = if self.common.asked > 0.0 {
             self.common.opened / self.common.asked
         } else {
@@ -193,6 +196,8 @@
         self.last = Some(now);
         let members = members.max(1);
         let fresh = self.peers.fresh(now, &self.limits).min(members);
+        let shed: Vec<f64> = self.estimates.iter().map(|own| own.shed).collect();
+        self.peers.uncount(&shed);
         let (report, seen) = self.peers.turn(self.pool.revision, passed, &self.limits);
         // Counts of silent peers are missing: what the others saw stands for them, as the fabric
         // spreads packets evenly.
@@ -207,6 +212,7 @@
                 ..Estimate::default()
             };
         }
+        self.shed();
         self.spill();
         self.correct();
         let part = 1.0 / (members as f64 * f64::from(self.threads));
@@ -292,20 +298,34 @@
         calm && own.waiting * usual <= self.limits.evidence / 2.0
     }
 
-    fn silent(&self) -> Vec<bool> {
-        let sum = |of: fn(&Estimate) -> &Window| {
-            self.estimates
-                .iter()
-                .map(of)
-                .fold(Window::default(), |sum, own| Window {
-                    asked: sum.asked + own.asked,
-                    answered: sum.answered + own.answered,
-                    opened: sum.opened + own.opened,
-                    completed: sum.completed + own.completed,
-                    ..Window::default()
-                })
+    fn sum(&self, of: fn(&Estimate) -> &Window) -> Window {
+        let add = |sum: Window, own: &Window| Window {
+            asked: sum.asked + own.asked,
+            answered: sum.answered + own.answered,
+            opened: sum.opened + own.opened,
+            completed: sum.completed + own.completed,
+            ..Window::default()
         };
-        let (fast, slow) = (sum(|own| &own.fast), sum(|own| &own.slow));
+        self.estimates.iter().map(of).fold(Window::default(), add)
+    }
+
+    /// Learns what part of its flows each server sheds. At a small service one second holds too
+    /// little evidence, so there the slow counts are judged.
+    fn shed(&mut self) {
+        /// Completed openings that a second's judgement needs.
+        const ENOUGH: f64 = 64.0;
+        let (fast, slow) = (self.sum(|own| &own.fast), self.sum(|own| &own.slow));
+        let usual = fast.completed / fast.opened.max(1.0);
+        for own in &mut self.estimates {
+            own.shed = match own.fast.opened * usual >= ENOUGH {
+                true => shed(&own.fast, &fast, &self.limits),
+                false => shed(&own.slow, &slow, &self.limits),
+            };
+        }
+    }
+
+    fn silent(&self) -> Vec<bool> {
+        let (fast, slow) = (self.sum(|own| &own.fast), self.sum(|own| &own.slow));
         // If nobody answers at all, the fault is not with one server.
         let any = self
             .estimates
@@ -328,8 +348,8 @@
     /// Sets what part of a server's flows takes its second choice: the excess of its work in
     /// progress over `bound` times the pool's mean. It rises at once, since each second of a server
     /// four times too slow adds two seconds of queue, and falls by halves, so that balancers that
-    /// act on the same figures don't swing between two servers. All of it when the server's
-    /// connections are nearly used up.
+    /// act on the same figures don't swing between two servers. At least the part that the server
+    /// sheds; all of it when its connections are nearly used up.
     fn spill(&mut self) {
         let mean = self.progress().unwrap_or(0.0).max(self.limits.calm);
         let open = self.peers.open();
@@ -339,7 +359,7 @@
                 .progress()
                 .filter(|_| estimate.fast.answered >= self.limits.evidence)
                 .map_or(0.0, |progress| progress / f64::from(host.slots.max(1)));
-            let excess = (1.0 - self.limits.bound * mean / progress.max(1e-9)).max(0.0);
+            let excess = (1.0 - self.limits.bound * mean / progress.max(1e-9)).max(estimate.shed);
             estimate.spill = excess.max((estimate.spill + excess) / 2.0);
             if estimate.spill < NEGLIGIBLE {
                 estimate.spill = 0.0;
--- a/crates/load/src/eject.rs
+++ b/crates/load/src/eject.rs
@@ -2,6 +2,24 @@
 
 use crate::{limits::Limits, signal::Window};
 
+/// The part of a server's openings that are not completed, against what is usual at the others;
+/// 0 unless it is certain enough.
+///
+/// Load: a server sheds, as its connections are used up or it protects itself. Harm: each opening
+/// sent there is reset by the server. With direct server return the reset passes no balancer, so
+/// one notices only that no further packet of the caller follows the opening.
+#[must_use]
+pub fn shed(window: &Window, others: &Window, limits: &Limits) -> f64 {
+    let usual = others.completed / others.opened.max(1.0);
+    let expected = window.opened * usual;
+    let part = 1.0 - window.completed / expected.max(1.0);
+    if part >= (limits.certainty / expected.max(1.0).sqrt()).max(limits.shed) {
+        part
+    } else {
+        0.0
+    }
+}
+
 /// A server's record of having been left alone.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Record {
--- a/crates/load/src/limits.rs
+++ b/crates/load/src/limits.rs
@@ -51,6 +51,12 @@
     pub evidence: f64,
     /// A server that gives less than this part of the answers that others give is hung.
     pub silence: f64,
+    /// Part of a server's openings that must fail, against the others', for it to be taken as
+    /// shedding; fewer may have other causes.
+    pub shed: f64,
+    /// Standard deviations that the failing openings must be off what is expected. Each server is
+    /// judged every second by every balancer, and 4 come by chance once in 30,000 times.
+    pub certainty: f64,
     /// Factor on a server's target weight while its health endpoint says it fails. The endpoint
     /// lags, so it doesn't eject alone.
     pub distrust: f64,
@@ -119,6 +125,8 @@
             rest_most: seconds(160),
             evidence: 12.0,
             silence: 0.15,
+            shed: 0.15,
+            certainty: 4.0,
             distrust: 0.7,
             bound: 1.5,
             calm: 1.0,
@@ -135,7 +143,7 @@
             least_lent: 4.0,
             back: seconds(1),
             back_most: seconds(30),
-            forget: seconds(1_800),
+            forget: seconds(600),
         }
     }
 }
--- a/crates/load/src/peer.rs
+++ b/crates/load/src/peer.rs
@@ -89,6 +89,26 @@
         }
     }
 
+    /// Takes back flows counted as open of which `parts`, by server, were never completed: a server
+    /// that sheds would look full for long after it has stopped.
+    pub fn uncount(&mut self, parts: &[f64]) {
+        let mut lost = 0.0;
+        let counts = self.here.servers.iter().zip(parts);
+        for (open, (count, part)) in self.own.servers.iter_mut().zip(counts) {
+            let own = f64::from(count.opened) * part;
+            *open -= own;
+            lost += own;
+        }
+        let demands = &self.here.classes;
+        let admitted: f64 = demands
+            .iter()
+            .map(|demand| f64::from(demand.admitted))
+            .sum();
+        for (open, demand) in self.own.classes.iter_mut().zip(demands) {
+            *open -= lost * f64::from(demand.admitted) / admitted.max(1.0);
+        }
+    }
+
     /// Adds a peer's report; false if it is a repeated or older one.
     pub fn merge(&mut self, peer: u16, report: &Report, now: Duration) -> bool {
         let newer = |known: &Peer| report.sequence.wrapping_sub(known.sequence) as i32 > 0;
