--- a/crates/load/src/limits.rs
+++ b/crates/load/src/limits.rs
@@ -51,6 +51,12 @@
     pub evidence: f64,
     /// A server that gives less than this part of the answers that others give is hung.
     pub silence: f64,
+    /// Part of a server's openings that must fail, against the others', for it to be taken as
+    /// shedding; fewer may have other causes.
+    pub shed: f64,
+    /// Standard deviations that the failing openings must be off what is expected. Each server is
+    /// judged every second by every balancer, and 4 come by chance once in 30,000 times.
+    pub certainty: f64,
     /// Factor on a server's target weight while its health endpoint says it fails. The endpoint
     /// lags, so it doesn't eject alone.
     pub distrust: f64,
@@ -64,6 +70,9 @@
     /// Part of the measured capacity that all admitted work may reach. Above it, waits grow
     /// faster than goodput.
     pub ceiling: f64,
+    /// Factor on the guarantee of paying callers. The measured capacity errs by a few percent, and
+    /// the error should not be a refusal within a share.
+    pub margin: f64,
     /// Part of the measured capacity that admitted work may reach while trial borrows and paying
     /// callers are about. What lies between it and `ceiling` is headroom: it keeps their waits
     /// short.
@@ -105,10 +114,10 @@
             change: 1.6,
             stale: Duration::from_millis(2_500),
             blind: seconds(30),
-            rise: 1.25,
+            rise: 1.5,
             fall: 2.0,
             period: seconds(2),
-            hysteresis: 0.03,
+            hysteresis: 0.08,
             start: 0.1,
             floor: 0.02,
             eject: 0.34,
@@ -116,22 +125,25 @@
             rest_most: seconds(160),
             evidence: 12.0,
             silence: 0.15,
+            shed: 0.15,
+            certainty: 4.0,
             distrust: 0.7,
             bound: 1.5,
             calm: 1.0,
             full: 0.9,
-            ceiling: 0.95,
-            lent: 0.75,
+            ceiling: 0.98,
+            margin: 1.05,
+            lent: 0.72,
             about: seconds(1),
-            target: 6.0,
-            gain: 0.05,
+            target: 15.0,
+            gain: 0.02,
             burst: Duration::from_millis(200),
             slack: Duration::from_millis(100),
             least: 20.0,
             least_lent: 4.0,
             back: seconds(1),
             back_most: seconds(30),
-            forget: seconds(1_800),
+            forget: seconds(600),
         }
     }
 }
