Let balancers answer operators: status and the document in force

acacia-api is a tarpc service that a daemon runs with two functions. The accept loop of the stand-in moves to the platform crate's server module, so that both share it.

--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,88 @@
+//! What balancers answer operators: a tarpc service over TCP.
+//!
+//! A balancer hands two functions to [`serve`]; operators' programs ask with [`ask`]. The service only reads: changes go through the platform's store.
+
+mod ask;
+pub mod status;
+
+use std::sync::Arc;
+
+use acacia_platform::server;
+use tarpc::{context::Context, server::Serve as _};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+pub use ask::{Error, ask};
+pub use status::Status;
+
+/// The questions that a balancer answers.
+#[tarpc::service]
+pub trait Admin {
+    /// How the balancer is.
+    async fn status() -> Status;
+    /// The document that it has in force, encoded as in the platform's store; none if it has none
+    /// yet. With the store down this is how operators see what is in force.
+    async fn document() -> Option<Arc<str>>;
+}
+
+/// Answers operators until told to stop, and returns once nothing of it runs any more. The two
+/// functions give the current answers; they are called on the runtime's threads, so they should
+/// read a snapshot and not wait.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// use acacia_api::Status;
+/// use tokio_util::sync::CancellationToken;
+///
+/// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+/// let address = listener.local_addr()?;
+/// let stop = CancellationToken::new();
+/// let status = || Status { name: "entry-1".into(), ..Status::default() };
+/// let server = tokio::spawn(acacia_api::serve(listener, stop.clone(), status, || None));
+///
+/// let deadline = std::time::Duration::from_secs(5);
+/// let status = acacia_api::ask(address, deadline, async |admin, ctx| admin.status(ctx).await).await;
+/// assert_eq!(status.map(|status| status.name), Ok("entry-1".into()));
+/// stop.cancel();
+/// server.await?;
+/// # Ok(())
+/// # }
+/// ```
+pub async fn serve<S, D>(listener: TcpListener, stop: CancellationToken, status: S, document: D)
+where
+    S: Fn() -> Status + Clone + Send + Sync + 'static,
+    D: Fn() -> Option<Arc<str>> + Clone + Send + Sync + 'static,
+{
+    server::listen(listener, stop, move |stream| {
+        let answers = Answers {
+            status: status.clone(),
+            document: document.clone(),
+        };
+        server::connection(stream, move |ctx, req| {
+            answers.clone().serve().serve(ctx, req)
+        })
+    })
+    .await;
+}
+
+/// The answers as a tarpc service.
+#[derive(Clone)]
+struct Answers<S, D> {
+    status: S,
+    document: D,
+}
+
+impl<S, D> Admin for Answers<S, D>
+where
+    S: Fn() -> Status + Send,
+    D: Fn() -> Option<Arc<str>> + Send,
+{
+    async fn status(self, _: Context) -> Status {
+        (self.status)()
+    }
+
+    async fn document(self, _: Context) -> Option<Arc<str>> {
+        (self.document)()
+    }
+}
--- /dev/null
+++ b/crates/api/src/status.rs
@@ -0,0 +1,93 @@
+//! How a balancer is.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use acacia_config::document::Id;
+use serde::{Deserialize, Serialize};
+
+/// A balancer's account of itself. Times are ages in milliseconds, as the clocks of two VMs
+/// differ.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Status {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its number among the balancers.
+    pub id: u16,
+    /// The data centre that it runs in.
+    pub data_centre: Arc<str>,
+    /// Whether it serves, is starting or is leaving.
+    pub phase: Phase,
+    /// The revision that it has in force; none if it has none yet.
+    pub revision: Option<u64>,
+    /// The change that made that revision.
+    pub change: Option<Id>,
+    /// How long the revision has been in force, in milliseconds.
+    pub enforced_ms: u64,
+    /// How long ago it heard from the store; none if it never did or does not watch it.
+    pub store_ms: Option<u64>,
+    /// The other balancers that it knows.
+    pub peers: Vec<Peer>,
+    /// What it does for each service.
+    pub services: Vec<Service>,
+    /// Flows of each backend server through this balancer.
+    pub servers: Vec<Server>,
+}
+
+/// Where a balancer stands between its start and its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Phase {
+    /// It learns what is in force and does not serve yet.
+    #[default]
+    Starting,
+    /// It serves.
+    Serving,
+    /// It hands over before it stops.
+    Leaving,
+}
+
+/// Another balancer, as this one sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its number.
+    pub id: u16,
+    /// Its name.
+    pub name: Arc<str>,
+    /// Where it answers operators.
+    pub admin: SocketAddr,
+    /// How long ago its last heartbeat came, in milliseconds.
+    pub heard_ms: u64,
+    /// The revision that it said it has in force.
+    pub revision: Option<u64>,
+}
+
+/// What a balancer does for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// The service.
+    pub name: Arc<str>,
+    /// Its instance number.
+    pub instance: u64,
+    /// The version of its bucket table that is in force here.
+    pub table: u64,
+    /// Flows of it that this balancer remembers.
+    pub flows: u64,
+    /// Pins of it that this balancer owns.
+    pub pins: u64,
+}
+
+/// What a backend server has through a balancer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// The backend server.
+    pub name: Arc<str>,
+    /// Flows to it that this balancer remembers.
+    pub flows: u64,
+}
+
+impl Status {
+    /// Flows of all services.
+    #[must_use]
+    pub fn flows(&self) -> u64 {
+        self.services.iter().map(|service| service.flows).sum()
+    }
+}
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -6,6 +6,7 @@
 use std::{
     pin::{Pin, pin},
     task::{Context, Poll},
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
@@ -15,7 +16,15 @@
     server::{BaseChannel, Channel, TrackedRequest},
     tokio_serde::formats::Json,
 };
-use tokio::{net::TcpStream, task::JoinSet, time};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+    time,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Serves one accepted connection until the peer closes it or breaks the protocol. `handle` is
 /// mostly a closure around a service's `serve`. Dropping the future ends all its handlers.
@@ -44,6 +53,48 @@
     pump(BaseChannel::with_defaults(transport), handle).await;
 }
 
+/// Accepts connections and serves each with `serve`, until told to stop. Returns once all of them
+/// have ended: a server leaves no task behind.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// use acacia_platform::server;
+/// use tokio_util::sync::CancellationToken;
+/// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+/// let stop = CancellationToken::new();
+/// stop.cancel();
+/// server::listen(listener, stop, |stream| {
+///     server::connection(stream, async |_, _: String| Ok(String::from("answer")))
+/// })
+/// .await;
+/// # Ok(())
+/// # }
+/// ```
+pub async fn listen<F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    serve: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => break,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(serve(stream));
+                }
+                // Mostly out of file descriptors; a tight loop would only make that worse.
+                Err(_) => time::sleep(ACCEPT_PAUSE).await,
+            },
+        }
+    }
+    connections.shutdown().await;
+}
+
 /// Starts a handler for each request and sends what it answers.
 async fn pump<C, H, F>(channel: C, handle: H)
 where
--- a/crates/stand/src/platform/serve.rs
+++ b/crates/stand/src/platform/serve.rs
@@ -61,16 +61,20 @@
             tasks: JoinSet::new(),
         };
         let (shared, stop) = (Arc::clone(&stand.shared), stand.stop.clone());
-        stand.tasks.spawn(accept(listener, stop, move |stream| {
-            platform(stream, Arc::clone(&shared))
-        }));
+        stand
+            .tasks
+            .spawn(server::listen(listener, stop, move |stream| {
+                platform(stream, Arc::clone(&shared))
+            }));
         let (shared, stop) = (Arc::clone(&stand.shared), stand.stop.clone());
-        stand.tasks.spawn(accept(steering, stop, move |stream| {
-            let steer = Steer(Arc::clone(&shared));
-            server::connection(stream, move |ctx, req| {
-                steer.clone().serve().serve(ctx, req)
-            })
-        }));
+        stand
+            .tasks
+            .spawn(server::listen(steering, stop, move |stream| {
+                let steer = Steer(Arc::clone(&shared));
+                server::connection(stream, move |ctx, req| {
+                    steer.clone().serve().serve(ctx, req)
+                })
+            }));
         Ok(stand)
     }
 
@@ -130,25 +134,6 @@
     inner.store.expire(Duration::MAX);
 }
 
-/// Accepts until told to stop; the connections end with it.
-async fn accept<F>(listener: TcpListener, stop: CancellationToken, serve: impl Fn(TcpStream) -> F)
-where
-    F: Future<Output = ()> + Send + 'static,
-{
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            () = stop.cancelled() => break,
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => { connections.spawn(serve(stream)); }
-                Err(_) => time::sleep(Duration::from_millis(10)).await,
-            },
-        }
-    }
-    connections.shutdown().await;
-}
-
 /// Serves one connection for as long as the platform is not down.
 async fn platform(stream: TcpStream, shared: Arc<Shared>) {
     let number = shared.with(|inner, _| {
