Find a caller's customer in a sorted list, and keep changed servers in order

Callers arranges the prefixes for a question at each new flow. Changing a backend server in place could break the order that equal values rely on, so update_server puts it in place anew.

--- a/crates/config/src/config.rs
+++ b/crates/config/src/config.rs
@@ -67,31 +67,40 @@
         self.services.get(at.ok()?)
     }
 
-    /// The backend server of that name, to be changed in place.
+    /// Changes the backend server of that name; false if there is none. It is put in its place
+    /// anew, as a change of its name or service moves it.
     ///
     /// ```
     /// use acacia_config::{Config, Server, State};
     /// let mut config = Config::default();
     /// config.add_server(Server::new("old-1", "live", "10.1.0.1:6080".parse()?, "lima-a"));
-    /// if let Some(server) = config.server_mut("old-1") {
-    ///     server.state = State::Drain { deadline: None };
-    /// }
-    /// assert_eq!(config.servers()[0].state, State::Drain { deadline: None });
+    /// let drain = State::Drain { deadline: None };
+    /// assert!(config.update_server("old-1", |server| server.state = drain));
+    /// assert_eq!(config.servers()[0].state, drain);
     /// # Ok::<(), std::net::AddrParseError>(())
     /// ```
-    pub fn server_mut(&mut self, name: &str) -> Option<&mut Server> {
-        self.servers.iter_mut().find(|server| *server.name == *name)
+    pub fn update_server(&mut self, name: &str, change: impl FnOnce(&mut Server)) -> bool {
+        let named = |server: &Server| *server.name == *name;
+        let Some(at) = self.servers.iter().position(named) else {
+            return false;
+        };
+        let mut server = self.servers.remove(at);
+        change(&mut server);
+        self.add_server(server);
+        true
     }
 
-    /// The backend servers of a service.
-    pub fn servers_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
-        self.servers
-            .iter()
-            .filter(move |server| *server.service == *service)
+    /// The backend servers of a service, by name.
+    #[must_use]
+    pub fn servers_of(&self, service: &str) -> &[Server] {
+        let start = self.servers.partition_point(|s| &*s.service < service);
+        let end = self.servers.partition_point(|s| &*s.service <= service);
+        &self.servers[start..end]
     }
 
     /// The customer that an address belongs to: the one with the longest prefix around it. For a
-    /// look at single addresses; it goes through all prefixes.
+    /// look at single addresses, as it goes through all prefixes; [`Callers`](crate::Callers) is
+    /// for many.
     ///
     /// ```
     /// use acacia_config::{Config, Customer, Mark};
--- a/crates/config/src/customer.rs
+++ b/crates/config/src/customer.rs
@@ -1,4 +1,9 @@
-use std::{fmt, net::IpAddr, str::FromStr, sync::Arc};
+use std::{
+    fmt,
+    net::{IpAddr, Ipv4Addr, Ipv6Addr},
+    str::FromStr,
+    sync::Arc,
+};
 
 use acacia_code::Code;
 use serde::Serialize;
@@ -78,6 +83,17 @@
         (length <= width(address) && rest == 0).then_some(prefix)
     }
 
+    /// The block of that length around an address.
+    pub(crate) fn around(address: IpAddr, length: u8) -> Self {
+        let whole = Prefix { address, length };
+        let bits = whole.bits(address) & whole.mask();
+        let address = match address {
+            IpAddr::V4(_) => IpAddr::V4(Ipv4Addr::from_bits((bits >> 96) as u32)),
+            IpAddr::V6(_) => IpAddr::V6(Ipv6Addr::from_bits(bits)),
+        };
+        Prefix { address, length }
+    }
+
     /// Its first address.
     #[must_use]
     pub fn address(&self) -> IpAddr {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod callers;
 mod check;
 mod config;
 mod customer;
@@ -28,6 +29,7 @@
 mod server;
 mod service;
 
+pub use callers::Callers;
 pub use check::check;
 pub use config::Config;
 pub use customer::{Customer, Mark, Prefix};
--- a/crates/config/tests/it/main.rs
+++ b/crates/config/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the configuration: its values, text, comparison and stored form.
 
+mod callers;
 mod document;
 mod fixture;
 mod parse;
--- a/crates/config/tests/it/plan.rs
+++ b/crates/config/tests/it/plan.rs
@@ -11,7 +11,8 @@
 fn a_drain_is_one_change_with_its_effect() {
     let before = config();
     let mut after = config();
-    after.server_mut("live-2").expect("a server").state = State::Drain { deadline: Some(9) };
+    let drain = State::Drain { deadline: Some(9) };
+    assert!(after.update_server("live-2", |server| server.state = drain));
     let plan = compare(&before, &after);
     let step = Step {
         from: State::Active,
@@ -34,7 +35,8 @@
 fn a_service_left_without_servers_for_new_work_is_named() {
     let mut after = config();
     for name in ["maps-1", "maps-2"] {
-        after.server_mut(name).expect("a server").state = State::Drain { deadline: None };
+        let drain = State::Drain { deadline: None };
+        assert!(after.update_server(name, |server| server.state = drain));
     }
     let plan = compare(&config(), &after);
     let starved: Vec<_> = plan.starved().map(|e| &*e.service).collect();
--- a/crates/ctl/src/verb/drain.rs
+++ b/crates/ctl/src/verb/drain.rs
@@ -37,11 +37,10 @@
     let found = in_force::require(settings).await?;
     let mut config = found.config;
     for name in servers {
-        let Some(server) = config.server_mut(name) else {
+        if !config.update_server(name, |server| server.state = state) {
             let reason = format!("no backend server is called {name}");
             return Err(Report::failure(Code::ServerUnknown, reason));
-        };
-        server.state = state;
+        }
     }
     let over = Some(found.document.revision);
     apply::config_as(settings, config, over, patience).await
