Bound operators' connections and let a dead peer's late heartbeat hold no one up

A heartbeat of a peer that is not in the view counted until the next view, so one that came late from a dead peer kept a newborn from serving. It counts for nothing now. The balancers' admin port takes a few connections for a minute each, and the platform's client can be closed with nothing left running.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -5,16 +5,24 @@
 mod ask;
 pub mod status;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use acacia_platform::server;
 use tarpc::{context::Context, server::Serve as _};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time};
 use tokio_util::sync::CancellationToken;
 
 pub use ask::{Error, ask};
 pub use status::Status;
 
+/// Operators' connections at a time. Load: a few operators ask at once, each for milliseconds.
+/// Harm: a message may claim some megabytes before it is known to be nonsense, and a balancer has
+/// 128 MB for control. Hence few connections; more wait their turn.
+const CONNECTIONS: usize = 8;
+/// How long a connection may stay. One whose other end has gone without a word would keep its
+/// place for good.
+const LIFETIME: Duration = Duration::from_secs(60);
+
 /// The questions that a balancer answers.
 #[tarpc::service]
 pub trait Admin {
@@ -54,14 +62,17 @@
     S: Fn() -> Status + Clone + Send + Sync + 'static,
     D: Fn() -> Option<Arc<str>> + Clone + Send + Sync + 'static,
 {
-    server::listen(listener, stop, move |stream| {
+    server::listen(listener, stop, CONNECTIONS, move |stream| {
         let answers = Answers {
             status: status.clone(),
             document: document.clone(),
         };
-        server::connection(stream, move |ctx, req| {
+        let connection = server::connection(stream, move |ctx, req| {
             answers.clone().serve().serve(ctx, req)
-        })
+        });
+        async move {
+            let _over = time::timeout(LIFETIME, connection).await;
+        }
     })
     .await;
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -123,6 +123,12 @@
         }
     }
 
+    /// Closes the connections and waits until nothing of the client runs any more.
+    pub async fn close(self) {
+        self.calls.close().await;
+        self.watches.close().await;
+    }
+
     /// Calls made so far, for the metrics.
     #[must_use]
     pub fn calls(&self) -> u64 {
--- a/crates/platform/src/client/slot.rs
+++ b/crates/platform/src/client/slot.rs
@@ -9,14 +9,18 @@
 
 use tarpc::{client, serde_transport::Transport, tokio_serde::formats::Json};
 use tokio::{net::TcpStream, time::Instant};
-use tokio_util::task::AbortOnDropHandle;
+use tokio_util::{
+    sync::{CancellationToken, DropGuard},
+    task::TaskTracker,
+};
 
 use crate::{link::Link, service::PlatformClient};
 
-/// Holds the connection in use, if any.
+/// Holds the connection in use, if any, and all tasks that serve connections.
 #[derive(Debug, Default)]
 pub(super) struct Slot {
     current: Mutex<Option<Arc<Open>>>,
+    tasks: TaskTracker,
 }
 
 /// An open connection. The task that serves it ends with the last call that uses it.
@@ -24,7 +28,7 @@
 pub(super) struct Open {
     rpc: PlatformClient,
     link: Mutex<Link>,
-    _dispatch: AbortOnDropHandle<()>,
+    _stop: DropGuard,
 }
 
 impl Open {
@@ -55,14 +59,19 @@
         let transport = Transport::from((stream, Json::default()));
         let new = PlatformClient::new(client::Config::default(), transport);
         let dispatch = new.dispatch;
-        let task = tokio::spawn(async move {
-            // Its error reaches each caller as the failure of its own call.
-            let _broken = dispatch.await;
+        let stop = CancellationToken::new();
+        let stopped = stop.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                // Its error reaches each caller as the failure of its own call.
+                _ = dispatch => {}
+                () = stopped.cancelled() => {}
+            }
         });
         let open = Arc::new(Open {
             rpc: new.client,
             link: Mutex::new(Link::new(start.elapsed())),
-            _dispatch: AbortOnDropHandle::new(task),
+            _stop: stop.drop_guard(),
         });
         *self.lock() = Some(Arc::clone(&open));
         Ok(open)
@@ -76,6 +85,13 @@
         }
     }
 
+    /// Gives up the connection and waits for the tasks of all that there were.
+    pub(super) async fn close(&self) {
+        *self.lock() = None;
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
     fn current(&self) -> Option<Arc<Open>> {
         self.lock().clone()
     }
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -56,6 +56,10 @@
 /// Accepts connections and serves each with `serve`, until told to stop. Returns once all of them
 /// have ended: a server leaves no task behind.
 ///
+/// Load: anyone who reaches the port can open connections. Harm: each takes memory and a file
+/// descriptor that flows need. Hence no more than `limit` at a time; further ones wait in the
+/// listener's backlog.
+///
 /// ```
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> std::io::Result<()> {
@@ -64,7 +68,7 @@
 /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
 /// let stop = CancellationToken::new();
 /// stop.cancel();
-/// server::listen(listener, stop, |stream| {
+/// server::listen(listener, stop, 8, |stream| {
 ///     server::connection(stream, async |_, _: String| Ok(String::from("answer")))
 /// })
 /// .await;
@@ -74,6 +78,7 @@
 pub async fn listen<F>(
     listener: TcpListener,
     stop: CancellationToken,
+    limit: usize,
     serve: impl Fn(TcpStream) -> F,
 ) where
     F: Future<Output = ()> + Send + 'static,
@@ -83,7 +88,7 @@
         tokio::select! {
             () = stop.cancelled() => break,
             Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => match accepted {
+            accepted = listener.accept(), if connections.len() < limit => match accepted {
                 Ok((stream, _)) => {
                     connections.spawn(serve(stream));
                 }
--- a/crates/platform/tests/it/client.rs
+++ b/crates/platform/tests/it/client.rs
@@ -1,12 +1,13 @@
 use std::time::Duration;
 
 use acacia_platform::{
-    Error,
+    Client, Error, Options,
+    limit::Rate,
     machine::{Machine, State},
     store::{MAX_VALUE, Outcome, Refusal},
 };
 
-use crate::fixture::{client, key, patient, stand, swap};
+use crate::fixture::{client, key, options, patient, stand, swap};
 
 #[tokio::test]
 async fn a_value_is_written_read_and_compared() {
@@ -205,3 +206,24 @@
     assert_eq!(late, Ok(Vec::new()));
     stand.stop().await;
 }
+
+/// A caller loops on an error. The platform must not feel it: the client makes no more calls than
+/// its limit allows and says when the next may be made.
+#[tokio::test]
+async fn a_caller_in_a_loop_is_held_back() {
+    let stand = stand().await;
+    let rate = Rate {
+        per_second: 0.001,
+        burst: 3.0,
+    };
+    let client = Client::new(stand.address(), Options { rate, ..options() });
+    let mut limited = 0;
+    for _ in 0..50 {
+        let answer = client.machines().await;
+        limited += u32::from(matches!(answer, Err(Error::Limited { .. })));
+    }
+    assert_eq!(limited, 47);
+    assert_eq!(stand.counts().total(), 3);
+    client.close().await;
+    stand.stop().await;
+}
--- a/crates/rollout/src/peers.rs
+++ b/crates/rollout/src/peers.rs
@@ -13,9 +13,9 @@
     known: BTreeMap<u16, Known>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Known {
-    data_centre: Option<Arc<str>>,
+    data_centre: Arc<str>,
     version: Option<Version>,
 }
 
@@ -24,16 +24,23 @@
     pub(crate) fn view(&mut self, peers: Vec<Peer>) {
         let mut before = std::mem::take(&mut self.known);
         for peer in peers {
-            let mut known = before.remove(&peer.id).unwrap_or_default();
-            known.data_centre = Some(peer.data_centre);
+            let version = before.remove(&peer.id).and_then(|known| known.version);
+            let data_centre = peer.data_centre;
+            let known = Known {
+                data_centre,
+                version,
+            };
             self.known.insert(peer.id, known);
         }
     }
 
-    /// A peer's heartbeat. It may come before the view that names the peer. An older heartbeat
-    /// that comes late only makes us ask a peer once in vain.
+    /// A peer's heartbeat. An older one that comes late only makes us ask a peer once in vain. One
+    /// of a peer that is not in the view counts for nothing: it may have died, and a newborn must
+    /// not wait for what a dead peer has. If it is new, its next heartbeat comes within a second.
     pub(crate) fn heard(&mut self, peer: u16, version: Option<Version>) {
-        self.known.entry(peer).or_default().version = version;
+        if let Some(known) = self.known.get_mut(&peer) {
+            known.version = version;
+        }
     }
 
     /// The highest version that any peer has, but for those that were rejected.
@@ -46,8 +53,7 @@
     pub(crate) fn holders(&self, version: Version, data_centre: &str) -> Vec<u16> {
         let holders = |near: bool| -> Vec<u16> {
             let holds = |known: &Known| {
-                known.version == Some(version)
-                    && (!near || known.data_centre.as_deref() == Some(data_centre))
+                known.version == Some(version) && (!near || *known.data_centre == *data_centre)
             };
             let all = self.known.iter().filter(|(_, known)| holds(known));
             all.map(|(id, _)| *id).collect()
@@ -64,7 +70,7 @@
     pub(crate) fn rank(&self, id: u16, data_centre: &str) -> usize {
         let lower = self.known.range(..id);
         lower
-            .filter(|(_, known)| known.data_centre.as_deref() == Some(data_centre))
+            .filter(|(_, known)| *known.data_centre == *data_centre)
             .count()
     }
 }
--- a/crates/rollout/tests/it/core.rs
+++ b/crates/rollout/tests/it/core.rs
@@ -206,6 +206,20 @@
     assert_eq!(ends, [Some(Version::of(&twin)); 2]);
 }
 
+/// A peer dies, and a heartbeat of its comes late. What it had can't be fetched any more; waiting
+/// for it would keep a newborn from ever serving.
+#[test]
+fn a_late_heartbeat_of_a_dead_peer_holds_nobody_up() {
+    let mut core = rollout(9, "hervanta");
+    core.step(ms(0), Event::View(vec![peer(1, "hervanta")]));
+    core.step(ms(10), Event::Store(Some(answer(4))));
+    core.step(ms(500), Event::View(vec![]));
+    let late = core.step(ms(600), heard(1, 9));
+    let after = core.step(ms(1200), Event::Tick);
+    assert!(fetches(&late).is_empty());
+    assert!(after.contains(&Action::Ready));
+}
+
 /// Two peers have the change and one of them refuses. Asking the same again would put the change
 /// off for as long as that lasts.
 #[test]
--- a/crates/stand/src/platform/serve.rs
+++ b/crates/stand/src/platform/serve.rs
@@ -22,6 +22,9 @@
     state::{Inner, Shared},
 };
 
+/// Connections at a time: as many as a test has balancers and operators.
+const CONNECTIONS: usize = 1000;
+
 /// A running stand-in for the platform.
 #[derive(Debug)]
 pub struct Stand {
@@ -63,13 +66,13 @@
         let (shared, stop) = (Arc::clone(&stand.shared), stand.stop.clone());
         stand
             .tasks
-            .spawn(server::listen(listener, stop, move |stream| {
+            .spawn(server::listen(listener, stop, CONNECTIONS, move |stream| {
                 platform(stream, Arc::clone(&shared))
             }));
         let (shared, stop) = (Arc::clone(&stand.shared), stand.stop.clone());
         stand
             .tasks
-            .spawn(server::listen(steering, stop, move |stream| {
+            .spawn(server::listen(steering, stop, CONNECTIONS, move |stream| {
                 let steer = Steer(Arc::clone(&shared));
                 server::connection(stream, move |ctx, req| {
                     steer.clone().serve().serve(ctx, req)
