Keep heartbeats to live members at their pace whatever the platform lists

Cause: the interval went by all members that were not dead. Fifty VMs that are long gone in a lagging list slowed the heartbeats to the living beyond what these wait for, and all were unsure (a_list_full_of_dead_machines_slows_nothing failed). The interval goes by the heard ones now, and each heartbeat says its sender's, since views of different size expect different paces.

--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -129,7 +129,7 @@
     /// The group as of `now`.
     #[must_use]
     pub fn view(&self, now: Duration) -> View {
-        let bound = self.fresh_bound();
+        let interval = self.interval();
         let member = |record: &Record| Member {
             id: record.id,
             address: record.contact.as_ref().map(|contact| contact.address),
@@ -142,7 +142,7 @@
             revision: record.revision,
             table: record.table,
             acknowledged: record.acknowledged,
-            hears_us: record.is_fresh(now, bound),
+            hears_us: record.is_fresh(now, record.fresh_for(&self.settings, interval)),
         };
         View {
             id: self.contact.id,
@@ -156,15 +156,17 @@
     /// Until when every member that is not dead stays fresh without a further heartbeat. None
     /// while this balancer is young: it may not know all members yet.
     fn sure_until(&self, now: Duration) -> Option<Duration> {
-        let bound = self.fresh_bound();
+        let interval = self.interval();
+        let bound = interval * self.settings.fresh;
         if now.saturating_sub(self.born) < bound {
             return None;
         }
         // Alone, it relies on its own ticks only.
         let alone = Some(self.last + bound);
+        let fresh_for = |record: &Record| record.fresh_for(&self.settings, interval);
         let living = self
             .living()
-            .map(|record| record.echoed.map(|echoed| echoed + bound));
+            .map(|record| Some(record.echoed? + fresh_for(record)));
         living.fold(alone, |least, until| Some(least?.min(until?)))
     }
 
@@ -174,8 +176,16 @@
             .filter(|record| record.state != State::Dead)
     }
 
-    pub(crate) fn fresh_bound(&self) -> Duration {
-        self.settings.fresh_for(self.living().count())
+    /// Between our heartbeats to a heard member: the pace for the control transport. Members that
+    /// are not heard don't count: a list of machines that are long gone would make us fall silent
+    /// to those that live.
+    #[must_use]
+    pub fn interval(&self) -> Duration {
+        let heard = self
+            .records
+            .values()
+            .filter(|record| record.state.is_heard());
+        self.settings.interval_for(heard.count())
     }
 
     /// The record of this id, a new one if there is room. A full group makes room by forgetting
@@ -212,7 +222,7 @@
     pub(crate) fn advance(&mut self, now: Duration) {
         let jump = now.saturating_sub(self.last);
         self.last = self.last.max(now);
-        if jump > self.settings.frozen_for(self.living().count()) {
+        if jump > self.settings.frozen_within(self.interval()) {
             self.rejoin(now, Cause::Frozen(jump));
         }
         if let Some(known) = self
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -57,6 +57,9 @@
     pub ask: Vec<u16>,
     /// Those of the members the receiver asked about that the sender itself hears.
     pub hear: Vec<u16>,
+    /// Milliseconds between the sender's heartbeats. In a view of another size the receiver would
+    /// expect them more often than they come.
+    pub interval: u32,
     /// Asks the receiver for a heartbeat at once.
     pub prompt: bool,
     /// The revision of the configuration that the sender has in force.
--- a/crates/member/src/receive.rs
+++ b/crates/member/src/receive.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use crate::record::Record;
-use crate::{Contact, Echo, Event, Group, Heartbeat, Refusal, State};
+use crate::{Contact, Echo, Event, Group, Heartbeat, MAX_GROUP, Refusal, State};
 
 impl Group {
     /// Takes in a heartbeat from the balancer `sender` in its `incarnation`, as the frame's
@@ -18,6 +18,7 @@
             return Err(Refusal::Own);
         }
         let own = self.incarnation;
+        let longest = self.settings.interval_for(MAX_GROUP);
         let record = self.admit(sender, now).ok_or(Refusal::Full)?;
         let restarted = check(record, incarnation, heartbeat.number)?;
         if restarted {
@@ -34,6 +35,7 @@
         record.phase = heartbeat.phase;
         record.revision = heartbeat.revision;
         record.table = heartbeat.table;
+        record.interval = Duration::from_millis(heartbeat.interval.into()).min(longest);
         record.ask.clone_from(&heartbeat.ask);
         record.hear.clone_from(&heartbeat.hear);
         record.urgent |= heartbeat.prompt;
@@ -50,7 +52,7 @@
 
     /// An echo of a heartbeat of ours proves that the peer lived after we had sent it.
     fn take_echo(&mut self, now: Duration, sender: u16, own: u64, echo: Option<Echo>) {
-        let bound = self.fresh_bound();
+        let interval = self.interval();
         let Some(record) = self.records.get_mut(&sender) else {
             return;
         };
@@ -58,6 +60,7 @@
             Some(echo) if echo.incarnation == own => {
                 record.acknowledged = record.acknowledged.max(echo.number);
                 record.echoed = record.echoed.max(record.sent_at(echo.number));
+                let bound = record.fresh_for(&self.settings, interval);
                 record.proven |= record.is_fresh(now, bound);
             }
             Some(echo) if echo.incarnation > own => {
@@ -118,8 +121,9 @@
     }
 
     fn judge(&self, now: Duration, record: &Record) -> State {
-        let living = self.living().count();
-        let arriving = record.is_arriving(now, self.settings.fresh_for(living));
+        let interval = self.interval();
+        let fresh = record.fresh_for(&self.settings, interval);
+        let arriving = record.is_arriving(now, fresh);
         if arriving && record.proven {
             return record.phase.into();
         }
@@ -133,9 +137,9 @@
             };
         }
         let waited = now.saturating_sub(record.last_sign());
-        let ending = record.is_ending() && waited > self.settings.fresh_for(living);
-        let given_up =
-            waited > self.settings.death_for(living) && !self.is_heard_by_others(record.id);
+        let ending = record.is_ending() && waited > fresh;
+        let given_up = waited > record.death_for(&self.settings, interval)
+            && !self.is_heard_by_others(record.id);
         if ending || given_up {
             State::Dead
         } else {
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::{Contact, Phase, State};
+use crate::{Contact, Phase, Settings, State};
 
 /// How many of our heartbeats to one peer are remembered by their sending time. 64: at the least
 /// gap of 100 ms that reaches back 6.4 s, three times the bound of a small group. An echo of an
@@ -49,6 +49,8 @@
     /// The sending time of the latest of our heartbeats that it echoed.
     pub(crate) echoed: Option<Duration>,
     pub(crate) acknowledged: u64,
+    /// Between its heartbeats, as it said itself.
+    pub(crate) interval: Duration,
     pub(crate) ask: Vec<u16>,
     pub(crate) hear: Vec<u16>,
     pub(crate) revision: u64,
@@ -76,6 +78,7 @@
             proven: false,
             echoed: None,
             acknowledged: 0,
+            interval: Duration::ZERO,
             ask: Vec::new(),
             hear: Vec::new(),
             revision: 0,
@@ -125,6 +128,17 @@
         Some(self.sent[at].1)
     }
 
+    /// The bound after which it is unheard, and its echo stale, by the slower of both sides: it
+    /// echoes ours no more often than it sends.
+    pub(crate) fn fresh_for(&self, settings: &Settings, interval: Duration) -> Duration {
+        interval.max(self.interval) * settings.fresh
+    }
+
+    /// The bound after which it is dead if nobody hears it.
+    pub(crate) fn death_for(&self, settings: &Settings, interval: Duration) -> Duration {
+        interval.max(self.interval) * settings.death
+    }
+
     /// Whether a heartbeat arrived within the bound.
     pub(crate) fn is_arriving(&self, now: Duration, bound: Duration) -> bool {
         self.heard
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -18,7 +18,7 @@
     /// 500 ms: with [`Settings::fresh`] intervals a silent peer is noticed after 2 s, while 8
     /// peers cost about 2 KB/s.
     pub interval: Duration,
-    /// With more peers than this the interval grows with their number, so that the cost per
+    /// With more heard peers than this the interval grows with their number, so that the cost per
     /// balancer stays constant. 8: today's largest group has 9 balancers.
     pub full_rate: usize,
     /// Intervals after which a member counts as unheard, and its echo as stale. 4: an echo is up
@@ -88,7 +88,11 @@
     /// interval less than the bound after which a peer may have given it up.
     #[must_use]
     pub fn frozen_for(&self, peers: usize) -> Duration {
-        self.interval_for(peers) * self.fresh.saturating_sub(1).max(1)
+        self.frozen_within(self.interval_for(peers))
+    }
+
+    pub(crate) fn frozen_within(&self, interval: Duration) -> Duration {
+        interval * self.fresh.saturating_sub(1).max(1)
     }
 
     /// Time after which a change needs no acknowledgement: no peer still trusts a heartbeat
--- a/crates/member/src/tick.rs
+++ b/crates/member/src/tick.rs
@@ -66,11 +66,13 @@
         let Some(last) = record.last_sent() else {
             return true;
         };
-        let interval = self.settings.interval_for(self.living().count());
+        // Those that are not heard share a budget of their own, as large as that of the heard.
+        let unheard = self.settings.interval_for(self.records.len());
         let gap = match record.state {
             _ if record.urgent => self.settings.least_gap,
-            State::Dead => interval * self.settings.probe,
-            _ => interval,
+            State::Dead => unheard * self.settings.probe,
+            State::Unheard => unheard,
+            _ => self.interval(),
         };
         // Half a tick early rather than half a tick late: otherwise every interval is rounded up
         // to the next tick, and the bounds lose that much of their reserve.
@@ -89,6 +91,7 @@
             }),
             ask: self.unheard(),
             hear: self.heard_among(&record.ask),
+            interval: u32::try_from(self.interval().as_millis()).unwrap_or(u32::MAX),
             prompt: record.prompt,
             revision: self.revision,
             table: self.table,
--- a/crates/member/tests/it/faults.rs
+++ b/crates/member/tests/it/faults.rs
@@ -254,3 +254,49 @@
 
     assert_eq!(net.state(1, 2), Some(State::Unheard));
 }
+
+/// The platform's list still names fifty VMs that are long gone. A balancer that spread its
+/// heartbeats over all of them would fall silent to those that live, or break its budget.
+#[test]
+fn a_list_full_of_dead_machines_slows_nothing() {
+    let mut net = Net::settled(4, 1);
+    let hints: Vec<_> = (1..=4).chain(100..150).map(hint).collect();
+    let now = net.now;
+    net.node(1).group.hint(now, &hints);
+    net.sent.clear();
+
+    net.run_checked(Duration::from_secs(20), |net| {
+        for viewer in 2..=4 {
+            assert_eq!(net.state(viewer, 1), Some(State::Ready));
+            assert!(net.is_sure(viewer));
+        }
+    });
+
+    assert!(net.is_sure(1));
+    // At most 16 a second each to the heard and the unheard, and 4 to the dead.
+    assert!(
+        net.sent[&1] < 20 * 36 * 2 / 3,
+        "{} heartbeats in 20 s",
+        net.sent[&1]
+    );
+}
+
+/// Part of a large group is cut off from one member, which then hears few and expects more of
+/// them than the large group's slow pace gives.
+#[test]
+fn a_slow_peer_is_given_its_own_time() {
+    let mut net = Net::settled(36, 1);
+    let others = 8..=36;
+    for other in others {
+        net.cut.insert((1, other));
+        net.cut.insert((other, 1));
+    }
+    net.run(Duration::from_secs(25));
+
+    net.run_checked(Duration::from_secs(6), |net| {
+        for id in 2..8 {
+            assert_eq!(net.state(1, id), Some(State::Ready), "1 sees {id}");
+            assert_eq!(net.state(id, 1), Some(State::Ready), "{id} sees 1");
+        }
+    });
+}
--- a/crates/member/tests/it/net.rs
+++ b/crates/member/tests/it/net.rs
@@ -34,6 +34,8 @@
     pub delay: Duration,
     /// Every frame that was delivered.
     pub delivered: Vec<Frame>,
+    /// How many heartbeats each member has sent.
+    pub sent: BTreeMap<u16, usize>,
     queue: BTreeMap<(Duration, u64), Frame>,
     incarnations: BTreeMap<(u16, u16), u64>,
     random: Pcg64,
@@ -81,6 +83,7 @@
             loss: 0.0,
             delay: Duration::from_millis(20),
             delivered: Vec::new(),
+            sent: BTreeMap::new(),
             queue: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             random: Pcg64::seed_from_u64(seed),
@@ -196,6 +199,7 @@
         }
         for frame in sent {
             self.count += 1;
+            *self.sent.entry(frame.from).or_default() += 1;
             if self.random.random::<f64>() >= self.loss {
                 let delay = self.delay.mul_f64(self.random.random::<f64>());
                 self.queue.insert((now + delay, self.count), frame);
--- a/crates/peer/tests/it/frame.rs
+++ b/crates/peer/tests/it/frame.rs
@@ -22,6 +22,7 @@
         }),
         ask: vec![],
         hear: vec![],
+        interval: 500,
         prompt: false,
         revision: 100_000,
         table: 100_000,
