--- a/crates/e2e/tests/it/change.rs
+++ b/crates/e2e/tests/it/change.rs
@@ -13,7 +13,10 @@
 /// Puts the server `name` into a drain without a deadline.
 fn drain(deployment: &mut Deployment, name: &str) {
     let mut config = deployment.config().unwrap();
-    config.server_mut(name).unwrap().state = State::Drain { deadline: None };
+    let found = config.update_server(name, |server| {
+        server.state = State::Drain { deadline: None }
+    });
+    assert!(found);
     deployment.apply(&config).unwrap();
 }
 
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -150,7 +150,7 @@
             }
             Message::Config(document) => {
                 let outcome = self.agreement.fetched_config(now, from, document);
-                self.follow(outcome);
+                self.follow(now, outcome);
             }
             Message::AskTables => {
                 let text = self
@@ -161,7 +161,7 @@
             }
             Message::Tables(text) => {
                 let outcome = self.agreement.fetched_tables(now, from, text.as_deref())?;
-                self.follow(outcome);
+                self.follow(now, outcome);
             }
         }
         Ok(std::mem::take(&mut self.outgoing))
@@ -184,7 +184,7 @@
             .config
             .map(|(revision, change)| Version { revision, change });
         let outcome = self.agreement.heard(now, from, version, heartbeat.table);
-        self.follow(outcome);
+        self.follow(now, outcome);
         Ok(())
     }
 
@@ -197,11 +197,11 @@
             News::WroteTables(answer) => self.agreement.wrote_tables(now, answer),
             News::Machines(machines) => return self.set_machines(now, &machines),
         };
-        self.follow(outcome);
+        self.follow(now, outcome);
     }
 
     /// Carries out what follows from an event of the agreement.
-    fn follow(&mut self, outcome: agreement::Outcome) {
+    fn follow(&mut self, now: Duration, outcome: agreement::Outcome) {
         self.orders.extend(outcome.orders);
         for ask in outcome.asks {
             match ask {
@@ -213,7 +213,7 @@
             let (tables, servers) = self.agreement.tables();
             log::info!("event=tables-in-force version={}", tables.version);
             self.servers = Arc::new(servers);
-            self.flow.set_tables(tables.clone());
+            self.flow.set_tables(tables.clone(), millis(now));
             self.tables = tables;
             self.group.hasten();
         }
@@ -301,12 +301,12 @@
     fn agree(&mut self, now: Duration, unix: Duration) {
         let view = self.group.view(now);
         let outcome = self.agreement.saw_view(now, &view);
-        self.follow(outcome);
+        self.follow(now, outcome);
         let flow = &self.flow;
         let outcome = self
             .agreement
             .tick(now, unix, &|version| flow.is_known_everywhere(version));
-        self.follow(outcome);
+        self.follow(now, outcome);
     }
 
     /// Heartbeats and copies of pins that are due.
@@ -365,7 +365,7 @@
             incarnation,
         };
         self.flow = Control::new(node, FlowSettings::default(), millis(now));
-        self.flow.set_tables(self.tables.clone());
+        self.flow.set_tables(self.tables.clone(), millis(now));
         self.refresh_members(now);
         if self.leaving {
             self.flow.leave();
--- a/crates/stand/src/caller.rs
+++ b/crates/stand/src/caller.rs
@@ -249,7 +249,10 @@
         for flow in std::mem::take(&mut self.flows) {
             self.count(
                 &Flow {
-                    result: flow.result.or(Some(Result::Lasted)),
+                    result: flow.result.or(Some(match flow.received.is_empty() {
+                        true => Result::Unanswered,
+                        false => Result::Lasted,
+                    })),
                     ..flow
                 },
                 now,
@@ -344,7 +347,11 @@
                 Result::Unanswered
             })
         } else if over {
-            Some(if self.received.is_empty() { Result::Unanswered } else { Result::Lasted })
+            Some(if self.received.is_empty() {
+                Result::Unanswered
+            } else {
+                Result::Lasted
+            })
         } else {
             None
         }
--- a/crates/tables/src/follow.rs
+++ b/crates/tables/src/follow.rs
@@ -248,7 +248,7 @@
             let mut released = self.released.iter();
             !is_new && released.any(|released| released.server == address)
         };
-        let servers = self.config.servers_of(&front.name);
+        let servers = self.config.servers_of(&front.name).iter();
         servers
             .filter(|server| !server.state.is_gone(self.situation.now))
             .filter(|server| !listed(server.address) && !in_use(server.address))
@@ -314,7 +314,7 @@
             let mut servers = full.servers.iter();
             servers.any(|listed| listed.address == server.address)
         };
-        let missing = config.servers_of(&service.name);
+        let missing = config.servers_of(&service.name).iter();
         found.extend(
             missing
                 .filter(|server| !listed(server))
--- a/crates/tables/src/follow/service.rs
+++ b/crates/tables/src/follow/service.rs
@@ -19,6 +19,7 @@
     pub(super) fn age(&mut self, config: &Config, front: &config::Service, now: u64, version: u64) {
         let wanted: Map<_, _> = config
             .servers_of(&front.name)
+            .iter()
             .map(|server| (server.address, server))
             .collect();
         for server in &mut self.servers {
--- a/crates/tables/tests/it/fixture.rs
+++ b/crates/tables/tests/it/fixture.rs
@@ -54,8 +54,8 @@
 /// A configuration in which the server on a host is drained.
 pub fn draining(config: &Config, at: u8, deadline: Option<u64>) -> Config {
     let mut config = config.clone();
-    let server = config.server_mut(&format!("server-{at}"));
-    server.expect("a server").state = State::Drain { deadline };
+    let name = format!("server-{at}");
+    assert!(config.update_server(&name, |server| server.state = State::Drain { deadline }));
     config
 }
 
--- a/crates/tables/tests/it/follow.rs
+++ b/crates/tables/tests/it/follow.rs
@@ -158,7 +158,7 @@
     let mut chain = Chain::new(&live(2));
     let old = chain.number(2);
     let mut moved = live(2);
-    moved.server_mut("server-2").expect("a server").address = host(7);
+    assert!(moved.update_server("server-2", |server| server.address = host(7)));
     chain.apply(&moved);
     assert_eq!(chain.number(2), old);
     assert_ne!(chain.number(7), old);
