--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -77,6 +77,15 @@
         self.kinds[kind as usize].load(Ordering::Relaxed)
     }
 
+    /// All counts as key=value pairs, for a line of the log.
+    #[must_use]
+    pub fn line(&self) -> String {
+        let kinds = KINDS.iter().map(|(kind, name)| format!("{name}={}", self.of(*kind)));
+        let codes = self.codes();
+        let codes = codes.iter().map(|(code, count)| format!("{}={count}", code.label()));
+        kinds.chain(codes).collect::<Vec<_>>().join(" ")
+    }
+
     /// The codes that were counted at least once.
     #[must_use]
     pub fn codes(&self) -> Vec<(Code, u64)> {
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -114,7 +114,7 @@
     waiter
         .join()
         .map_err(|_| anyhow::anyhow!("the signal thread panicked"))?;
-    log::info!("event=ended id={}", settings.id);
+    log::info!("event=ended id={} {}", settings.id, shared.counter.line());
     if let Some(death) = &outcome.death {
         log::error!(
             "event=service-died service={} reason=\"{}\"",
