List by number the balancers that a redirected packet has met

Cause: a bit for each owner's place in the chain was read differently by balancers whose former owners' sets still differed (for the 10 s of grace after each handover), and an opening went to and fro until the bound on hops dropped it, also when resent: 8 of 899 requests unanswered while three balancers were replaced in turn (redirect-hops=29 at one of them). Ruled out: the order of the alive list, the number of hops itself. A redirect header grows from 20 to 28 bytes.

--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -1,6 +1,6 @@
 use acacia_code::Code;
 use acacia_wire::{
-    encap::{MAX_HOPS, NO_SERVER, Purpose, Redirect},
+    encap::{MAX_HOPS, NO_SERVER, Purpose, Redirect, Told},
     flow::Protocol,
     packet::{Kind, Packet},
 };
@@ -13,9 +13,6 @@
     verdict::{Action, Arrival, Notice, Placement, Request, Verdict},
 };
 
-/// Bit of [`Redirect::asked`]: a balancer that took another for the flow's owner passed it on.
-const PASSED_ON: u8 = 1;
-
 /// Decides what to do with `packet`, which came to this balancer at `now`.
 ///
 /// `shard` is the one that holds the packet's flow. `place` chooses the server of a new flow.
@@ -152,11 +149,11 @@
         match self.first_able(&chain) {
             None => drop(Code::OwnersUnreachable),
             Some(id) if id == self.snapshot.me.id => self.decide(&chain),
-            Some(id) => self.redirect(id, Purpose::Resolve, NO_SERVER, 0),
+            Some(id) => self.redirect(id, Purpose::Resolve, NO_SERVER, Told::default()),
         }
     }
 
-    fn redirect(&self, to: u16, purpose: Purpose, server: u16, asked: u8) -> Verdict {
+    fn redirect(&self, to: u16, purpose: Purpose, server: u16, told: Told) -> Verdict {
         if self.hops >= MAX_HOPS {
             return drop(Code::RedirectHops);
         }
@@ -165,7 +162,9 @@
             hops: self.hops + 1,
             sender: self.snapshot.me.id,
             server,
-            asked,
+            // Not the ingress: some other balancer took this one for the owner.
+            passed_on: purpose == Purpose::Resolve && self.hops > 0,
+            told,
         };
         Action::Redirect { to, header }.into()
     }
@@ -181,8 +180,8 @@
             None => drop(Code::OwnersUnreachable),
             Some(id) if id == self.snapshot.me.id => self.decide(&chain),
             // Two balancers that each take the other for the first would pass it back and forth.
-            Some(_) if header.asked & PASSED_ON != 0 => drop(Code::OwnersDisagree),
-            Some(id) => self.redirect(id, Purpose::Resolve, NO_SERVER, PASSED_ON),
+            Some(_) if header.passed_on => drop(Code::OwnersDisagree),
+            Some(id) => self.redirect(id, Purpose::Resolve, NO_SERVER, Told::default()),
         };
         if let Action::Forward { server } = verdict.action
             && matches!(self.packet.kind, Kind::Middle | Kind::Datagram)
@@ -263,7 +262,7 @@
             ..pin
         };
         self.shard.store(self.packet.key, pin);
-        self.pass_on(&pin, chain, 0)
+        self.pass_on(&pin, chain, Told::default())
     }
 
     fn hears_all(&self, chain: &Chain) -> bool {
@@ -359,7 +358,7 @@
             asked: false,
         };
         self.shard.store(self.packet.key, pin);
-        self.pass_on(&pin, chain, 0)
+        self.pass_on(&pin, chain, Told::default())
     }
 
     /// A flood of openings fills the room for pins. Flows that need none still open; the others
@@ -379,10 +378,10 @@
     /// does not would later answer base. Hence the opening of a flow off its base waits while one
     /// of them can't be reached.
     ///
-    /// `told` has a bit for each balancer of the chain that knows already, by its number there.
-    fn pass_on(&self, pin: &Pin, chain: &Chain, told: u8) -> Verdict {
+    /// `told` lists the balancers that know already.
+    fn pass_on(&self, pin: &Pin, chain: &Chain, told: Told) -> Verdict {
         let me = self.snapshot.me.id;
-        let is_told = |id: u16| id == me || told & 1 << chain.number(id) != 0;
+        let is_told = |id: u16| id == me || told.contains(id);
         let waits = pin.phase == Phase::Opening && !pin.light;
         let rest = || chain.ids().iter().copied().filter(|&id| !is_told(id));
         if waits && rest().any(|id| !self.snapshot.is_heard(id)) {
@@ -392,14 +391,9 @@
             Kind::Closing | Kind::Reset => Purpose::Release,
             _ => Purpose::Replicate,
         };
-        let told = chain
-            .ids()
-            .iter()
-            .filter(|&&id| id == me)
-            .fold(told, |told, &id| told | 1 << chain.number(id));
         match rest().find(|&id| self.snapshot.is_heard(id)) {
             Some(to) if waits || self.hops < MAX_HOPS => {
-                self.redirect(to, purpose, pin.server, told)
+                self.redirect(to, purpose, pin.server, told.with(me))
             }
             _ => forward(pin.server),
         }
@@ -413,7 +407,7 @@
         let chain = self.snapshot.chain(self.hash);
         let known = self
             .known_pin()
-            .filter(|pin| pin.server == header.server || self.prevails(pin, &chain, header.asked));
+            .filter(|pin| pin.server == header.server || self.prevails(pin, &header.told));
         let server = known.map_or(header.server, |pin| pin.server);
         if !self.service.servers.contains_key(&server) {
             return drop(Code::FlowServerUnknown);
@@ -431,7 +425,7 @@
         if !self.shard.store(self.packet.key, pin) {
             return drop(Code::PinsFull);
         }
-        let mut verdict = self.pass_on(&pin, &chain, header.asked);
+        let mut verdict = self.pass_on(&pin, &chain, header.told);
         if server != header.server {
             let key = self.packet.key;
             verdict.notice = Some((header.sender, Notice::Correct { key, server }));
@@ -444,24 +438,17 @@
     /// While a change of the owners' set spreads, two of them may each take itself for the first
     /// and place the same flow. Both know the set to come: who ranks higher there prevails, at
     /// whichever of them the packets meet. A flow that got beyond its opening stays where it is.
-    fn prevails(&self, pin: &Pin, chain: &Chain, told: u8) -> bool {
+    fn prevails(&self, pin: &Pin, told: &Told) -> bool {
         if pin.phase != Phase::Opening && matches!(self.packet.kind, Kind::Opening { .. }) {
             return true;
         }
-        let owners = pair(self.hash, &self.snapshot.target).map(|node| node.map(|node| node.id));
-        let rank = |id: u16| {
-            owners
-                .iter()
-                .position(|owner| *owner == Some(id))
-                .unwrap_or(2)
-        };
-        let told = chain
-            .ids()
-            .iter()
-            .filter(|&&id| told & 1 << chain.number(id) != 0);
-        told.map(|&id| rank(id))
-            .min()
-            .is_some_and(|best| rank(self.snapshot.me.id) < best)
+        let owners = pair(self.hash, &self.snapshot.target);
+        let ranked = owners.iter().flatten().map(|owner| owner.id);
+        // The first of the owners to come that is either this one or told already.
+        ranked
+            .into_iter()
+            .find(|&id| id == self.snapshot.me.id || told.contains(id))
+            .is_some_and(|id| id == self.snapshot.me.id)
     }
 
     fn isn(&self, known: Option<Pin>) -> u32 {
--- a/crates/flow/src/snapshot.rs
+++ b/crates/flow/src/snapshot.rs
@@ -139,13 +139,6 @@
         &self.ids[..self.len]
     }
 
-    /// A number from 0 for each balancer of the chain. Views that differ only in the order of the
-    /// same balancers give them the same numbers.
-    #[must_use]
-    pub fn number(&self, id: u16) -> usize {
-        self.ids().iter().filter(|&&other| other < id).count()
-    }
-
     fn push(&mut self, id: u16) {
         if self.len < CHAIN && !self.ids().contains(&id) {
             self.ids[self.len] = id;
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -60,6 +60,9 @@
     pub stop: Arc<AtomicBool>,
 }
 
+/// Between two lines of counts in the log.
+const COUNTS: Duration = Duration::from_secs(10);
+
 struct Loop<'a> {
     context: &'a Context,
     core: Core,
@@ -67,6 +70,7 @@
     peers: Vec<(u16, SocketAddr)>,
     incarnation: u64,
     leaving: Option<Leaving>,
+    counted: Duration,
 }
 
 /// How far a graceful shutdown has come.
@@ -92,6 +96,7 @@
         peers: Vec::new(),
         incarnation,
         leaving: None,
+        counted: now,
     };
     let ticks = tick(TICK);
     while !context.stop.load(Ordering::Relaxed) {
@@ -142,6 +147,11 @@
             .into_iter()
             .for_each(|message| self.send(message));
         self.leave(now);
+        if now.saturating_sub(self.counted) >= COUNTS {
+            self.counted = now;
+            let (id, counts) = (self.context.settings.id, self.context.counter.line());
+            log::info!("event=counts id={id} {counts}");
+        }
     }
 
     fn send(&self, outgoing: Outgoing) {
--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -80,9 +80,13 @@
     /// All counts as key=value pairs, for a line of the log.
     #[must_use]
     pub fn line(&self) -> String {
-        let kinds = KINDS.iter().map(|(kind, name)| format!("{name}={}", self.of(*kind)));
+        let kinds = KINDS
+            .iter()
+            .map(|(kind, name)| format!("{name}={}", self.of(*kind)));
         let codes = self.codes();
-        let codes = codes.iter().map(|(code, count)| format!("{}={count}", code.label()));
+        let codes = codes
+            .iter()
+            .map(|(code, count)| format!("{}={count}", code.label()));
         kinds.chain(codes).collect::<Vec<_>>().join(" ")
     }
 
--- a/crates/wire/src/encap.rs
+++ b/crates/wire/src/encap.rs
@@ -5,8 +5,8 @@
 /// The UDP port that IANA assigned to Generic UDP Encapsulation.
 pub const PORT: u16 = 6080;
 
-/// Length of a redirect header, in bytes: 4 of GUE, 8 of fields, 8 of authenticator.
-pub const REDIRECT: usize = 20;
+/// Length of a redirect header, in bytes: 4 of GUE, 16 of fields, 8 of authenticator.
+pub const REDIRECT: usize = 28;
 /// Length of the private fields and authenticator in GUE's unit of 32-bit words.
 const PRIVATE_WORDS: u8 = ((REDIRECT - 4) / 4) as u8;
 /// GUE protocol number of an encapsulated IPv4 packet.
@@ -43,8 +43,53 @@
     pub sender: u16,
     /// The pinned backend server, or [`NO_SERVER`].
     pub server: u16,
-    /// One bit per rank of the flow's owners already asked.
-    pub asked: u8,
+    /// Whether a balancer that was taken for the flow's owner passed the packet on.
+    pub passed_on: bool,
+    /// Balancers that know of the flow already.
+    pub told: Told,
+}
+
+/// The numbers of some balancers, at most as many as a packet may pass.
+///
+/// They are listed by number, not by a bit for their place among the flow's owners: two balancers
+/// with different views of the owners would read such a bit each in its own way, and hand the
+/// packet to and fro.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told([u16; MAX_HOPS as usize]);
+
+/// Stands in a free place of [`Told`]. No balancer has this number.
+const NOBODY: u16 = u16::MAX;
+
+impl Default for Told {
+    fn default() -> Self {
+        Told([NOBODY; MAX_HOPS as usize])
+    }
+}
+
+impl Told {
+    /// Whether `balancer` is listed.
+    #[must_use]
+    pub fn contains(&self, balancer: u16) -> bool {
+        balancer != NOBODY && self.0.contains(&balancer)
+    }
+
+    /// The same with `balancer`. A full list stays as it is: the packet ends at the bound on its
+    /// hops anyway.
+    ///
+    /// ```
+    /// use acacia_wire::encap::Told;
+    /// let told = Told::default().with(3).with(3).with(7);
+    /// assert!(told.contains(3) && told.contains(7) && !told.contains(4));
+    /// ```
+    #[must_use]
+    pub fn with(mut self, balancer: u16) -> Self {
+        if !self.contains(balancer)
+            && let Some(free) = self.0.iter_mut().find(|id| **id == NOBODY)
+        {
+            *free = balancer;
+        }
+        self
+    }
 }
 
 /// Stands in [`Redirect::server`] where no server is pinned.
@@ -90,7 +135,7 @@
 /// ```
 /// use acacia_wire::{control::Secret, encap::*};
 /// let secret = Secret::new(&[7; 32], None);
-/// let redirect = Redirect { purpose: Purpose::Resolve, hops: 1, sender: 3, server: NO_SERVER, asked: 0 };
+/// let redirect = Redirect { purpose: Purpose::Resolve, hops: 1, sender: 3, server: NO_SERVER, passed_on: false, told: Told::default() };
 /// let mut out = Vec::new();
 /// encode(&redirect, &[0x45, 0, 0, 20], &secret, &mut out);
 /// assert_eq!(decode(&out, &secret), Ok(Frame::Redirected(redirect, &[0x45, 0, 0, 20])));
@@ -101,7 +146,10 @@
     out.extend([redirect.purpose as u8, redirect.hops]);
     out.extend(redirect.sender.to_be_bytes());
     out.extend(redirect.server.to_be_bytes());
-    out.extend([redirect.asked, 0]);
+    out.extend([u8::from(redirect.passed_on), 0]);
+    for balancer in redirect.told.0 {
+        out.extend(balancer.to_be_bytes());
+    }
     let tag = secret.tag(&[&out[..], authenticated(packet)]);
     out.extend(&tag[..AUTHENTICATOR]);
     out.extend(packet);
@@ -135,7 +183,10 @@
         hops: fields[5],
         sender: u16::from_be_bytes([fields[6], fields[7]]),
         server: u16::from_be_bytes([fields[8], fields[9]]),
-        asked: fields[10],
+        passed_on: fields[10] != 0,
+        told: Told(std::array::from_fn(|at| {
+            u16::from_be_bytes([fields[12 + 2 * at], fields[13 + 2 * at]])
+        })),
     };
     Ok(Frame::Redirected(redirect, packet))
 }
--- a/crates/wire/tests/it/encap.rs
+++ b/crates/wire/tests/it/encap.rs
@@ -1,6 +1,6 @@
 use acacia_wire::{
     control::Secret,
-    encap::{Error, Frame, MAX_HOPS, NO_SERVER, Purpose, Redirect, decode, encode},
+    encap::{Error, Frame, MAX_HOPS, NO_SERVER, Purpose, Redirect, Told, decode, encode},
 };
 use proptest::prelude::*;
 
@@ -12,7 +12,8 @@
         hops: 2,
         sender: 5,
         server: 9,
-        asked: 1,
+        passed_on: true,
+        told: Told::default().with(5),
     }
 }
 
@@ -70,10 +71,10 @@
 proptest! {
     #[test]
     fn a_redirect_reads_back(
-        hops in 0..=MAX_HOPS, sender: u16, server: u16, asked: u8, purpose in 0usize..3,
+        hops in 0..=MAX_HOPS, sender: u16, server: u16, passed_on: bool, a: u16, b: u16, purpose in 0usize..3,
     ) {
         let purpose = [Purpose::Resolve, Purpose::Replicate, Purpose::Release][purpose];
-        let redirect = Redirect { purpose, hops, sender, server, asked };
+        let redirect = Redirect { purpose, hops, sender, server, passed_on, told: Told::default().with(a).with(b) };
         let packet = tcp(b"payload", |h| h.ack = true);
         let bytes = encoded(&redirect);
         let packet_len = packet.len() - 6;
@@ -87,7 +88,7 @@
     }
 
     #[test]
-    fn changed_or_cut_redirects_are_never_taken(at in 0usize..20, bit in 0u8..8, len in 0usize..20) {
+    fn changed_or_cut_redirects_are_never_taken(at in 0usize..28, bit in 0u8..8, len in 0usize..28) {
         let whole = encoded(&Redirect { server: NO_SERVER, ..redirect() });
         let mut changed = whole.clone();
         changed[at] ^= 1 << bit;
