--- /dev/null
+++ b/crates/bench/src/flows/balancer.rs
@@ -0,0 +1,194 @@
+use std::collections::BTreeMap;
+
+use acacia_flow::{
+    Control, Shards, Snapshot,
+    control::{Acknowledgement, Batch, Member, Report, Settings, Stage, Tables},
+    rank::Node,
+    shard::Limits,
+    verdict::Notice,
+};
+use acacia_wire::control::{Envelope, Secret, seal};
+
+use super::policy::Tracked;
+
+/// Milliseconds of silence after which a member is taken for dead.
+const DEAD: u64 = 4_000;
+/// Milliseconds between two reports to each peer.
+const HEARTBEAT: u64 = 500;
+/// Bytes of UDP and IP headers.
+const HEADERS: u64 = 28;
+
+/// What balancers send each other besides packets.
+#[derive(Debug, Clone)]
+pub enum Message {
+    /// A heartbeat with its report.
+    Heartbeat(Stage, Report),
+    /// Copies of pins.
+    Batch(Batch),
+    /// The answer to them.
+    Acknowledgement(Acknowledgement),
+    /// A word about one flow.
+    Notice(Notice),
+    /// The sender ends.
+    Bye,
+}
+
+impl Message {
+    /// Bytes on the wire.
+    pub fn bytes(&self) -> u64 {
+        let envelope = Envelope {
+            sender: 1,
+            incarnation: 1_700_000_000,
+            sequence: 1_000_000,
+        };
+        let secret = Secret::new(&[1; 32], None);
+        let kind = 0u8;
+        let frame = match self {
+            Message::Heartbeat(stage, report) => seal(&envelope, &(kind, stage, report), &secret),
+            Message::Batch(batch) => seal(&envelope, &(kind, batch), &secret),
+            Message::Acknowledgement(answer) => seal(&envelope, &(kind, answer), &secret),
+            Message::Notice(notice) => seal(&envelope, &(kind, notice), &secret),
+            Message::Bye => seal(&envelope, &kind, &secret),
+        };
+        frame.len() as u64 + HEADERS
+    }
+}
+
+/// One balancer: the product's core, and what the daemon around it would do.
+#[derive(Debug)]
+pub struct Balancer {
+    pub node: Node,
+    pub running: bool,
+    pub control: Control,
+    pub shards: Shards,
+    pub snapshot: Snapshot,
+    pub tables: Tables,
+    pub tracked: Tracked,
+    /// Bytes of control traffic sent, and those within the present second.
+    pub sent: u64,
+    pub second: u64,
+    pub peak: u64,
+    heard: BTreeMap<Node, (u64, Stage)>,
+    left: Vec<Node>,
+    reported: u64,
+    swept: usize,
+}
+
+impl Balancer {
+    /// A new process that knows `others` from the platform's list.
+    pub fn new(node: Node, tables: &Tables, others: &[(Node, Stage)], now: u64) -> Self {
+        let mut control = Control::new(node, Settings::default(), now);
+        control.set_tables(tables.clone(), now);
+        let snapshot = control.snapshot(now);
+        Balancer {
+            node,
+            running: true,
+            control,
+            shards: Shards::new(16, Limits::default()),
+            snapshot,
+            tables: tables.clone(),
+            tracked: Tracked::default(),
+            sent: 0,
+            second: 0,
+            peak: 0,
+            heard: others
+                .iter()
+                .map(|&(node, stage)| (node, (now, stage)))
+                .collect(),
+            left: Vec::new(),
+            reported: 0,
+            swept: 0,
+        }
+    }
+
+    /// One turn of the control thread: gives what it sends. `ended` are processes that the
+    /// platform's list no longer shows.
+    pub fn turn(&mut self, now: u64, ended: &[Node]) -> Vec<(u16, Message)> {
+        let left = &self.left;
+        self.heard
+            .retain(|node, _| !left.contains(node) && !ended.contains(node));
+        let heard = self.heard.iter();
+        let member = |(&node, &(since, stage)): (&Node, &(u64, Stage))| Member {
+            node,
+            stage,
+            dead: now > since + DEAD,
+        };
+        let members: Vec<Member> = heard.map(member).collect();
+        self.control.set_members(&members);
+        self.sweep(now);
+        self.snapshot = self.control.snapshot(now);
+        let batches = self.control.batches(now).into_iter();
+        let mut out: Vec<_> = batches
+            .map(|(to, batch)| (to, Message::Batch(batch)))
+            .collect();
+        if self.control.has_news() || now >= self.reported + HEARTBEAT {
+            self.reported = now;
+            let stage = self.control.stage();
+            for member in &members {
+                let report = self.control.report(member.node.id, now);
+                out.push((member.node.id, Message::Heartbeat(stage, report)));
+            }
+        }
+        out
+    }
+
+    /// All shards within a second: two in most turns of 100 ms.
+    fn sweep(&mut self, now: u64) {
+        let count = self.shards.count();
+        let due = (now % 1_000 / 100 + 1) as usize * count / 10;
+        while self.swept < due {
+            let index = self.swept;
+            self.control
+                .sweep(&mut self.shards.at(index), index, count, now);
+            self.swept += 1;
+        }
+        if due == count {
+            self.swept = 0;
+        }
+    }
+
+    /// Takes in a message; gives the answer.
+    pub fn receive(&mut self, from: Node, message: Message, now: u64) -> Option<Message> {
+        match message {
+            Message::Heartbeat(stage, report) => {
+                if !self.left.contains(&from) {
+                    let newer =
+                        |node: &Node| node.id == from.id && node.incarnation < from.incarnation;
+                    self.heard.retain(|node, _| !newer(node));
+                    self.heard.insert(from, (now, stage));
+                }
+                self.control.receive(from.id, from.incarnation, report);
+            }
+            Message::Batch(batch) => {
+                let shards = &self.shards;
+                let adopt =
+                    |key: acacia_wire::flow::Key, pin| shards.of(key.hash()).adopt(key, pin);
+                let answer = self.control.receive_batch(from.id, &batch, now, adopt);
+                return Some(Message::Acknowledgement(answer));
+            }
+            Message::Acknowledgement(answer) => {
+                self.control.receive_acknowledgement(from.id, answer);
+            }
+            Message::Notice(Notice::Correct { key, server }) => {
+                self.shards.of(key.hash()).correct(&key, server);
+            }
+            Message::Notice(Notice::Hint { key, server }) => {
+                self.shards.of(key.hash()).remember(key, server, now);
+            }
+            Message::Bye => self.left.push(from),
+        }
+        None
+    }
+
+    /// Counts bytes sent; the peak is over whole seconds.
+    pub fn count(&mut self, bytes: u64) {
+        self.sent += bytes;
+        self.second += bytes;
+    }
+
+    /// Ends a second of counting.
+    pub fn end_second(&mut self) {
+        self.peak = self.peak.max(self.second);
+        self.second = 0;
+    }
+}
