Trust no half-made pin while its other owner is out of hearing

A cut loses the packet that should tell the second owner of a pin; the first owner then held a pin that nobody knew, while the other side opened the flow on its base. Such a pin now answers nothing until the owners hear each other, what the other side opened meanwhile lasts, and a flow beyond its opening prevails.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -264,6 +264,11 @@
         others.chain([self.me]).collect()
     }
 
+    fn missing(&self) -> Vec<Node> {
+        let dead = self.peers.values().filter(|peer| peer.member.dead);
+        dead.map(|peer| peer.member.node).collect()
+    }
+
     /// Those of them that can be reached.
     fn heard(&self, now: u64) -> Vec<u16> {
         let reach = self.settings.reach;
@@ -360,7 +365,6 @@
         let latest = self.alive().map(|peer| peer.echoed).max().unwrap_or(now);
         let informed = self.alive().filter(grown).all(|peer| peer.has_flags) && self.seen_members;
         let (ready, target) = (self.ready(), self.target());
-        let dead = self.peers.values().filter(|peer| peer.member.dead);
         let dead_or_unheard = |peer: &Peer| {
             let joining = peer.member.stage == Stage::Joining;
             peer.member.dead || (!joining && !peer.is_heard(now, self.settings.free))
@@ -375,7 +379,7 @@
             owner: owns,
             free: free && owns,
             strangers: self.strangers(),
-            missing: dead.map(|peer| peer.member.node).collect(),
+            missing: self.missing().into(),
             alive: self.living().into(),
             heard: self.heard(now).into(),
             settled: Arc::clone(&self.settled),
@@ -441,7 +445,7 @@
     /// lists those to be handed over. Call for every shard in turn.
     pub fn sweep(&mut self, shard: &mut Shard, index: usize, count: usize, now: u64) {
         let (target, ready) = (self.target(), self.ready());
-        let alive = self.living();
+        let (alive, missing) = (self.living(), self.missing());
         let view = handover::View {
             me: self.me,
             settled: &self.settled,
@@ -449,6 +453,7 @@
             target: &target,
             ready: &ready,
             alive: &alive,
+            missing: &missing,
         };
         let services: Map<Address, &Arc<Service>> = self
             .tables
--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -99,6 +99,8 @@
     pub(super) ready: &'a [Node],
     pub(super) target: &'a [Node],
     pub(super) alive: &'a [Node],
+    /// Members that are taken for dead, but may be cut off.
+    pub(super) missing: &'a [Node],
 }
 
 impl View<'_> {
@@ -118,7 +120,7 @@
 
     fn lost_owner(&self, hash: u64) -> bool {
         let mut owners = pair(hash, self.settled).into_iter().flatten();
-        owners.any(|node| !self.alive.contains(&node))
+        owners.any(|node| !self.alive.contains(&node) && !self.missing.contains(&node))
     }
 
     /// Who has to get a copy from this balancer: the new owners, from the first owner alive.
--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -250,6 +250,12 @@
         if !self.service.servers.contains_key(&pin.server) {
             return drop(Code::ServerUnknown);
         }
+        let moved = pin.phase == Phase::Opening && pin.server != self.base();
+        if moved && !self.snapshot.hears_owners(self.hash) {
+            // The packet that should have told the other owner may have been lost to a cut. The
+            // other side then knows nothing of the pin, and may have opened the flow on its base.
+            return drop(Code::OwnersUnreachable);
+        }
         let phase = self.phase_after(pin.phase, pin.age(self.now));
         let resent = matches!(self.packet.kind, Kind::Opening { .. });
         let stale = pin.is_stale(self.now, self.packet.key.protocol);
@@ -356,13 +362,20 @@
             isn,
             server,
             phase: Phase::Opening,
-            light: server == self.base() && !sticky,
+            // An owner out of hearing may hold half a pin of this flow from before a cut: only a
+            // pin that lasts can set it right when it is back.
+            light: server == self.base() && !sticky && !self.may_be_half_made(),
             asked: false,
         };
         self.shard.store(self.packet.key, pin);
         self.pass_on(&pin, chain, 0)
     }
 
+    /// Whether an owner out of hearing may hold a pin of the flow that this one knows nothing of.
+    fn may_be_half_made(&self) -> bool {
+        self.entry.flags.contains(self.bucket) && !self.snapshot.hears_owners(self.hash)
+    }
+
     /// A flood of openings fills the room for pins. Flows that need none still open; the others
     /// would be lost when their next packet comes in elsewhere.
     fn without_pin(&mut self, server: u16) -> Verdict {
@@ -422,12 +435,13 @@
         let before = known.map_or(Phase::Opening, |pin| pin.phase);
         let age = known.map_or(0, |pin| pin.age(self.now));
         let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
+        let half = self.may_be_half_made();
         let pin = Pin {
             synced: self.seconds(),
             isn: self.isn(known),
             server,
             phase: self.phase_after(before, age),
-            light: known.map_or(server == self.base() && !sticky, |pin| pin.light),
+            light: known.map_or(server == self.base() && !sticky && !half, |pin| pin.light),
             asked: false,
         };
         if !self.shard.store(self.packet.key, pin) {
@@ -447,7 +461,7 @@
     /// and place the same flow. Both know the set to come: who ranks higher there prevails, at
     /// whichever of them the packets meet. A flow that got beyond its opening stays where it is.
     fn prevails(&self, pin: &Pin, chain: &Chain, told: u8) -> bool {
-        if pin.phase != Phase::Opening && matches!(self.packet.kind, Kind::Opening { .. }) {
+        if pin.phase != Phase::Opening {
             return true;
         }
         let owners = pair(self.hash, &self.snapshot.target).map(|node| node.map(|node| node.id));
--- a/crates/flow/src/snapshot.rs
+++ b/crates/flow/src/snapshot.rs
@@ -240,6 +240,19 @@
         chain
     }
 
+    /// Whether all that hold the pins of the flow can be reached, those gone for certain aside.
+    #[must_use]
+    pub fn hears_owners(&self, hash: u64) -> bool {
+        let is_heard = |node: Node| {
+            let known = self.alive.contains(&node) || self.missing.contains(&node);
+            !known || (self.is_heard(node.id) && !self.missing.contains(&node))
+        };
+        pair(hash, &self.settled)
+            .into_iter()
+            .flatten()
+            .all(is_heard)
+    }
+
     /// Whether this balancer, having no pin of the flow, knows that there is none.
     #[must_use]
     pub fn is_complete(&self, hash: u64) -> bool {
