--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -309,18 +309,28 @@
         self.estimates.iter().map(of).fold(Window::default(), add)
     }
 
-    /// Learns what part of its flows each server sheds. At a small service one second holds too
-    /// little evidence, so there the slow counts are judged.
+    /// Learns what part of its flows each server sheds. At a small service, or once most flows have
+    /// moved off, one second holds too little evidence. Then the slow counts are judged, if the
+    /// second doesn't contradict them, and what was known fades, so that more flows try again.
     fn shed(&mut self) {
         /// Completed openings that a second's judgement needs.
         const ENOUGH: f64 = 64.0;
+        /// What a second without evidence leaves of what was known.
+        const FADE: f64 = 0.9;
         let (fast, slow) = (self.sum(|own| &own.fast), self.sum(|own| &own.slow));
         let usual = fast.completed / fast.opened.max(1.0);
         for own in &mut self.estimates {
-            own.shed = match own.fast.opened * usual >= ENOUGH {
-                true => shed(&own.fast, &fast, &self.limits),
-                false => shed(&own.slow, &slow, &self.limits),
-            };
+            let expected = own.fast.opened * usual;
+            if expected >= ENOUGH {
+                own.shed = shed(&own.fast, &fast, &self.limits);
+                continue;
+            }
+            let lasting = shed(&own.slow, &slow, &self.limits);
+            let agrees = own.fast.completed < (1.0 - lasting / 2.0) * expected;
+            own.shed = (own.shed * FADE).max(if agrees { lasting } else { 0.0 });
+            if own.shed < NEGLIGIBLE {
+                own.shed = 0.0;
+            }
         }
     }
 
@@ -349,10 +359,10 @@
     /// progress over `bound` times the pool's mean. It rises at once, since each second of a server
     /// four times too slow adds two seconds of queue, and falls by halves, so that balancers that
     /// act on the same figures don't swing between two servers. At least the part that the server
-    /// sheds; all of it when its connections are nearly used up.
+    /// sheds. The count of its open connections moves nothing: it errs, and a server taken for full
+    /// without being so would drown the others, while one that is full sheds and is noticed.
     fn spill(&mut self) {
         let mean = self.progress().unwrap_or(0.0).max(self.limits.calm);
-        let open = self.peers.open();
         for (server, estimate) in self.estimates.iter_mut().enumerate() {
             let host = &self.pool.hosts[server];
             let progress = estimate
@@ -364,9 +374,6 @@
             if estimate.spill < NEGLIGIBLE {
                 estimate.spill = 0.0;
             }
-            if open.servers[server] >= self.limits.full * f64::from(host.connections) {
-                estimate.spill = 1.0;
-            }
         }
     }
 
--- a/crates/load/src/limits.rs
+++ b/crates/load/src/limits.rs
@@ -64,8 +64,8 @@
     pub bound: f64,
     /// Work in progress a slot below which nothing spills: there is no wait to be saved.
     pub calm: f64,
-    /// Part of a server's connections at which new flows take their second choice. The rest is for
-    /// what all balancers open before they hear of each other.
+    /// Part of the pool's connections that is shared out. The rest is for what all balancers open
+    /// before they hear of each other.
     pub full: f64,
     /// Part of the measured capacity that all admitted work may reach. Above it, waits grow
     /// faster than goodput.
