--- a/crates/load/src/eject.rs
+++ b/crates/load/src/eject.rs
@@ -76,6 +76,19 @@
         }
     }
 
+    /// The records of the servers that a changed configuration keeps: `from` gives the old index of
+    /// each new one.
+    #[must_use]
+    pub fn renew(&self, from: &[Option<usize>]) -> Self {
+        let old = |index: &Option<usize>| index.and_then(|index| self.records.get(index).copied());
+        Bench {
+            records: from
+                .iter()
+                .map(|index| old(index).unwrap_or_default())
+                .collect(),
+        }
+    }
+
     /// Whether that server is left alone now.
     #[must_use]
     pub fn ejected(&self, server: usize) -> bool {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod controller;
 /// Which servers are left alone, for how long, and at most how many of them.
 pub mod eject;
+/// Estimates of all servers, and what follows for new flows.
+pub mod estimate;
 /// The traffic thread's part: decides on each new flow.
 pub mod gate;
 /// Every number that a decision depends on.
@@ -32,6 +34,8 @@
 pub mod plan;
 /// What is configured: services and marks with their shares, and backend servers.
 pub mod pool;
+/// From measured capacity to rates of admission.
+pub mod rate;
 /// What a caller is told whose work will not run.
 pub mod refuse;
 /// What balancers tell each other.
--- a/crates/load/src/peer.rs
+++ b/crates/load/src/peer.rs
@@ -78,6 +78,33 @@
         }
     }
 
+    /// The open flows of this balancer under a changed configuration: `servers` and `classes` give
+    /// the old index of each new one. Peers count again when they report under it.
+    #[must_use]
+    pub fn renew(&self, servers: &[Option<usize>], classes: &[Option<usize>]) -> Self {
+        let pick = |from: &[f64], index: &Option<usize>| {
+            index
+                .and_then(|index| from.get(index).copied())
+                .unwrap_or(0.0)
+        };
+        let open = |open: &Open| Open {
+            servers: servers
+                .iter()
+                .map(|index| pick(&open.servers, index))
+                .collect(),
+            classes: classes
+                .iter()
+                .map(|index| pick(&open.classes, index))
+                .collect(),
+        };
+        Peers {
+            own: open(&self.own),
+            left: open(&self.left),
+            sequence: self.sequence,
+            ..Peers::new(servers.len(), classes.len())
+        }
+    }
+
     /// Adds counts of a thread of this balancer.
     pub fn absorb(&mut self, tally: &Tally) {
         self.here.add(tally);
