--- a/crates/bench/src/balance.rs
+++ b/crates/bench/src/balance.rs
@@ -1,8 +1,12 @@
 //! Subcommand `balance`: an event-driven model of callers and backend servers around the real
 //! decision code, against simpler policies and an all-knowing one.
 
-/// What happens in a run: demand, faults, sizes.
+/// How flows arrive and are placed.
+pub mod arrival;
+/// What a run is made of: demand, faults, sizes.
 pub mod case;
+/// What happens in a run, in order of time.
+pub mod event;
 /// Balancers with stale counts of each other, around the product's decision code.
 pub mod fleet;
 /// Backend servers: slots, a queue, true speeds.
@@ -37,6 +41,9 @@
     /// Mean work of a short request on a server of speed 1, in milliseconds.
     #[arg(long, default_value_t = 10.0)]
     pub work: f64,
+    /// Print the writing balancer's view every second, to the standard error.
+    #[arg(long)]
+    pub trace: bool,
     /// A limit to sweep, as NAME=VALUE, such as `lent=0.8`; may be repeated.
     #[arg(long = "limit")]
     pub limits: Vec<String>,
@@ -55,7 +62,8 @@
                 .filter(|policy| named(&options.policies, policy.name()))
             {
                 for seed in &options.seeds {
-                    let scene = case::Scene::new(site, case, options.work / 1e3, *seed);
+                    let mut scene = case::Scene::new(site, case, options.work / 1e3, *seed);
+                    scene.trace = options.trace;
                     let outcome = simulation::run(&scene, *policy, &limits, *seed);
                     let (site, case, policy) = (site.service, case.name, policy.name());
                     println!("service={site} case={case} policy={policy} seed={seed} {outcome}");
--- a/crates/bench/src/balance/case.rs
+++ b/crates/bench/src/balance/case.rs
@@ -192,6 +192,8 @@
     pub work: f64,
     /// Mean work of a flow over all kinds.
     pub mean: f64,
+    /// Whether the writing balancer's view is printed every second.
+    pub trace: bool,
     /// Flows a second that all servers together can work through.
     pub capacity: f64,
 }
@@ -229,6 +231,7 @@
             speeds,
             work,
             mean,
+            trace: false,
             capacity,
         }
     }
--- a/crates/bench/src/balance/simulation.rs
+++ b/crates/bench/src/balance/simulation.rs
@@ -1,32 +1,26 @@
-use std::{cmp::Reverse, collections::BinaryHeap, rc::Rc};
+use std::rc::Rc;
 
-use acacia_load::{limits::Limits, pool, refuse::Reason, report::Report};
+use acacia_load::{limits::Limits, pool, report::Report};
 use rand::{RngExt as _, SeedableRng as _};
-use rand_distr::{Distribution as _, Exp1};
 use rand_pcg::Pcg64;
 
 use super::{
-    case::{BEGIN, CONNECTIONS, END, FEED_LIFE, FEEDS, Fault, HEAL, LONG, LONGER, Scene},
+    case::{BEGIN, END, Fault, HEAL, Scene},
+    event::{Event, Queue},
     fleet::{BALANCERS, Fleet, Update},
     model::{Job, Server, VICTIM, able, factor},
     outcome::Outcome,
-    table::{BUCKETS, Table},
+    table::Table,
 };
 
 /// Callers wait this long for an answer, in seconds.
 const DEADLINE: f64 = 10.0;
 /// Time after which the fabric and the peers notice a dead balancer, in seconds.
 const NOTICE: f64 = 2.0;
-/// A caller resends an opening packet after this time, in seconds.
-const RESEND: f64 = 1.0;
 /// The balancer that dies.
 const DEAD: usize = 0;
 /// Delay of a health endpoint, in seconds.
 const HEALTH_LAG: f64 = 10.0;
-/// Part of the openings that a shedding server resets.
-const SHED: f64 = 0.7;
-/// Buckets into which skewed demand falls.
-const HOT: usize = 8;
 /// Part of a long request's work after which its first byte is sent.
 const FIRST_BYTE: f64 = 0.3;
 
@@ -70,84 +64,46 @@
 
 /// A flow that was let in.
 #[derive(Debug, Clone, Copy)]
-struct Flow {
-    arrived: f64,
-    reached: f64,
-    started: f64,
-    class: u8,
-    ingress: u8,
+pub struct Flow {
+    pub(super) arrived: f64,
+    pub(super) reached: f64,
+    pub(super) started: f64,
+    pub(super) class: u8,
+    pub(super) ingress: u8,
     /// The balancer that saw its data.
-    asked: u8,
-    server: u16,
-    long: bool,
+    pub(super) asked: u8,
+    pub(super) server: u16,
+    pub(super) long: bool,
 }
 
-#[derive(Clone)]
-enum Event {
-    Arrival { since: Option<f64>, class: usize },
-    Reach(Job),
-    Finish(Job),
-    End { flow: u32 },
-    Tick(usize),
-    Mail(Rc<(usize, Report)>),
-    Apply(usize, Update),
-    Notice,
-    Join,
-    Health(usize, bool),
-}
-
-struct Entry {
-    at: u64,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-impl Eq for Entry {}
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
-struct Simulation<'a> {
-    scene: &'a Scene,
-    policy: Policy,
-    servers: Vec<Server>,
-    flows: Vec<Flow>,
+/// A run under way.
+pub struct Simulation<'a> {
+    pub(super) scene: &'a Scene,
+    pub(super) policy: Policy,
+    pub(super) servers: Vec<Server>,
+    pub(super) flows: Vec<Flow>,
     /// Open flows by balancer and server, for [`Policy::Least`].
-    local: Vec<Vec<u32>>,
-    fleet: Fleet,
-    table: Rc<Table>,
-    base: Rc<Table>,
-    events: BinaryHeap<Reverse<Entry>>,
-    order: u64,
+    pub(super) local: Vec<Vec<u32>>,
+    pub(super) fleet: Fleet,
+    pub(super) table: Rc<Table>,
+    pub(super) base: Rc<Table>,
+    pub(super) events: Queue,
     /// Arrivals, their work and buckets: the same for every policy.
-    demand: Pcg64,
+    pub(super) demand: Pcg64,
     /// The fabric's choices and the rest.
-    chance: Pcg64,
-    outcome: Outcome,
+    pub(super) chance: Pcg64,
+    pub(super) outcome: Outcome,
 }
 
 /// Runs a case under a policy.
 #[must_use]
 pub fn run(scene: &Scene, policy: Policy, limits: &Limits, seed: u64) -> Outcome {
     let mut simulation = Simulation::new(scene, policy, limits, seed);
-    while let Some(Reverse(entry)) = simulation.events.pop() {
-        let now = entry.at as f64 / 1e9;
+    while let Some((now, event)) = simulation.events.pop() {
         if now > END + DEADLINE {
             break;
         }
-        simulation.step(entry.event, now);
+        simulation.step(event, now);
     }
     simulation.result()
 }
@@ -171,8 +127,7 @@
             fleet,
             base: Rc::clone(&table),
             table,
-            events: BinaryHeap::new(),
-            order: 0,
+            events: Queue::default(),
             demand: Pcg64::seed_from_u64(seed),
             chance: Pcg64::seed_from_u64(seed ^ 0xc4a9ce),
             outcome: Outcome::default(),
@@ -209,14 +164,8 @@
         }
     }
 
-    fn at(&mut self, seconds: f64, event: Event) {
-        self.order += 1;
-        let at = (seconds * 1e9) as u64;
-        self.events.push(Reverse(Entry {
-            at,
-            order: self.order,
-            event,
-        }));
+    pub(super) fn at(&mut self, seconds: f64, event: Event) {
+        self.events.push(seconds, event);
     }
 
     fn step(&mut self, event: Event, now: f64) {
@@ -238,172 +187,17 @@
         }
     }
 
-    /// An arrival of the Poisson stream, and the time of the next.
-    fn generate(&mut self, now: f64) {
-        if now >= END {
-            return;
-        }
-        let rates = self.scene.rates(now);
-        let sum = rates[0] + rates[1];
-        let gap: f64 = Exp1.sample(&mut self.demand);
-        let next = now + gap / sum;
-        let change = self
-            .scene
-            .case
-            .demand
-            .iter()
-            .map(|demand| demand.from)
-            .find(|from| *from > now);
-        // The stream is memoryless, so it may start anew where its rate changes.
-        let next = change.map_or(next, |change| if next > change { change } else { next });
-        self.at(
-            next,
-            Event::Arrival {
-                since: None,
-                class: 0,
-            },
-        );
-        if change != Some(now) {
-            let class = usize::from(self.demand.random::<f64>() * sum >= rates[0]);
-            self.open(now, class, now);
-        }
-    }
-
-    fn dead(&self, balancer: usize, now: f64) -> bool {
+    pub(super) fn dead(&self, balancer: usize, now: f64) -> bool {
         self.scene.case.fault == Fault::Balancer && balancer == DEAD && now >= BEGIN
     }
 
     /// The balancer that the fabric hands a packet to.
-    fn spray(&mut self, now: f64) -> usize {
+    pub(super) fn spray(&mut self, now: f64) -> usize {
         let known = self.scene.case.fault == Fault::Balancer && now >= BEGIN + NOTICE;
         let first = usize::from(known);
         self.chance.random_range(first..BALANCERS)
     }
 
-    fn open(&mut self, since: f64, class: usize, now: f64) {
-        let skewed = self.demand.random_bool(self.scene.case.skew);
-        let bucket = self
-            .demand
-            .random_range(0..if skewed { HOT } else { BUCKETS });
-        let long = self.demand.random_bool(LONG);
-        let feed = self.demand.random_bool(FEEDS);
-        let work: f64 = Exp1.sample(&mut self.demand);
-        let work = work * self.scene.work * if long { LONGER } else { 1.0 };
-        let ingress = self.spray(now);
-        if self.dead(ingress, now) {
-            self.at(
-                now + RESEND,
-                Event::Arrival {
-                    since: Some(since),
-                    class,
-                },
-            );
-            return;
-        }
-        let measured = (BEGIN..END).contains(&since);
-        self.outcome.marks[class].arrived += u64::from(measured);
-        let Some(server) = self.place(ingress, class, bucket, work, now, measured) else {
-            return;
-        };
-        if measured {
-            self.servers[server].offered += work;
-        }
-        self.servers[server].promised += work;
-        if self.sheds(server, now) {
-            // The reset goes straight to the caller: no balancer sees anything of it.
-            self.servers[server].promised -= work;
-            return;
-        }
-        self.servers[server].open += 1;
-        self.local[ingress][server] += 1;
-        let flow = self.flows.len() as u32;
-        self.flows.push(Flow {
-            arrived: since,
-            reached: now + self.scene.round_trip,
-            started: 0.0,
-            class: class as u8,
-            ingress: ingress as u8,
-            asked: 0,
-            server: server as u16,
-            long,
-        });
-        self.at(
-            now + self.scene.round_trip,
-            Event::Reach(Job { flow, work }),
-        );
-        if feed {
-            let life: f64 = Exp1.sample(&mut self.demand);
-            self.at(now + 1.0 + life * FEED_LIFE, Event::End { flow });
-            self.flows[flow as usize].class |= FEED;
-        }
-    }
-
-    fn place(
-        &mut self,
-        ingress: usize,
-        class: usize,
-        bucket: usize,
-        work: f64,
-        now: f64,
-        measured: bool,
-    ) -> Option<usize> {
-        let (server, first) = match self.policy {
-            Policy::Equal | Policy::Static => (self.table.ranked(bucket)[0].into(), true),
-            Policy::Least => (self.least(ingress, now), true),
-            Policy::Ideal => (self.soonest(work, now), true),
-            Policy::Ours => match self.fleet.decide(ingress, class, bucket, now) {
-                Ok(choice) => choice,
-                Err(refusal) => {
-                    let mark = &mut self.outcome.marks[class];
-                    match refusal.reason {
-                        Reason::Connections => mark.refused_connections += u64::from(measured),
-                        _ => mark.refused_share += u64::from(measured),
-                    }
-                    return None;
-                }
-            },
-        };
-        if measured {
-            self.outcome.placed += 1;
-            self.outcome.second += u64::from(!first);
-            let base = usize::from(self.base.ranked(bucket)[0]);
-            self.outcome.pinned += u64::from(base != server);
-        }
-        Some(server)
-    }
-
-    fn sheds(&mut self, server: usize, now: f64) -> bool {
-        let faulty = self.scene.case.fault == Fault::Shed && server == VICTIM;
-        let shedding = faulty && (BEGIN..HEAL).contains(&now);
-        self.servers[server].open >= CONNECTIONS || (shedding && self.chance.random_bool(SHED))
-    }
-
-    fn usable(&self, server: usize, now: f64) -> bool {
-        self.scene.case.fault != Fault::Cold || server != VICTIM || now >= BEGIN
-    }
-
-    fn least(&mut self, ingress: usize, now: f64) -> usize {
-        let count = self.servers.len();
-        let offset = self.chance.random_range(0..count);
-        let order = (0..count).map(|number| (number + offset) % count);
-        let usable = order.filter(|server| self.usable(*server, now));
-        usable
-            .min_by_key(|server| self.local[ingress][*server])
-            .unwrap_or(0)
-    }
-
-    fn soonest(&self, work: f64, now: f64) -> usize {
-        let done = |index: usize| {
-            let server = &self.servers[index];
-            let speed = server.speed * factor(self.scene, index, now);
-            (server.promised / f64::from(self.scene.slots) + work) / speed.max(1e-9)
-        };
-        let usable = (0..self.servers.len()).filter(|server| self.usable(*server, now));
-        usable
-            .min_by(|a, b| done(*a).total_cmp(&done(*b)))
-            .unwrap_or(0)
-    }
-
     fn reach(&mut self, job: Job, now: f64) {
         let index = job.flow as usize;
         let flow = self.flows[index];
@@ -498,7 +292,7 @@
         if let Some(update) = update {
             self.spread(&update, now);
         }
-        if writer && std::env::var_os("BALANCE_TRACE").is_some() {
+        if writer && self.scene.trace {
             eprintln!("now={now:.0} {}", self.fleet.view(self.servers.len()));
         }
     }
@@ -554,7 +348,7 @@
 }
 
 /// Set in a flow's class if it stays open as a feed.
-const FEED: u8 = 0x80;
+pub(super) const FEED: u8 = 0x80;
 
 /// The weights that a policy begins with, or takes when a cold server joins.
 fn initial(scene: &Scene, policy: Policy, now: f64) -> Vec<f64> {
