Time answers only by acknowledgements that callers don't delay

Cause: callers delay the acknowledgement of a single segment by up to 40 ms. Now a tracker times pure acknowledgements of two segments or more within the first window only; the rest still count as answers. Interface: Tally::answered takes an Option<Duration>; a service needs its own Tracker.

--- a/crates/bench/src/balance.rs
+++ b/crates/bench/src/balance.rs
@@ -41,6 +41,9 @@
     /// Mean work of a short request on a server of speed 1, in milliseconds.
     #[arg(long, default_value_t = 10.0)]
     pub work: f64,
+    /// Part of the acknowledgements that callers may delay, so that their times tell nothing.
+    #[arg(long, default_value_t = 0.3)]
+    pub delayed: f64,
     /// Print the writing balancer's view every second, to the standard error.
     #[arg(long)]
     pub trace: bool,
@@ -64,6 +67,7 @@
                 for seed in &options.seeds {
                     let mut scene = case::Scene::new(site, case, options.work / 1e3, *seed);
                     scene.trace = options.trace;
+                    scene.delayed = options.delayed;
                     let outcome = simulation::run(&scene, *policy, &limits, *seed);
                     let (site, case, policy) = (site.service, case.name, policy.name());
                     println!("service={site} case={case} policy={policy} seed={seed} {outcome}");
--- a/crates/bench/src/balance/case.rs
+++ b/crates/bench/src/balance/case.rs
@@ -192,6 +192,8 @@
     pub work: f64,
     /// Mean work of a flow over all kinds.
     pub mean: f64,
+    /// Part of the acknowledgements that callers may delay, so that their times tell nothing.
+    pub delayed: f64,
     /// Whether the writing balancer's view is printed every second.
     pub trace: bool,
     /// Flows a second that all servers together can work through.
@@ -231,6 +233,7 @@
             speeds,
             work,
             mean,
+            delayed: 0.0,
             trace: false,
             capacity,
         }
--- a/crates/bench/src/balance/simulation.rs
+++ b/crates/bench/src/balance/simulation.rs
@@ -248,14 +248,19 @@
 
     fn answer(&mut self, flow: &Flow, now: f64) {
         let asked = usize::from(flow.asked);
-        if self.spray(now) == asked || self.spray(now) == asked {
+        // The acknowledgement of the answer's first part tells its time, unless it is delayed; the
+        // caller's FIN only tells that there was an answer.
+        let (acknowledged, closed) = (self.spray(now), self.spray(now));
+        if acknowledged == asked || closed == asked {
             let whole = now - flow.started;
             let first = flow.started + if flow.long { FIRST_BYTE * whole } else { whole };
-            let took = first - flow.reached + self.scene.round_trip;
-            let took = std::time::Duration::from_secs_f64(took.max(0.0));
-            if took.as_secs_f64() <= DEADLINE {
+            let took = (first - flow.reached + self.scene.round_trip).max(0.0);
+            let delayed = self.chance.random_bool(self.scene.delayed);
+            let timed = acknowledged == asked && !delayed;
+            let time = timed.then(|| std::time::Duration::from_secs_f64(took));
+            if took <= DEADLINE {
                 self.fleet.saw(asked, |tally| {
-                    tally.answered(pool::Server(flow.server), took)
+                    tally.answered(pool::Server(flow.server), time)
                 });
             }
         }
--- a/crates/load/src/estimate.rs
+++ b/crates/load/src/estimate.rs
@@ -157,7 +157,7 @@
         pool: &Pool,
         limits: &Limits,
     ) {
-        if seen.servers.iter().any(|count| count.answered > 0) {
+        if seen.servers.iter().any(|count| count.timed > 0) {
             self.sampled = Some(now);
         }
         self.common.add(&Count::default(), passed, COMMON);
@@ -262,7 +262,7 @@
         for (own, host) in self.servers.iter_mut().zip(&pool.hosts) {
             let progress = own
                 .progress()
-                .filter(|_| own.fast.answered >= limits.evidence)
+                .filter(|_| own.fast.timed >= limits.evidence)
                 .map_or(0.0, |progress| progress / f64::from(host.slots.max(1)));
             let excess = (1.0 - limits.bound * mean / progress.max(1e-9)).max(own.shed);
             own.spill = excess.max((own.spill + excess) / 2.0);
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -20,6 +20,8 @@
     pub asked: u32,
     /// See [`Count`].
     pub answered: u32,
+    /// See [`Count`].
+    pub timed: u32,
     /// In units of 100 µs, summed.
     pub answering: u32,
     /// Flows opened less flows closed here since the start; below zero at a balancer that is
@@ -41,6 +43,7 @@
             opening: ticks(count.opening),
             asked: count.asked,
             answered: count.answered,
+            timed: count.timed,
             answering: ticks(count.answering),
             open,
         }
@@ -55,6 +58,7 @@
             opening: TICK * self.opening,
             asked: self.asked,
             answered: self.answered,
+            timed: self.timed,
             answering: TICK * self.answering,
             closed: 0,
         }
--- a/crates/load/src/signal.rs
+++ b/crates/load/src/signal.rs
@@ -17,6 +17,8 @@
     pub asked: f64,
     /// See [`Count`].
     pub answered: f64,
+    /// See [`Count`].
+    pub timed: f64,
     /// Seconds.
     pub answering: f64,
 }
@@ -33,6 +35,7 @@
         step(&mut self.opening, count.opening.as_secs_f64());
         step(&mut self.asked, f64::from(count.asked));
         step(&mut self.answered, f64::from(count.answered));
+        step(&mut self.timed, f64::from(count.timed));
         step(&mut self.answering, count.answering.as_secs_f64());
     }
 
@@ -49,7 +52,7 @@
     pub fn work(&self, network: f64) -> Option<f64> {
         /// What the subtraction of two means leaves at least, in seconds.
         const LEAST: f64 = 1e-4;
-        (self.answered >= 1.0).then(|| (self.answering / self.answered - network).max(LEAST))
+        (self.timed >= 1.0).then(|| (self.answering / self.timed - network).max(LEAST))
     }
 
     /// Questions a second.
--- a/crates/load/src/speed.rs
+++ b/crates/load/src/speed.rs
@@ -47,7 +47,7 @@
             true => limits.samples,
             false => limits.samples_least,
         };
-        if self.stretch.answered < enough || visible <= 0.0 {
+        if self.stretch.timed < enough || visible <= 0.0 {
             return;
         }
         let stretch = std::mem::take(&mut self.stretch);
@@ -65,7 +65,7 @@
             return;
         };
         // The fewer answers, the more a measurement scatters, and the less it proves.
-        let scatter = (limits.samples / stretch.answered).sqrt().max(1.0);
+        let scatter = (limits.samples / stretch.timed).sqrt().max(1.0);
         let factor = 1.0 + (limits.change - 1.0) * scatter;
         let odd = self.odd.take();
         if value > mean * factor || mean > value * factor {
@@ -75,7 +75,7 @@
             }
             self.odd = Some(value);
         }
-        let memory = stretch.span * limits.memory / stretch.answered;
+        let memory = stretch.span * limits.memory / stretch.timed;
         let memory = memory.max(limits.slow.as_secs_f64());
         self.span = (self.span + stretch.span).min(memory);
         let part = (stretch.span / self.span).min(1.0);
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -15,7 +15,9 @@
     pub asked: u32,
     /// Data seen here beyond which an acknowledgement then moved.
     pub answered: u32,
-    /// Time from the data to that acknowledgement, summed over `answered`.
+    /// Those of them whose time is known.
+    pub timed: u32,
+    /// Time from the data to that acknowledgement, summed over `timed`.
     pub answering: Duration,
     /// Flows seen to end, whoever saw them open.
     pub closed: u32,
@@ -73,11 +75,13 @@
         self.with(server, |count| count.asked += 1);
     }
 
-    /// An acknowledgement beyond data that this balancer saw came by here after `took`.
-    pub fn answered(&mut self, server: Server, took: Duration) {
+    /// An acknowledgement beyond data that this balancer saw came by here, after `took` if that
+    /// says anything of the server; see [`crate::track`].
+    pub fn answered(&mut self, server: Server, took: Option<Duration>) {
         self.with(server, |count| {
             count.answered += 1;
-            count.answering += took;
+            count.timed += u32::from(took.is_some());
+            count.answering += took.unwrap_or_default();
         });
     }
 
@@ -97,6 +101,7 @@
             to.opening += from.opening;
             to.asked += from.asked;
             to.answered += from.answered;
+            to.timed += from.timed;
             to.answering += from.answering;
             to.closed += from.closed;
         }
--- a/crates/load/src/track.rs
+++ b/crates/load/src/track.rs
@@ -8,6 +8,18 @@
 
 use crate::{pool::Server, tally::Tally};
 
+/// Bytes of an answer from which on its acknowledgement can't be a delayed one: two full segments
+/// of a path with little room (RFC 9293, 3.8.6.3).
+const PROMPT: u32 = 2_400;
+/// Bytes that a server sends before the first acknowledgement reaches it (RFC 6928). One beyond
+/// them is of a later part of the answer.
+const FIRST_WINDOW: u32 = 14_600;
+/// If a smaller part of the answers than this is known to be acknowledged promptly, the others are
+/// timed as well: a biased figure is better than none.
+const RARE: f64 = 0.05;
+/// Answers over which that part is learned.
+const MEMORY: f64 = 256.0;
+
 #[derive(Debug, Clone, Copy)]
 enum Sample {
     /// The opening was seen; waiting for the first packet after it.
@@ -25,6 +37,9 @@
 /// part is the same for every server, so means and comparisons hold; absolute counts of answers
 /// mean nothing.
 ///
+/// The service needs a tracker of its own, as what callers' acknowledgements tell depends on the
+/// size of its answers.
+///
 /// The memory is bounded: a thread keeps at most `capacity` open samples and none older than
 /// `patience`. A pair that takes longer isn't an answer time any more but a caller's pause.
 #[derive(Debug)]
@@ -33,6 +48,8 @@
     capacity: usize,
     patience: Duration,
     swept: Duration,
+    /// Part of the first acknowledgements that were prompt.
+    prompt: f64,
 }
 
 impl Tracker {
@@ -44,6 +61,7 @@
             capacity,
             patience,
             swept: Duration::ZERO,
+            prompt: 0.0,
         }
     }
 
@@ -114,13 +132,29 @@
                     return;
                 }
                 if beyond && took(at) <= self.patience {
-                    tally.answered(server, took(at));
+                    let advance = packet.acknowledgement.wrapping_sub(acknowledged);
+                    let timed = self.tells(packet, advance);
+                    tally.answered(server, timed.then(|| took(at)));
                 }
             }
         }
         self.samples.remove(&packet.key);
     }
 
+    /// Whether the time of an acknowledgement that moved by `advance` is the server's.
+    ///
+    /// Callers delay the acknowledgement of a single segment by tens of milliseconds, more than
+    /// most requests take; counted in, it would make fast servers look as slow as slow ones.
+    /// Packets with data or FIN come when the caller pleases.
+    fn tells(&mut self, packet: &Packet, advance: u32) -> bool {
+        if packet.payload > 0 || packet.kind != Kind::Middle || advance > FIRST_WINDOW {
+            return false;
+        }
+        let prompt = advance >= PROMPT;
+        self.prompt += (f64::from(u8::from(prompt)) - self.prompt) / MEMORY;
+        prompt || self.prompt < RARE
+    }
+
     fn keep(&mut self, key: Key, sample: Sample, now: Duration) {
         if self.samples.len() >= self.capacity && now.saturating_sub(self.swept) >= self.patience {
             // Once in a while only: a sweep walks the whole map.
--- a/crates/load/tests/it/fake.rs
+++ b/crates/load/tests/it/fake.rs
@@ -248,7 +248,7 @@
             let tally = self.balancers[sight.balancer].gate.tally();
             match sight.closed {
                 Some(class) => tally.closed(Server(sight.server), class),
-                None => tally.answered(Server(sight.server), sight.took),
+                None => tally.answered(Server(sight.server), Some(sight.took)),
             }
         }
         while self.tick as f64 <= self.now {
