--- a/crates/ctl/tests/it/fixture.rs
+++ b/crates/ctl/tests/it/fixture.rs
@@ -118,6 +118,12 @@
         path
     }
 
+    /// The address of a balancer that has gone.
+    pub fn gone(&self) -> String {
+        let listener = std::net::TcpListener::bind(any()).expect("a free port");
+        listener.local_addr().expect("an address").to_string()
+    }
+
     /// Runs a command line as an operator would.
     pub async fn ctl(&self, line: &str) -> Report {
         let store = self.stand.address().to_string();
--- a/crates/ctl/tests/it/verb.rs
+++ b/crates/ctl/tests/it/verb.rs
@@ -104,6 +104,10 @@
     site.ctl(&format!("apply {file}")).await;
     site.roll_out([0, 2]).await;
     let lagging = site.ctl(&format!("apply {file} --wait 0")).await;
+    let gone = site.gone();
+    let silent = site
+        .ctl(&format!("apply {file} --wait 0 --balancer {gone}"))
+        .await;
     site.roll_out([1]).await;
     let done = site.ctl(&format!("apply {file} --wait 0")).await;
     assert_eq!(lagging.code, Code::WaitTimeout);
@@ -111,6 +115,8 @@
         lagging.data["balancers"]["lagging"],
         json!(["entry-1 (revision 0)"])
     );
+    assert_eq!(silent.code, Code::WaitTimeout);
+    assert_eq!(silent.data["balancers"]["silent"], json!([gone]));
     assert_eq!(done.code, Code::Success, "{}", done.text);
     assert_eq!(
         done.data["balancers"]["in_force"].as_array().map(Vec::len),
