Refuse revisions out of any sensible range and log replaced connections

A damaged document or a balancer that reports nonsense could name a revision near the end of the numbers; every later change would then be out of reach.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -22,6 +22,9 @@
 pub const HISTORY: usize = 64;
 /// Services that one change may create: the low bits of an instance number.
 const INSTANCE_BITS: u32 = 16;
+/// No revision reaches this: it would take changes each second for millions of years. A higher one
+/// is damage, and taking it would put every later change out of reach.
+const REVISION_END: u64 = 1 << (u64::BITS - INSTANCE_BITS);
 
 /// The document. It is written whole, by compare-and-swap.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -128,7 +131,7 @@
             return Err(Invalid { problems }.into());
         }
         let stored = before.map_or(0, |document| document.revision);
-        let revision = stored.max(draft.floor) + 1;
+        let revision = in_range(stored.max(draft.floor).saturating_add(1))?;
         let document = Document {
             revision,
             change: draft.change,
@@ -156,7 +159,10 @@
     /// # Errors
     /// When it is no document.
     pub fn decode(value: &str) -> Result<Self, Error> {
-        serde_json::from_str(value).map_err(|error| Error::Undecodable(error.to_string()))
+        let document: Self =
+            serde_json::from_str(value).map_err(|error| Error::Undecodable(error.to_string()))?;
+        in_range(document.revision)?;
+        Ok(document)
     }
 
     /// The configuration within.
@@ -194,6 +200,15 @@
     }
 }
 
+/// The revision, unless it is out of any sensible range.
+fn in_range(revision: u64) -> Result<u64, Error> {
+    if revision < REVISION_END {
+        return Ok(revision);
+    }
+    let reason = format!("revision {revision} is out of range");
+    Err(Error::Undecodable(reason))
+}
+
 /// The instance of each service. A service keeps its number for as long as its address, port and
 /// protocol stay. One that was removed and is created later, on the same address or under the
 /// same name, gets another: flows of the old one must not be taken for flows of the new one. The
--- a/crates/config/tests/it/document.rs
+++ b/crates/config/tests/it/document.rs
@@ -70,6 +70,22 @@
     assert!(!document.contains(Id::new(100)));
 }
 
+/// A damaged document, or a balancer that reports nonsense, names a revision near the end of the
+/// numbers. Counting on from there would put every later change out of reach.
+#[test]
+fn a_revision_out_of_range_is_refused() {
+    let mut damaged = follow(None, 1, config());
+    damaged.revision = u64::MAX;
+    let draft = Draft {
+        floor: u64::MAX,
+        ..draft(2, config())
+    };
+    let decoded = Document::decode(&damaged.encode());
+    let followed = Document::follow(None, &draft);
+    assert!(matches!(decoded, Err(Error::Undecodable(_))));
+    assert!(matches!(followed, Err(Error::Undecodable(_))));
+}
+
 /// The store holds a megabyte. A configuration beyond it must be refused: one that was cut would
 /// take servers away without a word.
 #[test]
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -247,10 +247,11 @@
     fn judge(&self, key: &Arc<str>, entry: Entry) -> Result<Entry, Error> {
         match self.state().seen.judge(key, entry.revision) {
             Verdict::Current => Ok(entry),
-            Verdict::Stale { seen } => Err(Error::Stale {
-                answered: entry.revision,
-                seen,
-            }),
+            Verdict::Stale { seen } => {
+                let answered = entry.revision;
+                log::warn!("event=platform-stale key={key} answered={answered} seen={seen}");
+                Err(Error::Stale { answered, seen })
+            }
         }
     }
 
@@ -289,7 +290,8 @@
                 return Ok(value);
             }
             Ok(Err(RpcError::DeadlineExceeded)) | Err(_) if !open.is_silent(sent) => {}
-            Ok(Err(_)) | Err(_) => slot.discard(&open),
+            Ok(Err(error)) => self.discard(slot, &open, &error.to_string()),
+            Err(_) => self.discard(slot, &open, "silent"),
         }
         Err(match effect {
             Effect::None => Error::Timeout,
@@ -297,6 +299,13 @@
         })
     }
 
+    /// Gives up a connection, and says so: a rising rate of this is the sign of a bad path.
+    fn discard(&self, slot: &Slot, open: &Arc<slot::Open>, reason: &str) {
+        let address = self.address;
+        log::warn!("event=platform-connection-replaced address={address} reason={reason:?}");
+        slot.discard(open);
+    }
+
     /// Waits for the limit on calls, but no longer than a call may take.
     async fn admit(&self) -> Result<(), Error> {
         let deadline = self.start.elapsed() + self.options.deadline;
