--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -86,6 +86,13 @@
 
 impl Status {
     /// Flows of all services.
+    ///
+    /// ```
+    /// use acacia_api::{Status, status::Service};
+    /// let of = |flows| Service { name: "live".into(), instance: 1, table: 1, flows, pins: 0 };
+    /// let status = Status { services: vec![of(2), of(3)], ..Status::default() };
+    /// assert_eq!(status.flows(), 5);
+    /// ```
     #[must_use]
     pub fn flows(&self) -> u64 {
         self.services.iter().map(|service| service.flows).sum()
--- a/crates/config/src/config.rs
+++ b/crates/config/src/config.rs
@@ -59,6 +59,14 @@
     }
 
     /// The service of that name.
+    ///
+    /// ```
+    /// use acacia_config::{Config, Service};
+    /// let mut config = Config::default();
+    /// config.add_service(Service::new("live", [10, 77, 0, 1], 443, 70));
+    /// assert_eq!(config.service("live").map(|service| service.port), Some(443));
+    /// assert_eq!(config.service("maps"), None);
+    /// ```
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
         let at = self
@@ -91,6 +99,18 @@
     }
 
     /// The backend servers of a service, by name.
+    ///
+    /// ```
+    /// use acacia_config::{Config, Server};
+    /// let mut config = Config::default();
+    /// config
+    ///     .add_server(Server::new("b", "live", "10.1.0.2:6080".parse()?, "lima-a"))
+    ///     .add_server(Server::new("a", "live", "10.1.0.1:6080".parse()?, "lima-a"))
+    ///     .add_server(Server::new("c", "maps", "10.1.0.3:6080".parse()?, "lima-a"));
+    /// let names: Vec<_> = config.servers_of("live").iter().map(|s| &*s.name).collect();
+    /// assert_eq!(names, ["a", "b"]);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
     #[must_use]
     pub fn servers_of(&self, service: &str) -> &[Server] {
         let start = self.servers.partition_point(|s| &*s.service < service);
--- a/crates/config/src/customer.rs
+++ b/crates/config/src/customer.rs
@@ -76,6 +76,12 @@
     /// The block of the addresses that share the first `length` bits of `address`. None if the
     /// length is longer than the address, or the address has bits beyond it: such a block is
     /// mostly a slip of the pen.
+    ///
+    /// ```
+    /// use acacia_config::Prefix;
+    /// assert!(Prefix::new([10, 77, 0, 0].into(), 16).is_some());
+    /// assert!(Prefix::new([10, 77, 0, 1].into(), 16).is_none());
+    /// ```
     #[must_use]
     pub fn new(address: IpAddr, length: u8) -> Option<Self> {
         let prefix = Prefix { address, length };
--- a/crates/config/src/objective.rs
+++ b/crates/config/src/objective.rs
@@ -52,6 +52,11 @@
     }
 
     /// As a fraction of 1, for calculations.
+    ///
+    /// ```
+    /// use acacia_config::Ratio;
+    /// assert_eq!(Ratio::new(50_000).map(Ratio::fraction), Some(0.5));
+    /// ```
     #[must_use]
     pub fn fraction(self) -> f64 {
         f64::from(self.0) / f64::from(Self::WHOLE)
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -130,6 +130,18 @@
     }
 
     /// The services that would have backend servers but none for new work.
+    ///
+    /// ```
+    /// use acacia_config::{Config, Server, Service, State, plan};
+    /// let mut before = Config::default();
+    /// before
+    ///     .add_service(Service::new("live", [10, 77, 0, 1], 443, 70))
+    ///     .add_server(Server::new("a", "live", "10.1.0.1:6080".parse()?, "lima-a"));
+    /// let mut after = before.clone();
+    /// after.update_server("a", |server| server.state = State::Drain { deadline: None });
+    /// assert_eq!(plan::compare(&before, &after).starved().count(), 1);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
     pub fn starved(&self) -> impl Iterator<Item = &Effect> {
         let starves = |e: &&Effect| e.active.to == 0 && e.active.from > 0 && e.share.to > 0;
         self.effects.iter().filter(starves)
--- a/crates/platform/src/seen.rs
+++ b/crates/platform/src/seen.rs
@@ -41,6 +41,14 @@
     }
 
     /// The highest revision seen of a key; 0 if none was.
+    ///
+    /// ```
+    /// use acacia_platform::seen::Seen;
+    /// let mut seen = Seen::default();
+    /// seen.judge(&"config".into(), 5);
+    /// seen.judge(&"config".into(), 4);
+    /// assert_eq!(seen.highest("config"), 5);
+    /// ```
     #[must_use]
     pub fn highest(&self, key: &str) -> u64 {
         self.highest.get(key).copied().unwrap_or(0)
--- a/crates/rollout/src/event.rs
+++ b/crates/rollout/src/event.rs
@@ -22,6 +22,25 @@
     pub document: Option<Arc<Document>>,
 }
 
+impl Answer {
+    /// The answer that a read or watch of the store's key gave. What can't be decoded counts as
+    /// nothing: serving goes on by what is in force.
+    ///
+    /// ```
+    /// use acacia_rollout::Answer;
+    /// assert_eq!(Answer::read(7, Some("no document")).document, None);
+    /// assert_eq!(Answer::read(7, None).revision, 7);
+    /// ```
+    #[must_use]
+    pub fn read(revision: u64, value: Option<&str>) -> Self {
+        let document = value.and_then(|value| Document::decode(value).ok());
+        Answer {
+            revision,
+            document: document.map(Arc::new),
+        }
+    }
+}
+
 /// Something that has happened.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
--- a/crates/rollout/src/version.rs
+++ b/crates/rollout/src/version.rs
@@ -14,6 +14,21 @@
 
 impl Version {
     /// The version of a document.
+    ///
+    /// ```
+    /// use acacia_config::{Config, document::{Document, Draft, Id}};
+    /// use acacia_rollout::Version;
+    /// let draft = Draft {
+    ///     change: Id::new(7),
+    ///     author: "aino".into(),
+    ///     time: 1_800_000_000,
+    ///     config: Config::default(),
+    ///     floor: 4,
+    /// };
+    /// let document = Document::follow(None, &draft)?;
+    /// assert_eq!(Version::of(&document), Version { revision: 5, change: Id::new(7) });
+    /// # Ok::<(), acacia_config::document::Error>(())
+    /// ```
     #[must_use]
     pub fn of(document: &Document) -> Self {
         Version {
