Never make a small change upon a store that is behind the balancers

A platform restored from a backup forgets changes that the balancers have in force. drain read its base from the store alone, so it would have reverted them everywhere. What is in force is now the highest of store and balancers. The stand-in can be restored from a backup on command.

--- a/crates/ctl/src/in_force.rs
+++ b/crates/ctl/src/in_force.rs
@@ -1,4 +1,6 @@
-//! What is in force: by the store, or by the balancers while it is down.
+//! What is in force: by the store, or by the balancers while it is down or behind them.
+
+use std::net::SocketAddr;
 
 use acacia_api::ask;
 use acacia_code::Code;
@@ -21,16 +23,35 @@
 }
 
 /// Reads the document in force; none before the first was applied.
+///
+/// It is the highest of the store's and the balancers'. A store that was restored from a backup is
+/// behind them; a small change made upon its older content would revert all that it has forgotten.
 pub(crate) async fn find(settings: &Settings) -> Result<Option<InForce>, Report> {
     let stored = match settings.client() {
         Ok(client) => client.get(&document::KEY.into()).await.ok(),
         Err(_) => None,
     };
+    let answers = fleet::survey(settings).await;
+    let serving = answers
+        .iter()
+        .filter_map(|(address, answer)| Some((answer.as_ref().ok()?.revision?, *address)));
+    let best = serving.max();
     let Some(entry) = stored else {
-        return by_balancers(settings).await.map(Some);
+        let Some((_, address)) = best else {
+            let reason = "the store does not answer, and no balancer has a configuration";
+            return Err(Report::failure(Code::NothingInForce, reason));
+        };
+        return by_balancer(settings, address).await.map(Some);
     };
     let value = entry.value.as_deref();
-    value.map(|value| read(value, "store".into())).transpose()
+    let found = value.map(|value| read(value, "store".into())).transpose()?;
+    let revision = found.as_ref().map_or(0, |found| found.document.revision);
+    match best {
+        Some((newer, address)) if newer > revision => {
+            by_balancer(settings, address).await.map(Some)
+        }
+        Some(_) | None => Ok(found),
+    }
 }
 
 /// The same, where there must be one.
@@ -39,16 +60,8 @@
     find(settings).await?.ok_or_else(nothing)
 }
 
-/// The highest document that any balancer has.
-async fn by_balancers(settings: &Settings) -> Result<InForce, Report> {
-    let answers = fleet::survey(settings).await;
-    let serving = answers
-        .iter()
-        .filter_map(|(address, answer)| Some((answer.as_ref().ok()?.revision?, *address)));
-    let Some((_, address)) = serving.max() else {
-        let reason = "the store does not answer, and no balancer has a configuration";
-        return Err(Report::failure(Code::NothingInForce, reason));
-    };
+/// The document that a balancer has.
+async fn by_balancer(settings: &Settings, address: SocketAddr) -> Result<InForce, Report> {
     let question = async |admin: &acacia_api::AdminClient, ctx| admin.document(ctx).await;
     let answer = ask(address, settings.deadline, question).await;
     match answer {
--- a/crates/ctl/tests/it/verb.rs
+++ b/crates/ctl/tests/it/verb.rs
@@ -165,6 +165,28 @@
     site.end().await;
 }
 
+/// The platform was restored from a backup and has forgotten the last change, which the balancers
+/// have in force. A drain made upon the backup would revert that change everywhere.
+#[tokio::test]
+async fn a_drain_over_a_restored_store_reverts_nothing() {
+    let site = Site::new(2).await;
+    for share in [60, 70] {
+        let file = site.file("some", &config(share)).display().to_string();
+        site.ctl(&format!("apply {file}")).await;
+    }
+    site.roll_out([0, 1]).await;
+    site.stand.restore();
+    let behind = site.stored().await.revision;
+    let drained = site.ctl("drain live-1").await;
+    let stored = site.stored().await;
+    let config = stored.config().expect("a configuration");
+    assert_eq!((behind, stored.revision), (1, 3));
+    assert_eq!(drained.code, Code::Success, "{}", drained.text);
+    assert_eq!(config.services()[0].share, 70);
+    assert_eq!(config.servers()[0].state, State::Drain { deadline: None });
+    site.end().await;
+}
+
 #[tokio::test]
 async fn a_file_with_problems_is_checked_and_never_applied() {
     let site = Site::new(0).await;
--- a/crates/platform/src/apply.rs
+++ b/crates/platform/src/apply.rs
@@ -32,8 +32,8 @@
 pub struct Request {
     /// The change.
     pub draft: Draft,
-    /// The revision that the operator reviewed the change against, if any: over another one it
-    /// is not written.
+    /// The revision that the operator reviewed the change against, if any: while another one is
+    /// in force, by the store or by the draft's floor, it is not written.
     pub over: Option<u64>,
     /// How often and at which distances a write without answer is read back.
     pub settle: Schedule,
@@ -197,8 +197,9 @@
         if same && revision >= self.request.draft.floor {
             return Ok(self.done(Verdict::Unchanged { revision }));
         }
-        if self.request.over.is_some_and(|over| over != revision) {
-            let theirs = before.map(Box::new);
+        let in_force = revision.max(self.request.draft.floor);
+        if self.request.over.is_some_and(|over| over != in_force) {
+            let theirs = before.filter(|b| b.revision == in_force).map(Box::new);
             return Ok(self.done(Verdict::Conflict { theirs }));
         }
         let base = Base {
--- a/crates/stand/src/platform/control.rs
+++ b/crates/stand/src/platform/control.rs
@@ -13,6 +13,8 @@
     async fn silence_open();
     /// Every lease lapses at once.
     async fn lapse_leases();
+    /// Puts a backup in place of the store, without the last write of each key.
+    async fn restore();
     /// Replaces the list of VMs.
     async fn machines(machines: Vec<Machine>);
     /// Calls taken so far.
--- a/crates/stand/src/platform/serve.rs
+++ b/crates/stand/src/platform/serve.rs
@@ -110,6 +110,12 @@
         self.shared.wake();
     }
 
+    /// Puts a backup in place of the store, without the last write of each key.
+    pub fn restore(&self) {
+        self.shared.with(|inner, _| inner.store.restore());
+        self.shared.wake();
+    }
+
     /// Replaces the list of VMs.
     pub fn set_machines(&self, machines: Vec<Machine>) {
         let set = |inner: &mut Inner, now| inner.set_machines(now, machines);
@@ -290,6 +296,11 @@
         self.0.wake();
     }
 
+    async fn restore(self, _: Context) {
+        self.0.with(|inner, _| inner.store.restore());
+        self.0.wake();
+    }
+
     async fn machines(self, _: Context, machines: Vec<Machine>) {
         self.0.with(|inner, now| inner.set_machines(now, machines));
     }
--- a/crates/stand/src/platform/store.rs
+++ b/crates/stand/src/platform/store.rs
@@ -71,6 +71,16 @@
         Ok(Outcome::Written { revision })
     }
 
+    /// Puts a backup in place of the store: every key holds what it held before its last write,
+    /// and revisions count on from there.
+    pub fn restore(&mut self) {
+        for key in self.keys.values_mut() {
+            key.now = key.before.clone();
+        }
+        let newest = self.keys.values().map(|key| key.now.revision).max();
+        self.revision = newest.unwrap_or(0);
+    }
+
     fn write(
         &mut self,
         key: Arc<str>,
