Number a change after what the balancers have in force, instances included

A draft carries the document that the balancers have where it is newer than the store's, in place of its bare revision: after a restore from a backup, services created since keep their instances and the history stays whole. With the store silent and no balancer known, the platform's error is the reason.

--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -47,7 +47,7 @@
     18 ConfigDuplicate "config-duplicate": "Something stands twice that may stand only once."; "Remove or rename one of them".
     19 ConfigReference "config-reference": "A name refers to something that the configuration doesn't hold."; "Add it or mend the name".
     20 ConfigTooLarge "config-too-large": "The configuration is larger than the platform's store holds in one value."; "Merge address prefixes, shorten names or split the deployment".
-    21 DocumentUndecodable "document-undecodable": "The document in the platform's store can't be decoded."; "Look for writers of another version, or apply a reviewed configuration again".
+    21 DocumentUndecodable "document-undecodable": "The document in the platform's store can't be decoded."; "Use the acaciactl of the newer release, or restore the key from the platform's backup".
     30 PlatformUnreachable "platform-unreachable": "The platform can't be reached; the call has had no effect."; "Check the address, wait for the platform".
     31 PlatformTimeout "platform-timeout": "The platform did not answer a read in time."; "Wait for the platform".
     32 PlatformUnknown "platform-unknown": "The platform's answer to a write was lost; it may have taken effect."; "Read back before writing again".
--- a/crates/config/examples/size.rs
+++ b/crates/config/examples/size.rs
@@ -25,7 +25,7 @@
         author: "aino".into(),
         time: 1_800_000_000,
         config: config.clone(),
-        floor: 0,
+        in_force: None,
     };
     let document = match Document::follow(None, &draft) {
         Ok(document) => document.encode().len().to_string(),
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -69,10 +69,10 @@
     pub time: u64,
     /// The configuration wanted.
     pub config: Config,
-    /// The highest revision known from elsewhere (the balancers). A store that was restored from
-    /// a backup holds a lower one; a change numbered from there would be ignored as old by every
-    /// balancer.
-    pub floor: u64,
+    /// What the balancers have in force, where it is newer than what the store holds. A store that
+    /// was restored from a backup is behind them: a change numbered from there would be ignored
+    /// as old by every balancer, and services created since would lose their instances.
+    pub in_force: Option<Arc<Document>>,
 }
 
 /// Why a document can't be read or made.
@@ -105,7 +105,7 @@
 }
 
 impl Document {
-    /// The document that follows `before` when the draft is accepted.
+    /// The document that follows the store's `before` when the draft is accepted.
     ///
     /// # Errors
     /// When the draft has problems, `before` can't be understood or the outcome is too large.
@@ -117,7 +117,7 @@
     ///     author: "aino".into(),
     ///     time: 1_800_000_000,
     ///     config: Config::default(),
-    ///     floor: 0,
+    ///     in_force: None,
     /// };
     /// let first = Document::follow(None, &draft)?;
     /// let second = Document::follow(Some(&first), &Draft { change: Id::new(8), ..draft })?;
@@ -130,8 +130,10 @@
         if !problems.is_empty() {
             return Err(Invalid { problems }.into());
         }
-        let stored = before.map_or(0, |document| document.revision);
-        let revision = in_range(stored.max(draft.floor).saturating_add(1))?;
+        let known = [before, draft.in_force.as_deref()];
+        let before = known.into_iter().flatten().max_by_key(|d| d.revision);
+        let last = before.map_or(0, |document| document.revision);
+        let revision = in_range(last.saturating_add(1))?;
         let document = Document {
             revision,
             change: draft.change,
--- a/crates/config/tests/it/document.rs
+++ b/crates/config/tests/it/document.rs
@@ -46,16 +46,20 @@
 }
 
 /// The platform was restored from a backup and holds an older document than the balancers. A
-/// change numbered from there would look old to every balancer and never come into force.
+/// change numbered from there would look old to every balancer and never come into force, and
+/// flows of a service created since would be taken for those of another.
 #[test]
-fn a_change_is_numbered_above_what_balancers_have() {
-    let backup = follow(None, 1, config());
+fn a_change_follows_what_the_balancers_have_in_force() {
+    let backup = follow(None, 1, Config::default());
+    let in_force = follow(Some(&follow(Some(&backup), 2, config())), 3, config());
     let draft = Draft {
-        floor: 57,
-        ..draft(2, Config::default())
+        in_force: Some(in_force.clone().into()),
+        ..draft(4, config())
     };
     let next = Document::follow(Some(&backup), &draft).expect("a document");
-    assert_eq!(next.revision, 58);
+    assert_eq!(next.revision, 4);
+    assert_eq!(next.instances, in_force.instances);
+    assert!(next.contains(Id::new(3)));
 }
 
 #[test]
@@ -76,11 +80,11 @@
 fn a_revision_out_of_range_is_refused() {
     let mut damaged = follow(None, 1, config());
     damaged.revision = u64::MAX;
+    let decoded = Document::decode(&damaged.encode());
     let draft = Draft {
-        floor: u64::MAX,
+        in_force: Some(damaged.into()),
         ..draft(2, config())
     };
-    let decoded = Document::decode(&damaged.encode());
     let followed = Document::follow(None, &draft);
     assert!(matches!(decoded, Err(Error::Undecodable(_))));
     assert!(matches!(followed, Err(Error::Undecodable(_))));
--- a/crates/config/tests/it/fixture.rs
+++ b/crates/config/tests/it/fixture.rs
@@ -44,7 +44,7 @@
         author: "aino".into(),
         time: 1_800_000_000,
         config,
-        floor: 0,
+        in_force: None,
     }
 }
 
--- a/crates/ctl/src/in_force.rs
+++ b/crates/ctl/src/in_force.rs
@@ -28,20 +28,21 @@
 /// behind them; a small change made upon its older content would revert all that it has forgotten.
 pub(crate) async fn find(settings: &Settings) -> Result<Option<InForce>, Report> {
     let stored = match settings.client() {
-        Ok(client) => client.get(&document::KEY.into()).await.ok(),
-        Err(_) => None,
+        Ok(client) => client
+            .get(&document::KEY.into())
+            .await
+            .map_err(|error| Report::failure(error.code(), error)),
+        Err(unnamed) => Err(unnamed),
     };
     let answers = fleet::survey(settings).await;
     let serving = answers
         .iter()
         .filter_map(|(address, answer)| Some((answer.as_ref().ok()?.revision?, *address)));
     let best = serving.max();
-    let Some(entry) = stored else {
-        let Some((_, address)) = best else {
-            let reason = "the store does not answer, and no balancer has a configuration";
-            return Err(Report::failure(Code::NothingInForce, reason));
-        };
-        return by_balancer(settings, address).await.map(Some);
+    let entry = match (stored, best) {
+        (Ok(entry), _) => entry,
+        (Err(_), Some((_, address))) => return by_balancer(settings, address).await.map(Some),
+        (Err(failure), None) => return Err(failure),
     };
     let value = entry.value.as_deref();
     let found = value.map(|value| read(value, "store".into())).transpose()?;
--- a/crates/ctl/src/verb/apply.rs
+++ b/crates/ctl/src/verb/apply.rs
@@ -12,7 +12,11 @@
 use tokio::time::{self, Instant};
 
 use super::plan::difference;
-use crate::{Report, Settings, fleet, wait};
+use crate::{
+    Report, Settings, fleet,
+    in_force::{self, InForce},
+    wait,
+};
 
 /// Pause between two looks at the balancers. A change takes tenths of a second.
 const LOOK: Duration = Duration::from_millis(250);
@@ -24,25 +28,25 @@
     patience: Option<Duration>,
 ) -> Result<Report, Report> {
     let config = super::read(file)?;
-    config_as(settings, config, over, patience).await
+    let found = in_force::find(settings).await?;
+    over_found(settings, config, (over, found), patience).await
 }
 
-/// Applies a configuration, and waits for it if asked to.
-pub(super) async fn config_as(
+/// Applies a configuration over what was found in force, and waits for it if asked to. With a
+/// revision given, only over that one.
+pub(super) async fn over_found(
     settings: &Settings,
     config: Config,
-    over: Option<u64>,
+    (over, found): (Option<u64>, Option<InForce>),
     patience: Option<Duration>,
 ) -> Result<Report, Report> {
     let client = settings.client()?;
-    let answers = fleet::survey(settings).await;
-    let revisions = answers.values().flatten().filter_map(|s| s.revision);
     let draft = Draft {
         change: Id::new(settings.moment.random),
         author: settings.author.clone(),
         time: settings.moment.unix,
         config: config.clone(),
-        floor: revisions.max().unwrap_or(0),
+        in_force: found.map(|found| found.document.into()),
     };
     let change = draft.change;
     let request = Request {
--- a/crates/ctl/src/verb/drain.rs
+++ b/crates/ctl/src/verb/drain.rs
@@ -35,7 +35,7 @@
     patience: Option<Duration>,
 ) -> Result<Report, Report> {
     let found = in_force::require(settings).await?;
-    let mut config = found.config;
+    let mut config = found.config.clone();
     for name in servers {
         if !config.update_server(name, |server| server.state = state) {
             let reason = format!("no backend server is called {name}");
@@ -43,5 +43,5 @@
         }
     }
     let over = Some(found.document.revision);
-    apply::config_as(settings, config, over, patience).await
+    apply::over_found(settings, config, (over, Some(found)), patience).await
 }
--- a/crates/ctl/tests/it/verb.rs
+++ b/crates/ctl/tests/it/verb.rs
@@ -187,6 +187,17 @@
     site.end().await;
 }
 
+#[tokio::test]
+async fn with_nobody_to_ask_the_reason_is_the_platform() {
+    let site = Site::new(0).await;
+    let empty = site.ctl("print").await;
+    site.stand.steer(|faults| faults.silent = true);
+    let silent = site.ctl("print").await;
+    assert_eq!(empty.code, Code::NothingInForce);
+    assert_eq!(silent.code, Code::PlatformTimeout);
+    site.end().await;
+}
+
 #[tokio::test]
 async fn a_file_with_problems_is_checked_and_never_applied() {
     let site = Site::new(0).await;
--- a/crates/platform/src/apply.rs
+++ b/crates/platform/src/apply.rs
@@ -33,7 +33,7 @@
     /// The change.
     pub draft: Draft,
     /// The revision that the operator reviewed the change against, if any: while another one is
-    /// in force, by the store or by the draft's floor, it is not written.
+    /// in force, by the store or by the draft itself, it is not written.
     pub over: Option<u64>,
     /// How often and at which distances a write without answer is read back.
     pub settle: Schedule,
@@ -125,8 +125,8 @@
 enum State {
     /// Reading what is in force.
     Reading,
-    /// Waiting for the answer to the write.
-    Writing(Base),
+    /// Waiting for the answer to the write, which makes this revision.
+    Writing(Base, u64),
     /// Refused because of another change, which is being read.
     Losing,
     /// Reading back after the answer was lost.
@@ -161,7 +161,9 @@
     pub fn step(&mut self, event: Event) -> Action {
         match (self.state, event) {
             (State::Reading, Event::Read(entry)) => self.write_over(entry),
-            (State::Writing(base), Event::Written(answer)) => self.written(base, answer),
+            (State::Writing(base, next), Event::Written(answer)) => {
+                self.written(base, next, answer)
+            }
             (State::Losing, Event::Read(entry)) => {
                 let theirs = entry.ok().as_ref().and_then(settle::decode);
                 let theirs = theirs.map(Box::new);
@@ -191,13 +193,15 @@
         let before = entry.value.as_deref().map(Document::decode).transpose()?;
         let revision = before.as_ref().map_or(0, |document| document.revision);
         let next = Document::follow(before.as_ref(), &self.request.draft)?;
+        let elsewhere = &self.request.draft.in_force;
+        let elsewhere = elsewhere.as_ref().map_or(0, |document| document.revision);
+        let in_force = revision.max(elsewhere);
         // A store behind the balancers (restored from a backup) may hold the same text while
         // they have another one in force.
         let same = before.as_ref().is_some_and(|b| b.text == next.text);
-        if same && revision >= self.request.draft.floor {
+        if same && revision == in_force {
             return Ok(self.done(Verdict::Unchanged { revision }));
         }
-        let in_force = revision.max(self.request.draft.floor);
         if self.request.over.is_some_and(|over| over != in_force) {
             let theirs = before.filter(|b| b.revision == in_force).map(Box::new);
             return Ok(self.done(Verdict::Conflict { theirs }));
@@ -206,17 +210,17 @@
             key: entry.revision,
             document: revision,
         };
-        self.state = State::Writing(base);
+        self.state = State::Writing(base, next.revision);
         Ok(Action::Write {
             expected: base.key,
             value: next.encode(),
         })
     }
 
-    fn written(&mut self, base: Base, answer: Result<Outcome, Error>) -> Action {
+    fn written(&mut self, base: Base, next: u64, answer: Result<Outcome, Error>) -> Action {
         match answer {
             Ok(Outcome::Written { .. }) => {
-                let revision = base.document.max(self.request.draft.floor) + 1;
+                let revision = next;
                 self.done(Verdict::Accepted { revision })
             }
             Ok(Outcome::Conflict { .. }) => {
--- a/crates/platform/src/apply/run.rs
+++ b/crates/platform/src/apply/run.rs
@@ -20,7 +20,7 @@
 ///     author: "aino".into(),
 ///     time: 1_800_000_000,
 ///     config: Config::default(),
-///     floor: 0,
+///     in_force: None,
 /// };
 /// let request = apply::Request { draft, over: None, settle: apply::SETTLE };
 /// let verdict = apply::run(&client, request, rand::random()).await;
--- a/crates/platform/tests/it/apply.rs
+++ b/crates/platform/tests/it/apply.rs
@@ -21,7 +21,7 @@
             author: "aino".into(),
             time: 1_800_000_000,
             config,
-            floor: 0,
+            in_force: None,
         },
         over: None,
         settle: Schedule {
--- a/crates/platform/tests/it/apply/decide.rs
+++ b/crates/platform/tests/it/apply/decide.rs
@@ -177,7 +177,11 @@
 fn the_same_text_below_the_balancers_revision_is_written() {
     let (mut world, _) = play(1, &[]);
     let mut above = request(1);
-    above.draft.floor = 5;
+    let in_force = Document {
+        revision: 5,
+        ..world.applied[0].clone()
+    };
+    above.draft.in_force = Some(in_force.into());
     let mut operator = Operator::new(above);
     while operator.verdict.is_none() {
         world.step(&mut operator, Fault::None);
--- a/crates/rollout/src/version.rs
+++ b/crates/rollout/src/version.rs
@@ -23,10 +23,10 @@
     ///     author: "aino".into(),
     ///     time: 1_800_000_000,
     ///     config: Config::default(),
-    ///     floor: 4,
+    ///     in_force: None,
     /// };
     /// let document = Document::follow(None, &draft)?;
-    /// assert_eq!(Version::of(&document), Version { revision: 5, change: Id::new(7) });
+    /// assert_eq!(Version::of(&document), Version { revision: 1, change: Id::new(7) });
     /// # Ok::<(), acacia_config::document::Error>(())
     /// ```
     #[must_use]
--- a/crates/rollout/tests/it/fixture.rs
+++ b/crates/rollout/tests/it/fixture.rs
@@ -50,9 +50,10 @@
         author: "aino".into(),
         time: revision,
         config,
-        floor: revision - 1,
+        in_force: None,
     };
-    Arc::new(Document::follow(None, &draft).expect("a document"))
+    let first = Document::follow(None, &draft).expect("a document");
+    Arc::new(Document { revision, ..first })
 }
 
 /// What a store answers that holds that revision.
