--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -22,6 +22,9 @@
 pub const HISTORY: usize = 64;
 /// Services that one change may create: the low bits of an instance number.
 const INSTANCE_BITS: u32 = 16;
+/// No revision reaches this: it would take changes each second for millions of years. A higher one
+/// is damage, and taking it would put every later change out of reach.
+const REVISION_END: u64 = 1 << (u64::BITS - INSTANCE_BITS);
 
 /// The document. It is written whole, by compare-and-swap.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,10 +69,10 @@
     pub time: u64,
     /// The configuration wanted.
     pub config: Config,
-    /// The highest revision known from elsewhere (the balancers). A store that was restored from
-    /// a backup holds a lower one; a change numbered from there would be ignored as old by every
-    /// balancer.
-    pub floor: u64,
+    /// What the balancers have in force, where it is newer than what the store holds. A store that
+    /// was restored from a backup is behind them: a change numbered from there would be ignored
+    /// as old by every balancer, and services created since would lose their instances.
+    pub in_force: Option<Arc<Document>>,
 }
 
 /// Why a document can't be read or made.
@@ -102,7 +105,7 @@
 }
 
 impl Document {
-    /// The document that follows `before` when the draft is accepted.
+    /// The document that follows the store's `before` when the draft is accepted.
     ///
     /// # Errors
     /// When the draft has problems, `before` can't be understood or the outcome is too large.
@@ -114,7 +117,7 @@
     ///     author: "aino".into(),
     ///     time: 1_800_000_000,
     ///     config: Config::default(),
-    ///     floor: 0,
+    ///     in_force: None,
     /// };
     /// let first = Document::follow(None, &draft)?;
     /// let second = Document::follow(Some(&first), &Draft { change: Id::new(8), ..draft })?;
@@ -127,8 +130,10 @@
         if !problems.is_empty() {
             return Err(Invalid { problems }.into());
         }
-        let stored = before.map_or(0, |document| document.revision);
-        let revision = stored.max(draft.floor) + 1;
+        let known = [before, draft.in_force.as_deref()];
+        let before = known.into_iter().flatten().max_by_key(|d| d.revision);
+        let last = before.map_or(0, |document| document.revision);
+        let revision = in_range(last.saturating_add(1))?;
         let document = Document {
             revision,
             change: draft.change,
@@ -156,7 +161,10 @@
     /// # Errors
     /// When it is no document.
     pub fn decode(value: &str) -> Result<Self, Error> {
-        serde_json::from_str(value).map_err(|error| Error::Undecodable(error.to_string()))
+        let document: Self =
+            serde_json::from_str(value).map_err(|error| Error::Undecodable(error.to_string()))?;
+        in_range(document.revision)?;
+        Ok(document)
     }
 
     /// The configuration within.
@@ -194,6 +202,15 @@
     }
 }
 
+/// The revision, unless it is out of any sensible range.
+fn in_range(revision: u64) -> Result<u64, Error> {
+    if revision < REVISION_END {
+        return Ok(revision);
+    }
+    let reason = format!("revision {revision} is out of range");
+    Err(Error::Undecodable(reason))
+}
+
 /// The instance of each service. A service keeps its number for as long as its address, port and
 /// protocol stay. One that was removed and is created later, on the same address or under the
 /// same name, gets another: flows of the old one must not be taken for flows of the new one. The
