--- a/crates/tables/src/follow.rs
+++ b/crates/tables/src/follow.rs
@@ -267,10 +267,9 @@
         let known = self.situation.is_known;
         service.move_base(|closed| closed < self.version && known(closed));
         let servers = std::mem::take(&mut service.servers);
-        let (kept, gone): (Vec<_>, Vec<_>) = servers.into_iter().partition(|server| {
-            let is_known = server.closed.is_some_and(|v| v < self.version && known(v));
-            server.state != State::Gone || !is_known || service.names(server.number)
-        });
+        let (kept, gone): (Vec<_>, Vec<_>) = servers
+            .into_iter()
+            .partition(|server| server.state != State::Gone || service.names(server.number));
         service.servers = kept;
         gone.iter().for_each(|server| self.release(server.address));
     }
--- a/crates/tables/src/follow/service.rs
+++ b/crates/tables/src/follow/service.rs
@@ -114,12 +114,8 @@
     /// A balancer that still placed flows on the old base would have them cut off: others go by
     /// the new one.
     pub(super) fn move_base(&mut self, is_known: impl Fn(u64) -> bool) {
-        let is_gone = |number: u16| match self.server(number) {
-            Some(server) => server.state == State::Gone,
-            None => number == NOBODY,
-        };
         let may_leave = |number: u16| match self.server(number) {
-            Some(server) => is_gone(number) && server.closed.is_some_and(&is_known),
+            Some(server) => server.state == State::Gone && server.closed.is_some_and(&is_known),
             None => number == NOBODY,
         };
         let named: Set<u16> = self.base.iter().copied().collect();
@@ -127,12 +123,8 @@
         if leaving.is_empty() {
             return;
         }
-        // With no server left, `next` may name one that is gone as well.
-        let pairs = self.base.iter().zip(self.next.iter());
-        let target: Vec<u16> = pairs
-            .map(|(base, next)| if is_gone(*next) { *base } else { *next })
-            .collect();
-        self.base = table::rebase(&self.base, &target, |server| leaving.contains(&server)).into();
+        let leaves = |server: u16| leaving.contains(&server);
+        self.base = table::rebase(&self.base, &self.next, leaves).into();
     }
 }
 
--- a/crates/tables/tests/it/document.rs
+++ b/crates/tables/tests/it/document.rs
@@ -46,6 +46,16 @@
     ));
 }
 
+/// A configuration is accepted whose tables don't fit into the store. Cut to its size, they would
+/// take servers away without a word.
+#[test]
+fn tables_too_large_for_the_store_are_an_error() {
+    let mut document = Chain::new(&live(1)).tables().clone();
+    document.services = vec![document.services.remove(0); 200];
+    let size = document.encode().map(|text| text.len());
+    assert!(matches!(size, Err(Error::TooLarge { size }) if size > MAX_SIZE));
+}
+
 /// The store's value is cut, mixed up or made by somebody else. A balancer that stopped over it
 /// would take its flows along.
 mod garbage {
--- a/crates/tables/tests/it/main.rs
+++ b/crates/tables/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod document;
 mod fixture;
+mod fleet;
 mod follow;
 mod sequence;
 mod writer;
