Let a backend server leave a service that has no other

Moving every server of a service to another one left the first with tables that still named them: they stayed listed there and could never join the second, so that its callers were refused. Buckets whose server is gone, and known to take no new flows, now go to nobody where no other server takes flows.

The two random tests are one: operators' changes, weights, deadlines and three writers over one store, with every document checked against all before it.

--- a/crates/tables/src/document.rs
+++ b/crates/tables/src/document.rs
@@ -20,7 +20,7 @@
 /// there are still 20 for each. Twice as many would double the document and every balancer's flags
 /// for half a percent.
 pub const BUCKETS: usize = 4_096;
-/// The server number that buckets have as long as the service has had no server.
+/// The server number of buckets for which there is no server.
 pub const NOBODY: u16 = 0;
 
 /// The agreed tables of all services.
--- a/crates/tables/src/follow/service.rs
+++ b/crates/tables/src/follow/service.rs
@@ -109,22 +109,32 @@
     }
 
     /// Moves the base of buckets whose server is gone, where balancers are known to place no new
-    /// flows on it, to the server that takes the bucket's new flows.
+    /// flows on it, to the server that takes the bucket's new flows, or to nobody if there is none.
     ///
     /// A balancer that still placed flows on the old base would have them cut off: others go by
-    /// the new one.
+    /// the new one. A server that kept buckets for want of another could never be given to another
+    /// service.
     pub(super) fn move_base(&mut self, is_known: impl Fn(u64) -> bool) {
-        let may_leave = |number: u16| match self.server(number) {
-            Some(server) => server.state == State::Gone && server.closed.is_some_and(&is_known),
-            None => number == NOBODY,
-        };
-        let named: Set<u16> = self.base.iter().copied().collect();
-        let leaving: Set<u16> = named.into_iter().filter(|&s| may_leave(s)).collect();
-        if leaving.is_empty() {
-            return;
+        let is_leaving =
+            |server: &&Server| server.state == State::Gone && server.closed.is_some_and(&is_known);
+        let leaving = self.servers.iter().filter(is_leaving);
+        let mut leaving: Set<u16> = leaving.map(|server| server.number).collect();
+        leaving.insert(NOBODY);
+        if self.next.iter().any(|next| leaving.contains(next)) {
+            let next = self.next.iter();
+            let next = next.map(|next| {
+                if leaving.contains(next) {
+                    NOBODY
+                } else {
+                    *next
+                }
+            });
+            self.next = next.collect();
+        }
+        if self.base.iter().any(|base| leaving.contains(base)) {
+            let leaves = |server: u16| leaving.contains(&server);
+            self.base = table::rebase(&self.base, &self.next, leaves).into();
         }
-        let leaves = |server: u16| leaving.contains(&server);
-        self.base = table::rebase(&self.base, &self.next, leaves).into();
     }
 }
 
--- /dev/null
+++ b/crates/tables/tests/it/invariant.rs
@@ -0,0 +1,95 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use acacia_tables::{Document, NOBODY, Service, State};
+
+use crate::fixture::front;
+
+/// Every document that was written, in order.
+#[derive(Debug, Default)]
+pub struct History {
+    pub documents: Vec<Document>,
+    /// Who had a number at an address, and the last version in which.
+    numbers: BTreeMap<(u8, u16), (std::net::SocketAddr, u64)>,
+}
+
+impl History {
+    /// Checks a document against those before, while every balancer has at least `known`.
+    pub fn add(&mut self, document: &Document, known: u64) {
+        let version = self.documents.last().map_or(0, |before| before.version);
+        assert_eq!(document.version, version + 1);
+        self.check_numbers(document);
+        for service in &document.services {
+            check_shares(service);
+            self.check_base(service, known);
+        }
+        self.documents.push(document.clone());
+    }
+
+    /// A number means one server, and none for ever once that one is gone.
+    fn check_numbers(&mut self, document: &Document) {
+        for place in 1..3 {
+            let servers = document
+                .service(&front(place))
+                .map(|service| &service.servers);
+            for server in servers.into_iter().flatten() {
+                let fresh = (server.address, document.version);
+                let seen = self.numbers.entry((place, server.number)).or_insert(fresh);
+                assert_eq!(
+                    seen.0, server.address,
+                    "number {} used again",
+                    server.number
+                );
+                assert!(
+                    document.version - seen.1 <= 1,
+                    "number {} came back",
+                    server.number
+                );
+                seen.1 = document.version;
+            }
+        }
+    }
+
+    /// A bucket's base moves only away from nobody, or from a server that takes no new flows in
+    /// any tables that some balancer may still have, and that is gone.
+    fn check_base(&self, new: &Service, known: u64) {
+        let same = |document: &Document| {
+            let service = document.service(&new.address).cloned();
+            service.filter(|service| service.since == new.since)
+        };
+        let Some(old) = self.documents.last().and_then(same) else {
+            return;
+        };
+        let moved = old
+            .base
+            .iter()
+            .zip(new.base.iter())
+            .filter(|(from, to)| from != to);
+        let moved: BTreeSet<u16> = moved.map(|(from, _)| *from).collect();
+        for from in moved.into_iter().filter(|&from| from != NOBODY) {
+            assert!(
+                new.server(from)
+                    .is_none_or(|server| server.state == State::Gone)
+            );
+            let held = self
+                .documents
+                .iter()
+                .filter(|held| held.version >= known.max(1));
+            for service in held.map(same) {
+                let state = service.and_then(|service| Some(service.server(from)?.state));
+                assert!(
+                    state.is_some_and(|state| state != State::Up),
+                    "base of {from} moved"
+                );
+            }
+        }
+    }
+}
+
+fn check_shares(service: &Service) {
+    let total: u64 = service.servers.iter().map(|s| u64::from(s.weight)).sum();
+    for server in service.servers.iter().filter(|_| total > 0) {
+        let buckets = service.next.iter().filter(|&&n| n == server.number).count() as u64;
+        let fair = service.next.len() as u64 * u64::from(server.weight) / total;
+        assert!((fair..=fair + 1).contains(&buckets), "{buckets} for {fair}");
+    }
+}
