--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -156,7 +156,7 @@
             author: "e2e".into(),
             time: SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
             config: config.clone(),
-            floor: 0,
+            in_force: None,
         };
         let address = SocketAddr::V4(self.network.port(PLATFORM_HOST, PLATFORM));
         self.runtime.block_on(async {
