--- a/crates/tables/tests/it/fixture.rs
+++ b/crates/tables/tests/it/fixture.rs
@@ -73,7 +73,7 @@
             author: "aino".into(),
             time: 0,
             config: config.clone(),
-            floor: 0,
+            in_force: None,
         };
         let accepted = document::Document::follow(before, &draft).expect("a configuration");
         self.accepted = Some(accepted.clone());
