--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -461,7 +461,9 @@
     /// and place the same flow. Both know the set to come: who ranks higher there prevails, at
     /// whichever of them the packets meet. A flow that got beyond its opening stays where it is.
     fn prevails(&self, pin: &Pin, chain: &Chain, told: u8) -> bool {
-        if pin.phase != Phase::Opening {
+        // A lasting pin on the base was made while the others were out of hearing.
+        let apart = pin.server == self.base() && !pin.light;
+        if pin.phase != Phase::Opening || apart {
             return true;
         }
         let owners = pair(self.hash, &self.snapshot.target).map(|node| node.map(|node| node.id));
