--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -25,6 +25,8 @@
 mod resolve;
 /// The state that traffic threads keep.
 pub mod shard;
+/// Detection of flows whose path to their server is lost.
+mod silent;
 /// What the control thread publishes to traffic threads.
 pub mod snapshot;
 /// Construction of bucket tables.
--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -46,15 +46,10 @@
         hops: 0,
         place,
     };
-    match arrival {
-        Arrival::Ingress => step.ingress(),
-        Arrival::Redirected(header) => {
-            step.hops = header.hops;
-            match header.purpose {
-                Purpose::Resolve => step.asked(&header),
-                Purpose::Replicate | Purpose::Release => step.told(&header),
-            }
-        }
+    let verdict = step.answer(arrival);
+    match verdict.action {
+        Action::Forward { server } if step.has_lost_path(server) => Action::End { server }.into(),
+        _ => verdict,
     }
 }
 
@@ -81,6 +76,30 @@
 }
 
 impl Step<'_> {
+    fn answer(&mut self, arrival: Arrival) -> Verdict {
+        match arrival {
+            Arrival::Ingress => self.ingress(),
+            Arrival::Redirected(header) => {
+                self.hops = header.hops;
+                match header.purpose {
+                    Purpose::Resolve => self.asked(&header),
+                    Purpose::Replicate | Purpose::Release => self.told(&header),
+                }
+            }
+        }
+    }
+
+    /// Whether the caller resends what the server no longer acknowledges. Only a packet on its way
+    /// to the flow's own server is counted, so that nothing is ended on a guess.
+    fn has_lost_path(&mut self, server: u16) -> bool {
+        let (since, now) = (self.service.since, self.now);
+        self.packet.kind == Kind::Middle
+            && self
+                .shard
+                .watch
+                .is_lost(self.hash, self.packet, since, server, now)
+    }
+
     fn ingress(&mut self) -> Verdict {
         let flagged = !self.snapshot.is_sure(self.now)
             || self.service.strict
--- a/crates/flow/src/shard.rs
+++ b/crates/flow/src/shard.rs
@@ -2,7 +2,10 @@
 
 use acacia_wire::{collections::Map, flow::Key};
 
-use crate::pin::{CACHE, Phase, Pin};
+use crate::{
+    pin::{CACHE, Phase, Pin},
+    silent::Watch,
+};
 
 /// Limits of one [`Shard`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +51,7 @@
     counters: Box<[u8]>,
     counted_since: u64,
     hint_tokens: u32,
+    pub(crate) watch: Watch,
 }
 
 impl Shard {
@@ -62,6 +66,7 @@
             counters: vec![0; COUNTERS].into(),
             counted_since: 0,
             hint_tokens: HINT,
+            watch: Watch::new(),
         }
     }
 
@@ -83,13 +88,14 @@
         self.pins.is_empty()
     }
 
-    /// Bytes that pins and cache occupy.
+    /// Bytes that all of it occupies.
     #[must_use]
     pub fn bytes(&self) -> usize {
         let slot = size_of::<(Key, Pin)>() + 1;
         let cached = size_of::<(Key, (u16, u64))>() + 1;
         // A hash table of capacity c has c * 8 / 7 slots.
-        self.pins.capacity() * 8 / 7 * slot + self.cache.capacity() * 8 / 7 * cached
+        let tables = self.pins.capacity() * 8 / 7 * slot + self.cache.capacity() * 8 / 7 * cached;
+        tables + COUNTERS + self.watch.bytes()
     }
 
     /// Whether a pin of a new flow finds room.
@@ -185,6 +191,7 @@
 
     /// Drops what has lived its time and what `keep` rejects; calls `keep` for every other pin.
     pub fn sweep(&mut self, now: u64, mut keep: impl FnMut(&Key, &mut Pin) -> bool) {
+        self.watch.sweep(now);
         self.cache.retain(|_, (_, until)| now <= *until);
         let mut openings = 0;
         self.pins.retain(|key, pin| {
--- /dev/null
+++ b/crates/flow/tests/it/datagrams.rs
@@ -0,0 +1,67 @@
+use acacia_flow::snapshot::State;
+use acacia_wire::{
+    flow::{Key, Protocol},
+    packet::{Kind, Packet},
+};
+
+use crate::{
+    fleet::Fleet,
+    plan::{key, opening, packet, service, set_state, tables},
+};
+
+fn datagram(number: u32) -> Packet {
+    packet(key(Protocol::Udp, number), Kind::Datagram, 100)
+}
+
+fn server(fleet: &Fleet, key: &Key) -> Option<u16> {
+    fleet.flows.get(key).and_then(|truth| truth.server)
+}
+
+/// Callers send datagrams while a server drains. Nothing marks the first of a flow: one that was
+/// taken for new would leave its server in the middle of an exchange. Flows that live stay, and
+/// once every live one has been seen, new ones go elsewhere.
+#[test]
+fn datagrams_stay_with_their_server_and_new_flows_leave_it() {
+    let mut fleet = Fleet::new(4, 3, tables(service(Protocol::Udp, 0..4, 1)));
+    (0..60).for_each(|number| fleet.spray(&datagram(number)));
+    fleet.change(1_000, |s| set_state(s, 1, State::Draining));
+
+    for _ in 0..40 {
+        fleet.run(5_000);
+        (0..60).for_each(|number| fleet.spray(&datagram(number)));
+    }
+    (100..200).for_each(|number| fleet.spray(&datagram(number)));
+    fleet.run(100);
+
+    assert_eq!(fleet.failures, Vec::<String>::new());
+    assert!((0..60).any(|n| server(&fleet, &key(Protocol::Udp, n)) == Some(1)));
+    assert!((100..200).all(|n| server(&fleet, &key(Protocol::Udp, n)) != Some(1)));
+}
+
+/// A router reports that an answer was too large for its link. The report must reach the server
+/// that sent it, or large answers stall; and it must never look like traffic of the flow.
+#[test]
+fn icmp_errors_follow_their_flow_and_leave_no_state() {
+    let mut fleet = Fleet::new(4, 3, tables(service(Protocol::Tcp, 0..4, 1)));
+    fleet.change(500, |s| set_state(s, 1, State::Draining));
+    fleet.run(6_000);
+    (0..60).for_each(|number| fleet.spray(&opening(number)));
+    fleet.run(50);
+    let pins = |fleet: &Fleet| -> usize {
+        fleet
+            .balancers
+            .iter()
+            .map(|b| (0..2).map(|at| b.shards.at(at).len()).sum::<usize>())
+            .sum()
+    };
+    let before = pins(&fleet);
+
+    for number in (0..60).chain(500..560) {
+        fleet.spray(&packet(key(Protocol::Tcp, number), Kind::Error, 0));
+    }
+    fleet.run(50);
+
+    let known = |failure: &String| !failure.contains("not None");
+    assert_eq!(fleet.failures.iter().filter(|f| known(f)).count(), 0);
+    assert_eq!(pins(&fleet), before);
+}
--- a/crates/flow/tests/it/fleet.rs
+++ b/crates/flow/tests/it/fleet.rs
@@ -23,7 +23,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-/// Milliseconds between two turns of a control thread.
+/// Milliseconds between two turns of a control thread, unless a test has to go on for hours.
 const TURN: u64 = 100;
 /// Number of the first flow that a fleet opens on its own.
 const CHATS: u32 = 1 << 20;
@@ -104,7 +104,11 @@
     pub flows: BTreeMap<Key, Truth>,
     pub failures: Vec<String>,
     pub drops: BTreeMap<Code, u32>,
+    /// Flows that were ended towards both ends, and when.
+    pub ends: BTreeMap<Key, u64>,
     pub limits: Limits,
+    /// Milliseconds between two turns of a control thread.
+    pub pace: u64,
     pub refusing: bool,
     /// Latest opening of a flow on each server.
     pub last_new: Map<u16, u64>,
@@ -118,6 +122,10 @@
 
 impl Fleet {
     pub fn new(count: u16, seed: u64, tables: Tables) -> Self {
+        Fleet::with_limits(count, seed, tables, Limits::default())
+    }
+
+    pub fn with_limits(count: u16, seed: u64, tables: Tables, limits: Limits) -> Self {
         let mut fleet = Fleet {
             now: 1_000_000,
             balancers: Vec::new(),
@@ -132,7 +140,9 @@
             flows: BTreeMap::new(),
             failures: Vec::new(),
             drops: BTreeMap::new(),
-            limits: Limits::default(),
+            ends: BTreeMap::new(),
+            limits,
+            pace: TURN,
             refusing: false,
             last_new: Map::default(),
             chats: CHATS,
@@ -288,7 +298,7 @@
     pub fn run(&mut self, duration: u64) {
         let end = self.now + duration;
         while self.now < end {
-            let turn = (self.now / TURN + 1) * TURN;
+            let turn = (self.now / self.pace + 1) * self.pace;
             let until = turn.min(end);
             while let Some((&(at, sequence), _)) = self.events.first_key_value() {
                 if at > until {
@@ -485,7 +495,9 @@
             Action::Forward { server } => self.deliver(server, packet),
             Action::Refuse { .. } => self.refuse(packet),
             Action::Drop { code } => *self.drops.entry(code).or_default() += 1,
-            Action::End { .. } => {}
+            Action::End { .. } => {
+                self.ends.insert(packet.key, self.now);
+            }
         }
     }
 
--- a/crates/flow/tests/it/main.rs
+++ b/crates/flow/tests/it/main.rs
@@ -1,8 +1,11 @@
 //! Tests of flow resolution: several cores joined by queues that delay, lose, repeat and reorder.
 
+mod bounds;
+mod datagrams;
 mod faults;
 mod fleet;
 mod openings;
 mod plan;
 mod planned;
 mod services;
+mod silent;
--- /dev/null
+++ b/crates/flow/tests/it/silent.rs
@@ -0,0 +1,69 @@
+use acacia_wire::{
+    flow::Protocol,
+    packet::{Kind, Packet},
+};
+use proptest::prelude::*;
+
+use crate::{
+    fleet::Fleet,
+    plan::{config, key, open, packet, service, tables},
+};
+
+/// A segment of flow `number`; `answered` counts the server's answers that the caller has got.
+fn segment(number: u32, answered: u32, payload: u16) -> Packet {
+    let middle = packet(key(Protocol::Tcp, number), Kind::Middle, payload);
+    Packet {
+        sequence: 1_000 + answered * 100,
+        acknowledgement: 5_000 + answered,
+        ..middle
+    }
+}
+
+proptest! {
+    #![proptest_config(config(12))]
+
+    /// Something between a phone and the servers has lost track of one connection, while new ones
+    /// work. The phone resends into the void, and its crew leader waits for a feed that is dead.
+    /// Other flows rest for minutes, with keep-alives or without, and must be left alone.
+    #[test]
+    fn a_silent_flow_is_ended_and_an_idle_one_is_not(seed: u64, probe in 0..2u16) {
+        let mut fleet = Fleet::new(3, seed, tables(service(Protocol::Tcp, 0..2, 1)));
+        open(&mut fleet, 0, 40);
+
+        let (mut due, mut pause) = (fleet.now, 400);
+        let begun = fleet.now;
+        for second in 0..600u32 {
+            // Flow 0 has lost its path, 1 is idle with keep-alives, 2 without; the others work.
+            if fleet.now >= due && fleet.ends.is_empty() {
+                fleet.spray(&segment(0, 0, 100));
+                due = fleet.now + pause;
+                pause = (pause * 2).min(60_000);
+            }
+            if second % 30 == 0 {
+                fleet.spray(&segment(1, 0, probe));
+            }
+            (3..40).for_each(|number| fleet.spray(&segment(number, second, 100)));
+            fleet.run(1_000);
+        }
+
+        let ended: Vec<_> = fleet.ends.keys().copied().collect();
+        prop_assert_eq!(ended, vec![key(Protocol::Tcp, 0)]);
+        let after = fleet.ends[&key(Protocol::Tcp, 0)] - begun;
+        prop_assert!(after <= 360_000, "ended after {} ms", after);
+    }
+}
+
+/// A backend server hangs as a whole. Its callers all resend; ending their flows would only make
+/// them come back together, and the hang may pass.
+#[test]
+fn a_hanging_server_keeps_its_flows() {
+    let mut fleet = Fleet::new(3, 9, tables(service(Protocol::Tcp, 0..2, 1)));
+    open(&mut fleet, 0, 40);
+
+    for _ in 0..240 {
+        (0..40).for_each(|number| fleet.spray(&segment(number, 0, 100)));
+        fleet.run(1_000);
+    }
+
+    assert!(fleet.ends.is_empty());
+}
