--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -2,21 +2,21 @@
 
 use acacia_wire::{
     collections::{Map, Set},
-    flow::{Key, Protocol},
+    flow::Key,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    bitmap::Bitmap,
-    pin::{IDLE_DATAGRAMS, Pin},
+    pin::Pin,
     rank::{Node, digest},
     shard::Shard,
-    snapshot::{Address, Entry, Service, Snapshot, State},
+    snapshot::{Address, Service, State},
 };
 
 mod flags;
 mod handover;
 mod peer;
+mod publish;
 
 use flags::Flags;
 use handover::Handover;
@@ -302,127 +302,6 @@
         theirs && self.handover.finished() == Some(target)
     }
 
-    /// Joins anew after a freeze that may have outlasted this balancer's membership.
-    fn rejoin(&mut self, now: u64) {
-        let lapsed = now > self.turned + self.settings.lapse;
-        self.turned = now;
-        if lapsed && self.stage == Stage::Ready {
-            self.stage = Stage::Joining;
-            self.settled = self.ready();
-            self.previous = Arc::clone(&self.settled);
-            self.peers.values_mut().for_each(Peer::forget_flags);
-            self.news = true;
-        }
-    }
-
-    /// Balancers that were already owners when they were first heard of: after a cut that lasted
-    /// until each side took the other for gone, both hold pins that the other does not know.
-    fn strangers(&self) -> bool {
-        let grown = self
-            .alive()
-            .filter(|peer| peer.member.stage != Stage::Joining);
-        let mut unknown = grown.filter(|peer| !self.settled.contains(&peer.member.node));
-        unknown.any(|peer| !peer.has_joined)
-    }
-
-    /// Brings ownership up to date: becomes ready, and lets a complete handover take effect.
-    fn advance(&mut self, now: u64) {
-        let target = self.target();
-        let complete = self.is_handed_over(digest(&target));
-        let heard = self
-            .alive()
-            .all(|peer| peer.has_flags && peer.is_heard(now, self.settings.sure));
-        if self.stage == Stage::Joining && complete && heard && self.seen_members {
-            self.stage = Stage::Ready;
-            self.news = true;
-        }
-        // One that is taken for dead may be cut off and hold pins that nobody else has.
-        let certain = !self.peers.values().any(|peer| peer.member.dead);
-        if certain && complete && *self.ready() == *target && self.settled != target {
-            self.previous = std::mem::replace(&mut self.settled, target);
-            self.previous_until = now + self.settings.grace;
-            self.settled_at = now;
-        }
-        if now > self.previous_until {
-            self.previous = Arc::clone(&self.settled);
-        }
-    }
-
-    /// The view to publish to traffic threads at `now`.
-    pub fn snapshot(&mut self, now: u64) -> Snapshot {
-        self.rejoin(now);
-        self.advance(now);
-        self.acknowledge_flags(now);
-        let sure = self.settings.sure;
-        // One that joins holds no pins that others do not, and redirects whatever it can't know.
-        let grown = |peer: &&Peer| peer.member.stage != Stage::Joining;
-        let oldest = self
-            .alive()
-            .filter(grown)
-            .map(|peer| peer.echoed)
-            .min()
-            .unwrap_or(now);
-        let latest = self.alive().map(|peer| peer.echoed).max().unwrap_or(now);
-        let informed = self.alive().filter(grown).all(|peer| peer.has_flags) && self.seen_members;
-        let (ready, target) = (self.ready(), self.target());
-        let dead_or_unheard = |peer: &Peer| {
-            let joining = peer.member.stage == Stage::Joining;
-            peer.member.dead || (!joining && !peer.is_heard(now, self.settings.free))
-        };
-        let free = !self.peers.values().any(dead_or_unheard);
-        let owns = self.stage != Stage::Joining && !self.departed;
-        let steady = self.settled == ready && ready == target && self.previous == self.settled;
-        Snapshot {
-            me: self.me,
-            sure_until: if informed { oldest + sure } else { 0 },
-            awake_until: latest + sure,
-            owner: owns,
-            free: free && owns,
-            strangers: self.strangers(),
-            missing: self.missing().into(),
-            alive: self.living().into(),
-            heard: self.heard(now).into(),
-            settled: Arc::clone(&self.settled),
-            previous: Arc::clone(&self.previous),
-            ready,
-            target,
-            steady,
-            services: self.entries(now),
-        }
-    }
-
-    fn entries(&self, now: u64) -> Map<Address, Entry> {
-        let settle = self.settings.settle;
-        let informed = self.peers.values().map(|peer| peer.tables).min();
-        let dead = self.peers.values().any(|peer| peer.member.dead);
-        let entry = |service: &Arc<Service>| {
-            let address = service.address;
-            let mut flags = self.flags.wanted(&address);
-            let wanted = self.alive().filter_map(|peer| peer.wanted.get(&address));
-            wanted.for_each(|theirs| flags.union(&theirs.buckets));
-            let guarded = self.alive().filter_map(|peer| peer.wanted.get(&address));
-            Entry {
-                service: Arc::clone(service),
-                flags,
-                open: self.flags.open(&address, now, settle),
-                aged: match address.protocol {
-                    Protocol::Tcp => Bitmap::default(),
-                    // A new owner has not seen the flows that are on their base.
-                    Protocol::Udp if now < self.settled_at + IDLE_DATAGRAMS => Bitmap::default(),
-                    Protocol::Udp => self.flags.open(&address, now, IDLE_DATAGRAMS),
-                },
-                moved: self.flags.moved(&address),
-                guarded: self.flags.is_guarded(&address) || guarded.into_iter().any(|w| w.guarded),
-                refusable: self.flags.is_guard_settled(&address, now, settle),
-                accepting: !dead && informed.is_none_or(|version| version >= service.since),
-            }
-        };
-        let services = self.tables.services.iter();
-        services
-            .map(|service| (service.address, entry(service)))
-            .collect()
-    }
-
     fn refresh(&mut self, now: u64) {
         let linger = self.settings.sure + LINGER;
         self.news |= self.flags.refresh(&self.tables, now, linger);
--- /dev/null
+++ b/crates/flow/src/resolve/owner.rs
@@ -0,0 +1,311 @@
+use acacia_code::Code;
+use acacia_wire::{
+    encap::{MAX_HOPS, Purpose, Redirect},
+    flow::Protocol,
+    packet::Kind,
+};
+
+use super::{Step, drop, forward};
+use crate::{
+    pin::{CACHE, LATE, Phase, Pin},
+    rank::pair,
+    snapshot::{Chain, State},
+    verdict::{Action, Notice, Placement, Verdict},
+};
+
+/// What an owner of the flow does with its packet.
+impl Step<'_> {
+    /// The flow's pin, unless the packet opens another flow on the same ports.
+    pub(super) fn known_pin(&self) -> Option<Pin> {
+        let pin = self.shard.pin(&self.packet.key)?;
+        let lapsed = pin.age(self.now) > pin.lifetime(self.packet.key.protocol);
+        (!lapsed && !self.is_reuse(&pin)).then_some(pin)
+    }
+
+    pub(super) fn is_reuse(&self, pin: &Pin) -> bool {
+        let ended = matches!(pin.phase, Phase::Half | Phase::Closing | Phase::Reset);
+        let removed = !self.service.servers.contains_key(&pin.server);
+        matches!(self.packet.kind, Kind::Opening { isn } if (ended || removed) && isn != pin.isn)
+    }
+
+    /// Answers as the first owner that can be asked.
+    pub(super) fn decide(&mut self, chain: &Chain) -> Verdict {
+        if let Some(pin) = self.known_pin() {
+            return self.follow(pin, chain);
+        }
+        if !self.snapshot.is_complete(self.hash) {
+            return drop(Code::OwnerIncomplete);
+        }
+        match self.packet.kind {
+            Kind::Opening { isn } => self.open(isn, chain),
+            Kind::Datagram => self.open(0, chain),
+            _ if self.service.strict => drop(Code::FlowUnknown),
+            Kind::Closing => self.end_on_base(Phase::Closing),
+            Kind::Reset => self.end_on_base(Phase::Reset),
+            Kind::Middle | Kind::Error => self.forward_to(self.base()),
+        }
+    }
+
+    /// Remembers for a while that a flow without a pin is on its base. Other balancers may have
+    /// been told so, and a new flow on the same ports must not be placed elsewhere meanwhile.
+    pub(super) fn mark(&mut self, phase: Phase) -> bool {
+        let pin = Pin {
+            synced: self.seconds(),
+            isn: 0,
+            server: self.base(),
+            phase,
+            light: true,
+            asked: false,
+        };
+        self.shard.store(self.packet.key, pin)
+    }
+
+    pub(super) fn end_on_base(&mut self, phase: Phase) -> Verdict {
+        self.mark(phase);
+        self.forward_to(self.base())
+    }
+
+    /// Serves a packet of a pinned flow.
+    pub(super) fn follow(&mut self, pin: Pin, chain: &Chain) -> Verdict {
+        if !self.service.servers.contains_key(&pin.server) {
+            return drop(Code::ServerUnknown);
+        }
+        let moved = pin.phase == Phase::Opening && pin.server != self.base();
+        if moved && !self.snapshot.hears_owners(self.hash) {
+            // The packet that should have told the other owner may have been lost to a cut. The
+            // other side then knows nothing of the pin, and may have opened the flow on its base.
+            return drop(Code::OwnersUnreachable);
+        }
+        let phase = self.phase_after(pin.phase, pin.age(self.now));
+        let resent = matches!(self.packet.kind, Kind::Opening { .. });
+        let stale = pin.is_stale(self.now, self.packet.key.protocol);
+        if self.packet.kind == Kind::Error || (phase == pin.phase && !stale && !resent) {
+            return forward(pin.server);
+        }
+        let synced = self.seconds();
+        let pin = Pin {
+            phase,
+            synced,
+            ..pin
+        };
+        self.shard.store(self.packet.key, pin);
+        self.pass_on(&pin, chain, 0)
+    }
+
+    pub(super) fn hears_all(&self, chain: &Chain) -> bool {
+        chain.ids().iter().all(|&id| self.snapshot.is_heard(id))
+    }
+
+    pub(super) fn seconds(&self) -> u32 {
+        (self.now / 1_000) as u32
+    }
+
+    /// What the packet makes of a pin. A reset may be forged, and a server ignores one that does
+    /// not fit; hence traffic after it brings the pin back.
+    pub(super) fn phase_after(&self, phase: Phase, age: u64) -> Phase {
+        match (self.packet.kind, phase) {
+            (Kind::Closing, _) => Phase::Closing,
+            (Kind::Reset, _) => Phase::Reset,
+            (Kind::Middle | Kind::Datagram, Phase::Opening | Phase::Reset) => Phase::Open,
+            (Kind::Middle, Phase::Closing) if self.packet.payload > 0 => Phase::Open,
+            (Kind::Middle, Phase::Closing) if age > LATE => Phase::Half,
+            _ => phase,
+        }
+    }
+
+    /// Places a new flow.
+    pub(super) fn open(&mut self, isn: u32, chain: &Chain) -> Verdict {
+        if let Some(old) = self.shard.pin(&self.packet.key)
+            && old.age(self.now) <= CACHE + 1_000
+        {
+            return drop(Code::PortsReused);
+        }
+        if self.service.strict && !self.entry.accepting {
+            return drop(Code::FlowUnsettled);
+        }
+        // An owner before this one may be placing flows still, unheard by this balancer alone.
+        if chain.ids().first() != Some(&self.snapshot.me.id) {
+            return drop(Code::OwnersUnreachable);
+        }
+        let room = self.shard.has_room();
+        let (free, refusable) = (self.is_free(chain) && room, self.is_refusable());
+        let server = match self.ask_policy(free, refusable) {
+            Placement::Refuse { retry_after } if refusable => {
+                return Action::Refuse { retry_after }.into();
+            }
+            Placement::Refuse { .. } => return drop(Code::FlowUnsettled),
+            Placement::Nowhere if free => return drop(Code::ServerNone),
+            Placement::Server(server) if free => server,
+            _ => self.base(),
+        };
+        if room {
+            self.pin_new(server, isn, chain)
+        } else {
+            self.without_pin(server)
+        }
+    }
+
+    pub(super) fn is_free(&self, chain: &Chain) -> bool {
+        let open =
+            self.snapshot.free && self.hears_all(chain) && self.entry.open.contains(self.bucket);
+        // Nothing marks the first packet of a flow of datagrams. Only an owner that has seen all
+        // that lives in the bucket knows a new flow; a server that is down keeps none alive.
+        let known_new = self.packet.key.protocol == Protocol::Tcp
+            || self.entry.aged.contains(self.bucket)
+            || !self.is_serving(self.base());
+        open && known_new
+    }
+
+    pub(super) fn is_serving(&self, server: u16) -> bool {
+        let servers = &self.service.servers;
+        servers
+            .get(&server)
+            .is_some_and(|server| server.state != State::Down)
+    }
+
+    pub(super) fn is_refusable(&self) -> bool {
+        let seen = self.entry.refusable || self.entry.open.contains(self.bucket);
+        matches!(self.packet.kind, Kind::Opening { .. }) && self.snapshot.free && seen
+    }
+
+    pub(super) fn pin_new(&mut self, server: u16, isn: u32, chain: &Chain) -> Verdict {
+        let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
+        let settled = self.snapshot.free && self.entry.open.contains(self.bucket);
+        if !self.service.servers.contains_key(&server) {
+            return drop(Code::ServerUnknown);
+        }
+        if sticky && !settled {
+            return drop(Code::FlowUnsettled);
+        }
+        let pin = Pin {
+            synced: self.seconds(),
+            isn,
+            server,
+            phase: Phase::Opening,
+            // An owner out of hearing may hold half a pin of this flow from before a cut: only a
+            // pin that lasts can set it right when it is back.
+            light: server == self.base() && !sticky && !self.may_be_half_made(),
+            asked: false,
+        };
+        self.shard.store(self.packet.key, pin);
+        self.pass_on(&pin, chain, 0)
+    }
+
+    /// Whether an owner out of hearing may hold a pin of the flow that this one knows nothing of.
+    pub(super) fn may_be_half_made(&self) -> bool {
+        self.entry.flags.contains(self.bucket) && !self.snapshot.hears_owners(self.hash)
+    }
+
+    /// A flood of openings fills the room for pins. Flows that need none still open; the others
+    /// would be lost when their next packet comes in elsewhere.
+    pub(super) fn without_pin(&mut self, server: u16) -> Verdict {
+        let stays = server == self.base() && self.service.next[self.bucket] == server;
+        let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
+        if stays && !sticky && self.is_serving(server) {
+            forward(server)
+        } else {
+            drop(Code::PinsFull)
+        }
+    }
+
+    /// Hands the packet to the next balancer that must know of the flow, or to its server after
+    /// the last. The server's answer can't reach the caller before all of them know: one that
+    /// does not would later answer base. Hence the opening of a flow off its base waits while one
+    /// of them can't be reached.
+    ///
+    /// `told` has a bit for each balancer of the chain that knows already, by its number there.
+    pub(super) fn pass_on(&self, pin: &Pin, chain: &Chain, told: u8) -> Verdict {
+        let me = self.snapshot.me.id;
+        let is_told = |id: u16| id == me || told & 1 << chain.number(id) != 0;
+        let waits = pin.phase == Phase::Opening && !pin.light;
+        let rest = || chain.ids().iter().copied().filter(|&id| !is_told(id));
+        if waits && rest().any(|id| !self.snapshot.is_heard(id)) {
+            return drop(Code::OwnersUnreachable);
+        }
+        let purpose = match self.packet.kind {
+            Kind::Closing | Kind::Reset => Purpose::Release,
+            _ => Purpose::Replicate,
+        };
+        let told = chain
+            .ids()
+            .iter()
+            .filter(|&&id| id == me)
+            .fold(told, |told, &id| told | 1 << chain.number(id));
+        match rest().find(|&id| self.snapshot.is_heard(id)) {
+            Some(to) if waits || self.hops < MAX_HOPS => {
+                self.redirect(to, purpose, pin.server, told)
+            }
+            _ => forward(pin.server),
+        }
+    }
+
+    /// An owner before this one in the chain has placed the flow, or followed its pin.
+    pub(super) fn told(&mut self, header: &Redirect) -> Verdict {
+        if !self.snapshot.is_awake(self.now) {
+            return drop(Code::NotOwner);
+        }
+        let chain = self.snapshot.chain(self.hash);
+        let known = self
+            .known_pin()
+            .filter(|pin| pin.server == header.server || self.prevails(pin, &chain, header.asked));
+        let server = known.map_or(header.server, |pin| pin.server);
+        if !self.service.servers.contains_key(&server) {
+            return drop(Code::ServerUnknown);
+        }
+        let before = known.map_or(Phase::Opening, |pin| pin.phase);
+        let age = known.map_or(0, |pin| pin.age(self.now));
+        let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
+        let half = self.may_be_half_made();
+        let pin = Pin {
+            synced: self.seconds(),
+            isn: self.isn(known),
+            server,
+            phase: self.phase_after(before, age),
+            light: known.map_or(server == self.base() && !sticky && !half, |pin| pin.light),
+            asked: false,
+        };
+        if !self.shard.store(self.packet.key, pin) {
+            return drop(Code::PinsFull);
+        }
+        let mut verdict = self.pass_on(&pin, &chain, header.asked);
+        if server != header.server {
+            let key = self.packet.key;
+            verdict.notice = Some((header.sender, Notice::Correct { key, server }));
+        }
+        verdict
+    }
+
+    /// Whether the pin known here goes before that of the owners told so far.
+    ///
+    /// While a change of the owners' set spreads, two of them may each take itself for the first
+    /// and place the same flow. Both know the set to come: who ranks higher there prevails, at
+    /// whichever of them the packets meet. A flow that got beyond its opening stays where it is.
+    pub(super) fn prevails(&self, pin: &Pin, chain: &Chain, told: u8) -> bool {
+        // A lasting pin on the base was made while the others were out of hearing.
+        let apart = pin.server == self.base() && !pin.light;
+        if pin.phase != Phase::Opening || apart {
+            return true;
+        }
+        let owners = pair(self.hash, &self.snapshot.target).map(|node| node.map(|node| node.id));
+        let rank = |id: u16| {
+            owners
+                .iter()
+                .position(|owner| *owner == Some(id))
+                .unwrap_or(2)
+        };
+        let told = chain
+            .ids()
+            .iter()
+            .filter(|&&id| told & 1 << chain.number(id) != 0);
+        told.map(|&id| rank(id))
+            .min()
+            .is_some_and(|best| rank(self.snapshot.me.id) < best)
+    }
+
+    pub(super) fn isn(&self, known: Option<Pin>) -> u32 {
+        match self.packet.kind {
+            Kind::Opening { isn } if known.is_none() => isn,
+            _ => known.map_or(0, |pin| pin.isn),
+        }
+    }
+}
--- a/crates/flow/src/silent.rs
+++ b/crates/flow/src/silent.rs
@@ -1,9 +1,9 @@
 use acacia_wire::{collections::Map, packet::Packet};
 
-/// Entries that a flow may be in, and how many groups of them there are. 24 bytes each: 100 KB a
+/// Entries that a flow may be in, and how many groups of them there are. 24 bytes each: 50 KB a
 /// shard, whatever the traffic.
 const WAYS: usize = 4;
-const GROUPS: usize = 1_024;
+const GROUPS: usize = 512;
 /// Sightings of one packet at one balancer after which its flow is taken for lost, and
 /// milliseconds that they must span. A phone that loses its downlink for a few seconds resends as
 /// well; the pauses between resends double, so three of them over 20 s at one of eight balancers
