--- a/crates/bench/src/flows.rs
+++ b/crates/bench/src/flows.rs
@@ -7,8 +7,10 @@
 
 mod balancer;
 mod case;
+mod change;
 mod fleet;
 mod policy;
+mod traffic;
 mod wheel;
 
 use anyhow::Context as _;
--- a/crates/bench/src/flows/fleet.rs
+++ b/crates/bench/src/flows/fleet.rs
@@ -1,19 +1,11 @@
-use std::{collections::BTreeMap, sync::Arc, time::Instant};
+use std::{collections::BTreeMap, time::Instant};
 
 use acacia_flow::{
     control::{Stage, Tables},
-    place::by_table,
     rank::Node,
-    resolve,
-    snapshot::{Address, Server, Service, State},
-    table::build,
-    verdict::{Action, Arrival},
-};
-use acacia_wire::{
-    encap::Redirect,
-    flow::{Key, Protocol},
-    packet::{Kind, Packet},
+    verdict::Arrival,
 };
+use acacia_wire::encap::Redirect;
 use anyhow::Context as _;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,31 +13,32 @@
 use super::{
     Options,
     balancer::{Balancer, Message},
-    case::{Case, Change},
+    case::Case,
+    change::tables,
     policy::Policy,
     wheel::Wheel,
 };
 
 /// Milliseconds between two balancers, and from a server's answer to the caller's next packet.
-const DELAY: u64 = 1;
-const ANSWER: u64 = 3;
+pub(super) const DELAY: u64 = 1;
+pub(super) const ANSWER: u64 = 3;
 /// Milliseconds between two turns of the control threads.
 const TURN: u64 = 100;
 /// Milliseconds after which the platform's list shows that a process has ended.
 const LISTED: u64 = 6_000;
 /// Mean milliseconds between two packets of a feed; a third of all feeds is silent throughout.
-const FEED: f64 = 60_000.0;
+pub(super) const FEED: f64 = 60_000.0;
 /// Milliseconds that a short flow is open.
-const SHORT: u64 = 2_000;
+pub(super) const SHORT: u64 = 2_000;
 /// Milliseconds over which the feeds are opened at first.
 const RAMP: u64 = 15_000;
 /// Resends after which a caller gives up.
-const RESENDS: u8 = 9;
+pub(super) const RESENDS: u8 = 9;
 /// A server's number that stands for none.
-const NONE: u16 = u16::MAX;
+pub(super) const NONE: u16 = u16::MAX;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Step {
+pub(super) enum Step {
     Open,
     Acknowledge,
     Send,
@@ -53,16 +46,16 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Flow {
-    number: u32,
-    server: u16,
-    step: Step,
-    resends: u8,
-    feed: bool,
-    broken: bool,
+pub(super) struct Flow {
+    pub(super) number: u32,
+    pub(super) server: u16,
+    pub(super) step: Step,
+    pub(super) resends: u8,
+    pub(super) feed: bool,
+    pub(super) broken: bool,
 }
 
-enum Event {
+pub(super) enum Event {
     Due(u32),
     Packet {
         to: u16,
@@ -104,31 +97,31 @@
     Ok(fleet.line(case, seed, started.elapsed().as_secs_f64()))
 }
 
-struct Fleet<'a> {
-    options: &'a Options,
-    policy: Policy,
-    rng: Pcg64Mcg,
-    now: u64,
-    counted_since: u64,
-    balancers: Vec<Balancer>,
-    tables: Tables,
-    spread: u64,
-    cut: bool,
-    ended: Vec<(Node, u64)>,
-    replacing: BTreeMap<u16, u64>,
-    flows: Vec<Flow>,
-    free: Vec<u32>,
-    wheel: Wheel<Event>,
-    next: u32,
-    openings_due: f64,
-    packets: u64,
-    redirected: u64,
-    dropped: u64,
-    opened: u64,
-    broken: u64,
-    given_up: u64,
-    peak_state: usize,
-    decided: u64,
+pub(super) struct Fleet<'a> {
+    pub(super) options: &'a Options,
+    pub(super) policy: Policy,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) now: u64,
+    pub(super) counted_since: u64,
+    pub(super) balancers: Vec<Balancer>,
+    pub(super) tables: Tables,
+    pub(super) spread: u64,
+    pub(super) cut: bool,
+    pub(super) ended: Vec<(Node, u64)>,
+    pub(super) replacing: BTreeMap<u16, u64>,
+    pub(super) flows: Vec<Flow>,
+    pub(super) free: Vec<u32>,
+    pub(super) wheel: Wheel<Event>,
+    pub(super) next: u32,
+    pub(super) openings_due: f64,
+    pub(super) packets: u64,
+    pub(super) redirected: u64,
+    pub(super) dropped: u64,
+    pub(super) opened: u64,
+    pub(super) broken: u64,
+    pub(super) given_up: u64,
+    pub(super) peak_state: usize,
+    pub(super) decided: u64,
 }
 
 impl<'a> Fleet<'a> {
@@ -264,7 +257,7 @@
         self.go_on_replacing();
     }
 
-    fn post(&mut self, from: Node, to: u16, message: Message) {
+    pub(super) fn post(&mut self, from: Node, to: u16, message: Message) {
         if self.policy != Policy::Ours {
             // The baselines have no control traffic.
             return;
@@ -275,7 +268,7 @@
         }
     }
 
-    fn is_lost(&mut self, from: u16, to: u16) -> bool {
+    pub(super) fn is_lost(&mut self, from: u16, to: u16) -> bool {
         let half = self.options.balancers / 2;
         let apart = self.cut && (from < half) != (to < half);
         apart || self.rng.random_bool(self.options.loss)
@@ -315,247 +308,6 @@
         }
     }
 
-    fn start_flow(&mut self, feed: bool) {
-        let flow = Flow {
-            number: self.next,
-            server: NONE,
-            step: Step::Open,
-            resends: 0,
-            feed,
-            broken: false,
-        };
-        self.next += 1;
-        self.opened += 1;
-        let at = match self.free.pop() {
-            Some(at) => {
-                self.flows[at as usize] = flow;
-                at
-            }
-            None => {
-                self.flows.push(flow);
-                self.flows.len() as u32 - 1
-            }
-        };
-        self.due(at);
-    }
-
-    /// The caller of a flow sends its next packet through a balancer that the fabric chooses.
-    fn due(&mut self, at: u32) {
-        let flow = self.flows[at as usize];
-        if flow.broken {
-            return;
-        }
-        self.packets += 1;
-        let to = loop {
-            let to = self.rng.random_range(0..self.options.balancers);
-            if self.balancers[usize::from(to)].running {
-                break to;
-            }
-        };
-        self.arrive(to, at, flow.step, Arrival::Ingress);
-    }
-
-    fn arrive(&mut self, to: u16, at: u32, step: Step, arrival: Arrival) {
-        let packet = packet(self.flows[at as usize].number, step);
-        let balancer = &mut self.balancers[usize::from(to)];
-        self.decided += 1;
-        if self.policy != Policy::Ours {
-            let service = &balancer.tables.services[0];
-            let hashed = service.next[service.bucket(packet.key.hash())];
-            let server = match self.policy {
-                Policy::Track => balancer.tracked.resolve(&packet.key, packet.kind, hashed),
-                _ => hashed,
-            };
-            return self.deliver(at, step, server);
-        }
-        let hash = packet.key.hash();
-        let mut shard = balancer.shards.of(hash);
-        let snapshot = &balancer.snapshot;
-        let verdict = resolve(
-            snapshot,
-            &mut shard,
-            self.now,
-            &packet,
-            arrival,
-            &mut by_table,
-        );
-        drop(shard);
-        if let Some((peer, notice)) = verdict.notice {
-            let from = balancer.node;
-            self.post(from, peer, Message::Notice(notice));
-        }
-        match verdict.action {
-            Action::Forward { server } => self.deliver(at, step, server),
-            Action::Redirect { to: next, header } => {
-                self.redirected += u64::from(arrival == Arrival::Ingress);
-                let event = Event::Packet {
-                    to: next,
-                    from: to,
-                    flow: at,
-                    step,
-                    header,
-                };
-                self.wheel.add(DELAY, event);
-            }
-            _ => self.resend(at, step),
-        }
-    }
-
-    /// A packet reaches a server, which answers; the caller goes on.
-    fn deliver(&mut self, at: u32, step: Step, server: u16) {
-        let flow = &mut self.flows[at as usize];
-        if step == Step::Open {
-            flow.server = server;
-        } else if flow.server != server {
-            flow.broken = true;
-            self.broken += 1;
-            if !flow.feed {
-                self.free.push(at);
-            }
-            return;
-        }
-        flow.resends = 0;
-        let feed = flow.feed;
-        let (next, delay) = match step {
-            Step::Open => (Step::Acknowledge, ANSWER),
-            Step::Acknowledge if feed => return self.wait_for_news(at),
-            Step::Acknowledge => (Step::Send, ANSWER),
-            Step::Send if feed => return self.wait_for_news(at),
-            Step::Send => (Step::Close, SHORT),
-            Step::Close => return self.free.push(at),
-        };
-        flow.step = next;
-        self.wheel.add(delay, Event::Due(at));
-    }
-
-    fn wait_for_news(&mut self, at: u32) {
-        let flow = &mut self.flows[at as usize];
-        flow.step = Step::Send;
-        if !flow.number.is_multiple_of(3) {
-            let unit: f64 = self.rng.random_range(f64::EPSILON..1.0);
-            self.wheel
-                .add((-unit.ln() * FEED) as u64 + 1, Event::Due(at));
-        }
-    }
-
-    /// A packet was dropped: the caller's transport sends it again, with growing pauses.
-    fn resend(&mut self, at: u32, step: Step) {
-        self.dropped += 1;
-        let flow = &mut self.flows[at as usize];
-        flow.resends += 1;
-        if flow.resends > RESENDS {
-            flow.broken = true;
-            self.given_up += 1;
-            if !flow.feed {
-                self.free.push(at);
-            }
-            return;
-        }
-        let first = if step == Step::Open { 1_000 } else { 200 };
-        self.wheel.add(first << (flow.resends - 1), Event::Due(at));
-    }
-
-    fn apply(&mut self, change: Change) {
-        let id = |id: u16| usize::from(id);
-        match change {
-            Change::Drain(server) => self.publish(|service| {
-                if let Some(entry) = service.servers.get_mut(&server) {
-                    entry.state = State::Draining;
-                }
-            }),
-            Change::Add(server) => self.publish(|service| {
-                service.servers.insert(
-                    server,
-                    Server {
-                        state: State::Up,
-                        weight: 100,
-                    },
-                );
-            }),
-            Change::Reweight => self.publish(|service| {
-                for (id, server) in &mut service.servers {
-                    server.weight = match id % 3 {
-                        0 => server.weight / 2,
-                        1 => server.weight * 2,
-                        _ => server.weight,
-                    };
-                }
-            }),
-            Change::Replace(at) => {
-                self.balancers[id(at)].control.leave();
-                self.replacing.insert(at, u64::MAX);
-            }
-            Change::Crash(at) => self.end(at),
-            Change::Start(at) => self.start(at),
-            Change::Cut => self.cut = true,
-            Change::Heal => self.cut = false,
-            Change::StoreDown => self.spread = 8_000,
-        }
-    }
-
-    fn publish(&mut self, edit: impl FnOnce(&mut Service)) {
-        self.tables.version += 1;
-        let service = Arc::make_mut(&mut self.tables.services[0]);
-        edit(service);
-        let eligible = service
-            .servers
-            .iter()
-            .filter(|(_, server)| server.is_eligible());
-        let weights: Vec<_> = eligible.map(|(&id, server)| (id, server.weight)).collect();
-        service.next = build(service.base.len(), &weights, &service.next).into();
-        for to in 0..self.options.balancers {
-            let delay = self.rng.random_range(1..=self.spread);
-            self.wheel.add(
-                delay,
-                Event::Tables {
-                    to,
-                    tables: self.tables.clone(),
-                },
-            );
-        }
-    }
-
-    fn end(&mut self, at: u16) {
-        let balancer = &mut self.balancers[usize::from(at)];
-        balancer.running = false;
-        self.ended.push((balancer.node, self.now));
-    }
-
-    fn start(&mut self, at: u16) {
-        let others = self.balancers.iter().filter(|other| other.running);
-        let others: Vec<_> = others.map(|b| (b.node, b.control.stage())).collect();
-        let old = &self.balancers[usize::from(at)];
-        let node = Node {
-            incarnation: old.node.incarnation + 1,
-            ..old.node
-        };
-        let (sent, peak) = (old.sent, old.peak);
-        let mut balancer = Balancer::new(node, &self.tables, &others, self.now);
-        (balancer.sent, balancer.peak) = (sent, peak);
-        self.balancers[usize::from(at)] = balancer;
-    }
-
-    /// A leaving balancer says goodbye once it may, serves the latecomers for a second, and ends.
-    fn go_on_replacing(&mut self) {
-        for (at, until) in self.replacing.clone() {
-            let balancer = &self.balancers[usize::from(at)];
-            let node = balancer.node;
-            let may_leave = balancer.control.may_leave() || self.policy != Policy::Ours;
-            if until == u64::MAX && may_leave {
-                self.balancers[usize::from(at)].control.depart();
-                let others = 0..self.options.balancers;
-                others
-                    .filter(|&to| to != at)
-                    .for_each(|to| self.post(node, to, Message::Bye));
-                self.replacing.insert(at, self.now + 1_000);
-            } else if self.now >= until {
-                self.replacing.remove(&at);
-                self.end(at);
-                self.start(at);
-            }
-        }
-    }
-
     fn line(&self, case: Case, seed: u64, took: f64) -> String {
         let seconds = (self.now - self.counted_since) as f64 / 1_000.0;
         let sent = self
@@ -598,56 +350,3 @@
         )
     }
 }
-
-fn tables(options: &Options) -> Tables {
-    let weights: Vec<_> = (0..options.servers).map(|id| (id, 100)).collect();
-    let table: Arc<[u16]> = build(options.buckets, &weights, &[]).into();
-    let server = |id| {
-        (
-            id,
-            Server {
-                state: State::Up,
-                weight: 100,
-            },
-        )
-    };
-    let service = Service {
-        address: Address {
-            ip: [198, 51, 100, 1].into(),
-            port: 443,
-            protocol: Protocol::Tcp,
-        },
-        since: 1,
-        strict: false,
-        base: Arc::clone(&table),
-        next: table,
-        servers: (0..options.servers).map(server).collect(),
-    };
-    Tables {
-        version: 1,
-        services: vec![Arc::new(service)],
-    }
-}
-
-fn packet(number: u32, step: Step) -> Packet {
-    let key = Key {
-        client: (0x0a00_0000 + (number >> 15)).into(),
-        service: [198, 51, 100, 1].into(),
-        client_port: 16_384 + (number & 0x7fff) as u16,
-        service_port: 443,
-        protocol: Protocol::Tcp,
-    };
-    let (kind, payload) = match step {
-        Step::Open => (Kind::Opening { isn: number }, 0),
-        Step::Acknowledge => (Kind::Middle, 0),
-        Step::Send => (Kind::Middle, 200),
-        Step::Close => (Kind::Closing, 0),
-    };
-    Packet {
-        key,
-        kind,
-        payload,
-        sequence: number,
-        acknowledgement: 1,
-    }
-}
