--- a/crates/bench/src/flows/fleet.rs
+++ b/crates/bench/src/flows/fleet.rs
@@ -220,7 +220,11 @@
         }
         if self.now.is_multiple_of(1_000) {
             self.balancers.iter_mut().for_each(Balancer::end_second);
-            let tracked = |balancer: &Balancer| balancer.shards.bytes() + balancer.tracked.bytes();
+            let ours = self.policy == Policy::Ours;
+            let tracked = |balancer: &Balancer| match ours {
+                true => balancer.shards.bytes(),
+                false => balancer.tracked.bytes(),
+            };
             let state = self.balancers.iter().map(tracked).sum();
             self.peak_state = self.peak_state.max(state);
         }
--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -101,9 +101,7 @@
     }
 
     fn ingress(&mut self) -> Verdict {
-        let flagged = !self.snapshot.is_sure(self.now)
-            || self.service.strict
-            || self.entry.flags.contains(self.bucket);
+        let flagged = !self.snapshot.is_sure(self.now) || self.entry.flags.contains(self.bucket);
         match self.packet.kind {
             Kind::Opening { .. } if flagged || self.entry.guarded => self.find_owner(),
             Kind::Opening { .. } => self.open_on_base(),
