--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -264,7 +264,8 @@
         let mut entry = self.queues.first_entry()?;
         let (to, address) = *entry.key();
         let queue = entry.get_mut();
-        let count = queue.len().min(BATCH);
+        let most = (self.budget * BURST).saturating_sub(ENVELOPE as u64) / PACKED as u64;
+        let count = queue.len().min(BATCH).min(most.max(1) as usize);
         if self.tokens < cost(count) {
             return None;
         }
--- a/crates/flow/tests/it/bounds.rs
+++ b/crates/flow/tests/it/bounds.rs
@@ -1,4 +1,9 @@
-use acacia_flow::{shard::Limits, snapshot::State};
+use acacia_flow::{
+    control::{Settings, Stage},
+    rank::Node,
+    shard::Limits,
+    snapshot::State,
+};
 use acacia_wire::{flow::Protocol, packet::Kind};
 use proptest::prelude::*;
 
@@ -110,3 +115,45 @@
     assert!(held >= before && before > 0, "{held} then {before} pins");
     assert_eq!(pins(&fleet).iter().sum::<usize>(), 0);
 }
+
+/// A balancer dies that held many pins, and all others copy theirs to its successor. Sent at once,
+/// the copies would crowd out heartbeats on small machines; sent too slowly, a second death in the
+/// meantime would lose pins.
+#[test]
+fn copies_keep_to_their_budget() {
+    let settings = Settings {
+        budget: 150,
+        ..Settings::default()
+    };
+    let tables = tables(service(Protocol::Tcp, 0..4, 1));
+    let mut fleet = Fleet::with(4, 8, tables, Limits::default(), settings);
+    fleet.change(500, |s| set_state(s, 1, State::Draining));
+    fleet.run(6_000);
+    open(&mut fleet, 0, 1_200);
+    fleet.crash(2);
+    fleet.start(Node {
+        id: 2,
+        incarnation: 2,
+    });
+    let (begun, before): (u64, Vec<u64>) = (
+        fleet.now,
+        fleet.balancers.iter().map(|b| b.control_bytes).collect(),
+    );
+
+    while fleet.balancers[2].control.stage() != Stage::Ready && fleet.now < begun + 120_000 {
+        fleet.run(1_000);
+    }
+
+    assert_eq!(fleet.balancers[2].control.stage(), Stage::Ready);
+    let seconds = (fleet.now - begun) / 1_000;
+    for (balancer, before) in fleet.balancers.iter().zip(before) {
+        let sent = balancer.control_bytes - before;
+        assert!(sent <= 150 * (seconds + 3), "{sent} bytes in {seconds} s");
+    }
+    assert!(
+        fleet
+            .balancers
+            .iter()
+            .any(|balancer| balancer.control_bytes > 450)
+    );
+}
