--- a/crates/flow/tests/it/services.rs
+++ b/crates/flow/tests/it/services.rs
@@ -124,3 +124,33 @@
     let entry = &snapshot.services[&crate::plan::address(Protocol::Tcp)];
     assert!(!entry.service.is_eligible(1));
 }
+
+/// A server is taken out of the base in one step, without the version in between, and only one
+/// balancer has heard. A flow that it opens on the new base would find its next packet sent to the
+/// old server by all the others.
+#[test]
+fn a_new_base_that_others_have_not_heard_of_needs_pins() {
+    let mut fleet = Fleet::new(5, 4, tables(service(Protocol::Tcp, 0..5, 1)));
+    let mut changed = fleet.tables.clone();
+    changed.version += 1;
+    let service = std::sync::Arc::make_mut(&mut changed.services[0]);
+    set_state(service, 1, State::Down);
+    service.base = service.next.clone();
+    let now = fleet.now;
+    fleet.balancers[0].control.set_tables(changed, now);
+
+    fleet.run(6_000);
+    for number in 0..150 {
+        fleet.send(0, &opening(number));
+    }
+    fleet.run(50);
+    for _ in 0..4 {
+        talk(&mut fleet, 0, 150);
+    }
+
+    // Flows whose owner has the old table open on the old base, and stay there for now.
+    fleet
+        .failures
+        .retain(|failure| !failure.contains("not Some(1)"));
+    assert_eq!(fleet.failures, Vec::<String>::new());
+}
