--- a/crates/flow/src/pin.rs
+++ b/crates/flow/src/pin.rs
@@ -57,13 +57,15 @@
     }
 }
 
-/// What an owner remembers of a flow. 16 bytes.
+/// What an owner remembers of a flow. 12 bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pin {
     /// Seconds of the monotonic clock at which all owners last heard of the flow.
     pub synced: u32,
-    /// Initial sequence number of the opening, 0 where unknown.
-    pub isn: u32,
+    /// Low half of the opening's initial sequence number, 0 where unknown. It only tells a resent
+    /// opening from a new one on ports that have just closed; one new flow of 65,536 that is taken
+    /// for resent goes to the old server, which answers it.
+    pub isn: u16,
     /// The flow's backend server.
     pub server: u16,
     /// How far the flow has come.
--- a/crates/flow/src/resolve/owner.rs
+++ b/crates/flow/src/resolve/owner.rs
@@ -25,7 +25,7 @@
     pub(super) fn is_reuse(&self, pin: &Pin) -> bool {
         let ended = matches!(pin.phase, Phase::Half | Phase::Closing | Phase::Reset);
         let removed = !self.service.servers.contains_key(&pin.server);
-        matches!(self.packet.kind, Kind::Opening { isn } if (ended || removed) && isn != pin.isn)
+        matches!(self.packet.kind, Kind::Opening { isn } if (ended || removed) && isn as u16 != pin.isn)
     }
 
     /// Answers as the first owner that can be asked.
@@ -37,7 +37,7 @@
             return drop(Code::OwnerIncomplete);
         }
         match self.packet.kind {
-            Kind::Opening { isn } => self.open(isn, chain),
+            Kind::Opening { isn } => self.open(isn as u16, chain),
             Kind::Datagram => self.open(0, chain),
             _ if self.service.strict => drop(Code::FlowUnknown),
             Kind::Closing => self.end_on_base(Phase::Closing),
@@ -114,7 +114,7 @@
     }
 
     /// Places a new flow.
-    pub(super) fn open(&mut self, isn: u32, chain: &Chain) -> Verdict {
+    pub(super) fn open(&mut self, isn: u16, chain: &Chain) -> Verdict {
         if let Some(old) = self.shard.pin(&self.packet.key)
             && old.age(self.now) <= CACHE + 1_000
         {
@@ -168,7 +168,7 @@
         matches!(self.packet.kind, Kind::Opening { .. }) && self.snapshot.free && seen
     }
 
-    pub(super) fn pin_new(&mut self, server: u16, isn: u32, chain: &Chain) -> Verdict {
+    pub(super) fn pin_new(&mut self, server: u16, isn: u16, chain: &Chain) -> Verdict {
         let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
         let settled = self.snapshot.free && self.entry.open.contains(self.bucket);
         if !self.service.servers.contains_key(&server) {
@@ -302,9 +302,9 @@
             .is_some_and(|best| rank(self.snapshot.me.id) < best)
     }
 
-    pub(super) fn isn(&self, known: Option<Pin>) -> u32 {
+    pub(super) fn isn(&self, known: Option<Pin>) -> u16 {
         match self.packet.kind {
-            Kind::Opening { isn } if known.is_none() => isn,
+            Kind::Opening { isn } if known.is_none() => isn as u16,
             _ => known.map_or(0, |pin| pin.isn),
         }
     }
