Take only pins that the lost owner could know for more than openings

Cause: when an owner is lost, the survivors take each opening's pin for that of a flow that got further, since only the lost one may have known. This went on for as long as the lost one stood in the settled set, also for pins made after its loss. Ruled out: the numbering of owners (the same trace with lists), forged or late notices.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -122,6 +122,9 @@
     previous: Arc<[Node]>,
     previous_until: u64,
     settled_at: u64,
+    /// Owners that are lost, and when the last of them was noticed to be.
+    lost: Vec<Node>,
+    lost_at: u64,
     seen_members: bool,
     turned: u64,
     flags: Flags,
@@ -154,6 +157,8 @@
             previous: Arc::default(),
             previous_until: 0,
             settled_at: now,
+            lost: Vec::new(),
+            lost_at: now,
             seen_members: false,
             turned: now,
             flags: Flags::default(),
@@ -332,6 +337,7 @@
             target: &target,
             ready: &ready,
             alive: &alive,
+            lost_at: self.lost_at,
             missing: &missing,
         };
         let services: Map<Address, &Arc<Service>> = self
--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -99,6 +99,8 @@
     pub(super) ready: &'a [Node],
     pub(super) target: &'a [Node],
     pub(super) alive: &'a [Node],
+    /// When an owner was last noticed to be lost.
+    pub(super) lost_at: u64,
     /// Members that are taken for dead, but may be cut off.
     pub(super) missing: &'a [Node],
 }
@@ -206,10 +208,13 @@
             return;
         }
         let hash = key.hash();
-        if pin.phase == Phase::Opening && view.lost_owner(hash) {
+        let was_there = u64::from(pin.synced) * 1_000 <= view.lost_at;
+        if pin.phase == Phase::Opening && was_there && view.lost_owner(hash) {
             // Only the lost one may have known that the flow got further. Forgetting it would send
             // its next packet to another server; keeping an opening that came to nothing costs a
-            // pin until it has been idle for long.
+            // pin until it has been idle for long. A pin made after the loss was never at the lost
+            // one. Taken for more than an opening, it would prevail over that of the owners who
+            // place the resent opening, and the flow would be sent to two servers.
             pin.phase = Phase::Open;
         }
         if self.listing {
--- a/crates/flow/src/control/publish.rs
+++ b/crates/flow/src/control/publish.rs
@@ -6,7 +6,7 @@
 use crate::{
     bitmap::Bitmap,
     pin::IDLE_DATAGRAMS,
-    rank::digest,
+    rank::{Node, digest},
     snapshot::{Address, Entry, Service, Snapshot},
 };
 
@@ -35,8 +35,24 @@
         unknown.any(|peer| !peer.has_joined)
     }
 
+    /// Notes when an owner was last found to be lost.
+    fn note_lost(&mut self, now: u64) {
+        let alive = self.living();
+        let lost: Vec<Node> = self
+            .settled
+            .iter()
+            .filter(|node| !alive.contains(node))
+            .copied()
+            .collect();
+        if lost.iter().any(|node| !self.lost.contains(node)) {
+            self.lost_at = now;
+        }
+        self.lost = lost;
+    }
+
     /// Brings ownership up to date: becomes ready, and lets a complete handover take effect.
     pub(super) fn advance(&mut self, now: u64) {
+        self.note_lost(now);
         let target = self.target();
         let complete = self.is_handed_over(digest(&target));
         let heard = self
