Let each old owner send its copies, and keep what came in before its reason was known

Two holes in handovers, found by a wider run of the planned test: a copy that came in before the receiver had heard of the change was swept away though counted as handed over; and two old owners with different views of the settled set each took the other for the sender. Copies now go twice; a rendezvous pair that has both drops the second.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -122,6 +122,8 @@
     previous: Arc<[Node]>,
     previous_until: u64,
     settled_at: u64,
+    /// When copies of pins last came in.
+    copied_at: u64,
     seen_members: bool,
     turned: u64,
     flags: Flags,
@@ -154,6 +156,7 @@
             previous: Arc::default(),
             previous_until: 0,
             settled_at: now,
+            copied_at: 0,
             seen_members: false,
             turned: now,
             flags: Flags::default(),
@@ -341,13 +344,17 @@
             .map(|service| (service.address, service))
             .collect();
         self.handover.start_shard(index, count, &view);
+        // A peer that knows of a change first sends its pins before this balancer has heard what
+        // they are for. It counts them as handed over; dropped here, they would be lost.
+        let grace = self.settings.grace;
+        let fresh = now < self.copied_at + grace;
         shard.sweep(now, |key: &Key, pin: &mut Pin| {
             let address = Address::of(key);
             let Some(service) = services.get(&address) else {
                 return false;
             };
             let hash = key.hash();
-            if !view.keeps(hash) {
+            if !view.keeps(hash) && !fresh && pin.age(now) > grace {
                 return false;
             }
             if !pin.light {
@@ -382,6 +389,7 @@
             .services
             .iter()
             .find(|service| service.address == batch.address);
+        self.copied_at = now;
         for packed in &batch.pins {
             let (key, pin) = packed.unpack(&batch.address, now);
             if let Some(service) = service {
--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -123,13 +123,13 @@
         owners.any(|node| !self.alive.contains(&node) && !self.missing.contains(&node))
     }
 
-    /// Who has to get a copy from this balancer: the new owners, from the first owner alive.
+    /// Who has to get a copy from this balancer: the new owners, from each old one.
     fn receivers(&self, hash: u64) -> impl Iterator<Item = Node> + use<> {
         let old = pair(hash, self.settled).map(|node| node.filter(|n| self.ready.contains(n)));
-        // Half of the flows each, so that one that leaves is not left to send all it holds alone.
-        let order = [old[hash as usize & 1], old[!hash as usize & 1]];
-        let sender = order.into_iter().flatten().next();
-        let sends = sender.is_none_or(|sender| sender == self.me);
+        // Each old owner sends, not one of the two: whose views of the settled set differ could
+        // each take the other for the sender, and both would report that all is handed over.
+        let mut senders = old.iter().flatten();
+        let sends = old.contains(&Some(self.me)) || senders.next().is_none();
         let new = pair(hash, self.target).map(|node| {
             node.filter(|node| sends && *node != self.me && !old.contains(&Some(*node)))
         });
--- a/crates/flow/tests/it/planned.rs
+++ b/crates/flow/tests/it/planned.rs
@@ -110,6 +110,9 @@
 // The owners told of an opening were counted by places that differed between views.
 #[case(4894301035965026959, &[(Change::Replace(0), 1_659, true), (Change::Add(12), 2_491, false),
     (Change::Restore(0), 1_500, true), (Change::Replace(0), 0, false)])]
+// A copy came in before the receiver knew what it was for, and was swept away.
+#[case(12300283875526376047, &[(Change::Drain(4), 3_736, false), (Change::Restore(0), 130, false),
+    (Change::Replace(0), 3_455, false), (Change::Replace(0), 3_334, true)])]
 fn found_cases_break_no_flow(#[case] seed: u64, #[case] changes: &[(Change, u64, bool)]) {
     let (fleet, lost) = suffer(seed, changes);
 
