--- a/crates/flow/tests/it/fleet.rs
+++ b/crates/flow/tests/it/fleet.rs
@@ -119,8 +119,8 @@
     pub last_new: Map<u16, u64>,
     /// Number of the next flow that [`Fleet::replace`] opens.
     chats: u32,
-    /// Processes that have ended, and when.
-    ended: Vec<(Node, u64)>,
+    /// Processes that the platform's list shows as ended, since when, and to which side of a cut.
+    ended: Vec<(Node, u64, Option<u8>)>,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
 }
@@ -213,7 +213,25 @@
     pub fn crash(&mut self, id: u16) {
         let balancer = &mut self.balancers[usize::from(id)];
         balancer.running = false;
-        self.ended.push((balancer.node, self.now));
+        self.ended.push((balancer.node, self.now, None));
+    }
+
+    /// The platform's list wrongly shows a process as ended, to one side of a cut or to all.
+    pub fn delist(&mut self, id: u16, seen_by: Option<u8>) {
+        self.ended
+            .push((self.balancers[usize::from(id)].node, self.now, seen_by));
+    }
+
+    /// The platform's list is right again, and names all balancers to each other.
+    pub fn relist(&mut self) {
+        self.ended.clear();
+        let running = self.balancers.iter().filter(|balancer| balancer.running);
+        let all: Vec<_> = running.map(|b| (b.node, b.control.stage())).collect();
+        for balancer in &mut self.balancers {
+            for &(node, stage) in all.iter().filter(|(node, _)| *node != balancer.node) {
+                balancer.heard.entry(node).or_insert((self.now, stage));
+            }
+        }
     }
 
     /// Stops a process in order and starts its successor.
@@ -334,12 +352,13 @@
             return;
         }
         let silent = |since: u64| now.saturating_sub(since);
-        let ended: Vec<Node> = self
+        let group = balancer.group;
+        let sees = |seen_by: &Option<u8>| seen_by.is_none_or(|seen_by| seen_by == group);
+        let ended = self
             .ended
             .iter()
-            .filter(|(_, at)| now > at + LISTED)
-            .map(|e| e.0)
-            .collect();
+            .filter(|(_, at, by)| now > at + LISTED && sees(by));
+        let ended: Vec<Node> = ended.map(|(node, ..)| *node).collect();
         balancer
             .heard
             .retain(|node, _| !balancer.left.contains(node) && !ended.contains(node));
--- a/crates/flow/tests/it/main.rs
+++ b/crates/flow/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod datagrams;
 mod faults;
 mod fleet;
+mod handover;
 mod openings;
 mod plan;
 mod planned;
