--- a/crates/flow/tests/it/handover.rs
+++ b/crates/flow/tests/it/handover.rs
@@ -68,15 +68,15 @@
     let mut fleet = draining(22);
     let now = fleet.now;
     fleet.balancers[0].frozen_at = now;
-    fleet.balancers[0].frozen_until = now + 40_000;
+    fleet.balancers[0].frozen_until = now + 34_000;
     fleet.delist(0, None);
     fleet.run(20_000);
     open(&mut fleet, 0, 150);
     fleet.run(15_000);
     fleet.relist();
 
-    for _ in 0..12 {
-        fleet.run(1_000);
+    for _ in 0..50 {
+        fleet.run(100);
         (0..150)
             .filter(|&n| is_open(&fleet, n))
             .collect::<Vec<_>>()
