--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -125,6 +125,8 @@
     /// Owners that are lost, and when the last of them was noticed to be.
     lost: Vec<Node>,
     lost_at: u64,
+    /// When copies of pins last came in.
+    copied_at: u64,
     seen_members: bool,
     turned: u64,
     flags: Flags,
@@ -159,6 +161,7 @@
             settled_at: now,
             lost: Vec::new(),
             lost_at: now,
+            copied_at: 0,
             seen_members: false,
             turned: now,
             flags: Flags::default(),
@@ -347,13 +350,17 @@
             .map(|service| (service.address, service))
             .collect();
         self.handover.start_shard(index, count, &view);
+        // A peer that knows of a change first sends its pins before this balancer has heard what
+        // they are for. It counts them as handed over; dropped here, they would be lost.
+        let grace = self.settings.grace;
+        let fresh = now < self.copied_at + grace;
         shard.sweep(now, |key: &Key, pin: &mut Pin| {
             let address = Address::of(key);
             let Some(service) = services.get(&address) else {
                 return false;
             };
             let hash = key.hash();
-            if !view.keeps(hash) {
+            if !view.keeps(hash) && !fresh && pin.age(now) > grace {
                 return false;
             }
             if !pin.light {
@@ -388,6 +395,7 @@
             .services
             .iter()
             .find(|service| service.address == batch.address);
+        self.copied_at = now;
         for packed in &batch.pins {
             let (key, pin) = packed.unpack(&batch.address, now);
             if let Some(service) = service {
