--- a/crates/load/src/track.rs
+++ b/crates/load/src/track.rs
@@ -65,6 +65,18 @@
         }
     }
 
+    /// Open samples.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.samples.len()
+    }
+
+    /// Whether there are no open samples.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.samples.is_empty()
+    }
+
     /// Feeds a packet that the fabric gave to this balancer (not one that a peer passed on) and
     /// that goes to `server`, of a flow of `class`.
     ///
--- a/crates/load/tests/it/fake.rs
+++ b/crates/load/tests/it/fake.rs
@@ -75,6 +75,8 @@
     /// Part of the samples that balancers get to see.
     pub visible: f64,
     pub weights: Vec<f64>,
+    /// A server and the part of its openings that it resets.
+    pub shed: Option<(usize, f64)>,
     free: Vec<[f64; 2]>,
     balancers: Vec<Balancer>,
     /// What balancers are about to see.
@@ -98,6 +100,7 @@
             factors: vec![1.0; speeds.len()],
             visible: 0.23,
             weights: vec![1.0; speeds.len()],
+            shed: None,
             free: vec![[0.0; 2]; speeds.len()],
             balancers: (0..BALANCERS).map(|_| balancer()).collect(),
             sights: BinaryHeap::new(),
@@ -173,6 +176,12 @@
             .expect("there are servers");
         let server = ranked[position];
         outcome.placed[server.index()] += 1;
+        if let Some((shedding, part)) = self.shed
+            && shedding == server.index()
+            && self.rng.random_bool(part)
+        {
+            return;
+        }
         let work = -self.rng.random::<f64>().max(1e-12).ln() * WORK;
         let speed = self.speeds[server.index()] * self.factors[server.index()];
         let slots = &mut self.free[server.index()];
--- a/crates/load/tests/it/main.rs
+++ b/crates/load/tests/it/main.rs
@@ -7,4 +7,5 @@
 mod outcome;
 mod place;
 mod report;
+mod track;
 mod weight;
--- a/crates/load/tests/it/outcome.rs
+++ b/crates/load/tests/it/outcome.rs
@@ -193,3 +193,16 @@
         assert!(calm.wait() < 0.5, "{}", calm.wait());
     }
 }
+
+/// A server sheds seven of ten openings. Its resets pass no balancer, so callers would go on being
+/// sent there; within a few seconds most aren't.
+#[rstest]
+fn a_shedding_server_gets_less(#[values(false, true)] dying: bool) {
+    let mut fake = settled(12, dying);
+    let usual = fake.run(5.0, USUAL).part(0);
+    fake.shed = Some((0, 0.7));
+    fake.run(6.0, USUAL);
+    let outcome = fake.run(10.0, USUAL);
+    assert!(outcome.part(0) < usual * 0.6, "{usual} {}", outcome.part(0));
+    assert_eq!(outcome.refused[PAYING], 0);
+}
--- a/crates/load/tests/it/report.rs
+++ b/crates/load/tests/it/report.rs
@@ -44,3 +44,38 @@
         prop_assert!((counted - open as f64).abs() < 2.0, "{counted} {open}");
     }
 }
+
+/// A few KB a second are all that a balancer may spend on control, and seven peers get a report
+/// each second. At the sizes of today and 2,000 new flows a second at each balancer a report stays
+/// under 320 bytes, 2.2 KB a second to seven peers.
+#[test]
+fn a_report_fits_the_budget() {
+    const SERVERS: usize = 15;
+    let mut peers = Peers::new(SERVERS, 2);
+    let mut tally = Tally::new(SERVERS, 2);
+    for flow in 0..2_000 {
+        let server = Server((flow % SERVERS) as u16);
+        tally.opened(server);
+        tally.asked(server);
+        if flow % 8 == 0 {
+            tally.completed(server, seconds(0.004));
+            tally.answered(server, Some(seconds(0.050)));
+            tally.closed(server, 0);
+        }
+    }
+    peers.absorb(&tally);
+    let bytes = postcard::to_stdvec(&turn(&mut peers)).expect("a report can be encoded");
+    assert!(bytes.len() < 320, "{}", bytes.len());
+}
+
+/// Nothing but the servers of the old configuration that the new one keeps may carry their counts
+/// over, each to its own new place.
+#[test]
+fn a_changed_configuration_keeps_open_flows() {
+    let mut peers = Peers::new(2, 1);
+    let mut tally = Tally::new(2, 1);
+    (0..5).for_each(|_| tally.opened(Server(1)));
+    peers.absorb(&tally);
+    let peers = peers.renew(&[Some(1), None, None], &[Some(0)]);
+    assert_eq!(peers.open().servers, vec![5.0, 0.0, 0.0]);
+}
--- /dev/null
+++ b/crates/load/tests/it/track.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+use acacia_load::{pool::Server, tally::Tally, track::Tracker};
+use acacia_wire::{
+    flow::{Key, Protocol},
+    packet::{Kind, Packet},
+};
+use rstest::rstest;
+
+const SERVER: Server = Server(0);
+
+fn packet(kind: Kind, payload: u16, sequence: u32, acknowledgement: u32) -> Packet {
+    let key = Key {
+        client: [192, 0, 2, 1].into(),
+        service: [198, 51, 100, 1].into(),
+        client_port: 40_000,
+        service_port: 443,
+        protocol: Protocol::Tcp,
+    };
+    Packet {
+        key,
+        kind,
+        payload,
+        sequence,
+        acknowledgement,
+    }
+}
+
+/// Feeds packets at their times in milliseconds to a tracker that has seen prompt answers before.
+fn feed(packets: &[(u64, Packet)]) -> Tally {
+    let mut tracker = Tracker::new(100, Duration::from_secs(10));
+    let mut tally = Tally::new(1, 1);
+    for _ in 0..40 {
+        let data = packet(Kind::Middle, 300, 101, 500);
+        let prompt = packet(Kind::Middle, 0, 401, 500 + 5_000);
+        tracker.observe(&data, SERVER, 0, Duration::ZERO, &mut tally);
+        tracker.observe(&prompt, SERVER, 0, Duration::ZERO, &mut tally);
+    }
+    let mut tally = Tally::new(1, 1);
+    for (at, packet) in packets {
+        tracker.observe(packet, SERVER, 0, Duration::from_millis(*at), &mut tally);
+    }
+    tally
+}
+
+/// The opening and the packet right after it both came by here: the network's time. A balancer that
+/// saw the opening and then only the acknowledgement of the answer must not take the time between
+/// for the network's, or a slow server would look like a long way.
+#[rstest]
+#[case(packet(Kind::Middle, 0, 101, 500), 1)]
+#[case(packet(Kind::Middle, 300, 101, 500), 1)]
+#[case(packet(Kind::Middle, 0, 401, 5_500), 0)]
+fn an_opening_is_timed_by_the_packet_right_after_it(#[case] next: Packet, #[case] completed: u32) {
+    let tally = feed(&[
+        (0, packet(Kind::Opening { isn: 100 }, 0, 100, 0)),
+        (4, next),
+    ]);
+    assert_eq!(tally.servers[0].completed, completed);
+    assert_eq!(
+        tally.servers[0].opening,
+        Duration::from_millis(4) * completed
+    );
+}
+
+/// Callers delay the acknowledgement of a single segment, send their next request after a pause and
+/// close when they please. All that says that there was an answer, not how long the server took.
+#[rstest]
+#[case::two_segments(packet(Kind::Middle, 0, 401, 500 + 2_800), 1, 1)]
+#[case::one_segment(packet(Kind::Middle, 0, 401, 500 + 900), 1, 0)]
+#[case::later_part(packet(Kind::Middle, 0, 401, 500 + 80_000), 1, 0)]
+#[case::next_request(packet(Kind::Middle, 300, 401, 500 + 2_800), 1, 0)]
+#[case::closing(packet(Kind::Closing, 0, 401, 500 + 2_800), 1, 0)]
+#[case::resent_request(packet(Kind::Middle, 300, 101, 500), 0, 0)]
+fn an_answer_is_timed_only_where_that_tells(
+    #[case] next: Packet,
+    #[case] answered: u32,
+    #[case] timed: u32,
+) {
+    let tally = feed(&[(0, packet(Kind::Middle, 300, 101, 500)), (20, next)]);
+    let count = tally.servers[0];
+    assert_eq!((count.answered, count.timed), (answered, timed));
+    assert_eq!(count.answering, Duration::from_millis(20) * timed);
+}
+
+/// A service whose answers are all tiny has no prompt acknowledgement; a biased time is better than
+/// none there.
+#[test]
+fn without_prompt_answers_all_are_timed() {
+    let mut tracker = Tracker::new(100, Duration::from_secs(10));
+    let mut tally = Tally::new(1, 1);
+    let data = packet(Kind::Middle, 300, 101, 500);
+    tracker.observe(&data, SERVER, 0, Duration::ZERO, &mut tally);
+    let small = packet(Kind::Middle, 0, 401, 600);
+    tracker.observe(&small, SERVER, 0, Duration::from_millis(45), &mut tally);
+    assert_eq!(tally.servers[0].timed, 1);
+}
+
+/// A flood of half-open flows must not grow the memory of a small VM without bound.
+#[test]
+fn the_memory_is_bounded() {
+    let mut tracker = Tracker::new(10, Duration::from_secs(10));
+    let mut tally = Tally::new(1, 1);
+    for port in 0..1_000 {
+        let mut opening = packet(Kind::Opening { isn: 1 }, 0, 1, 0);
+        opening.key.client_port = port;
+        tracker.observe(&opening, SERVER, 0, Duration::ZERO, &mut tally);
+    }
+    assert_eq!(tracker.len(), 10);
+}
