--- a/crates/bench/src/balance.rs
+++ b/crates/bench/src/balance.rs
@@ -108,6 +108,7 @@
             "evidence" => limits.evidence = value,
             "silence" => limits.silence = value,
             "bound" => limits.bound = value,
+            "timed" => limits.timed = value,
             "calm" => limits.calm = value,
             "ceiling" => limits.ceiling = value,
             "lent" => limits.lent = value,
--- a/crates/load/src/estimate.rs
+++ b/crates/load/src/estimate.rs
@@ -266,13 +266,13 @@
         for (own, host) in self.servers.iter_mut().zip(&pool.hosts) {
             let progress = own
                 .progress()
-                .filter(|_| own.fast.timed >= limits.evidence)
+                .filter(|_| own.fast.timed >= limits.timed)
                 .map_or(0.0, |progress| progress / f64::from(host.slots.max(1)));
             let excess = 1.0 - limits.bound * mean / progress.max(1e-9);
             let behind = missing(own.fast.asked, own.fast.answered, usual, limits);
             let excess = excess.max(behind).max(own.shed);
             // Once most flows have moved off, little evidence is left; that isn't a recovery.
-            let falling = match own.fast.timed >= limits.evidence {
+            let falling = match own.fast.timed >= limits.timed {
                 true => (own.spill + excess) / 2.0,
                 false => own.spill * FADE,
             };
--- a/crates/load/src/limits.rs
+++ b/crates/load/src/limits.rs
@@ -64,6 +64,8 @@
     pub bound: f64,
     /// Work in progress a slot below which nothing spills: there is no wait to be saved.
     pub calm: f64,
+    /// Timed answers in the last second or so that spilling by their times needs.
+    pub timed: f64,
     /// Part of the pool's connections that is shared out. The rest is for what all balancers open
     /// before they hear of each other.
     pub full: f64,
@@ -109,7 +111,7 @@
         Limits {
             fast: seconds(1),
             slow: seconds(20),
-            samples: 50.0,
+            samples: 25.0,
             patience: seconds(5),
             samples_least: 15.0,
             memory: 400.0,
@@ -120,7 +122,7 @@
             fall: 2.0,
             period: seconds(2),
             hysteresis: 0.08,
-            start: 0.1,
+            start: 0.2,
             floor: 0.02,
             eject: 0.34,
             rest: seconds(10),
@@ -129,13 +131,14 @@
             silence: 0.15,
             shed: 0.15,
             certainty: 4.0,
-            distrust: 0.7,
+            distrust: 0.9,
             bound: 1.5,
-            calm: 1.0,
+            calm: 1.5,
+            timed: 6.0,
             full: 0.9,
             ceiling: 0.98,
             margin: 1.05,
-            lent: 0.72,
+            lent: 0.71,
             about: seconds(1),
             target: 12.0,
             gain: 0.02,
