Keep new flows off leaving servers while the store is down

A drain that was accepted just before the store failed reached no tables, as nobody can write them, so the server went on getting work. acacia_tables::closing names the servers that a later configuration closes; each balancer can keep new flows off them by itself.

A look for due steps is now in vain only while nothing more is due, in place of once a second: a released server that nobody waits for had every balancer make tables every second. A server is looked up in a set, not in a list, when tables are made.

--- /dev/null
+++ b/crates/tables/src/compare.rs
@@ -0,0 +1,94 @@
+//! What the tables don't hold of a configuration, or no longer should.
+
+use std::sync::Arc;
+
+use acacia_code::Code;
+use acacia_config::Config;
+use acacia_flow::snapshot::Address;
+use acacia_wire::collections::Set;
+
+use crate::{
+    document::{Document, Service, State},
+    follow::address,
+};
+
+/// Part of a configuration that the tables don't serve.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unserved {
+    /// The service.
+    pub service: Arc<str>,
+    /// The server; none if it is the whole service.
+    pub server: Option<Arc<str>>,
+    /// Why not.
+    pub code: Code,
+}
+
+/// What of a configuration the tables leave out for good, to be logged when they change: services
+/// at addresses that can't be served, and servers for which no number is left. The rest of the
+/// configuration is in force all the same.
+#[must_use]
+pub fn unserved(document: &Document, config: &Config) -> Vec<Unserved> {
+    let mut found = Vec::new();
+    for service in config.services() {
+        let Some(address) = address(service) else {
+            found.push(Unserved {
+                service: Arc::clone(&service.name),
+                server: None,
+                code: Code::TablesFamily,
+            });
+            continue;
+        };
+        let used_up = |service: &&Service| service.next_number > u32::from(u16::MAX);
+        let Some(full) = document.service(&address).filter(used_up) else {
+            continue;
+        };
+        let listed = |server: &acacia_config::Server| {
+            let mut servers = full.servers.iter();
+            servers.any(|listed| listed.address == server.address)
+        };
+        let missing = config.servers_of(&service.name);
+        found.extend(
+            missing
+                .filter(|server| !listed(server))
+                .map(|server| Unserved {
+                    service: Arc::clone(&service.name),
+                    server: Some(Arc::clone(&server.name)),
+                    code: Code::TablesNumbersUsed,
+                }),
+        );
+    }
+    found
+}
+
+/// The servers, by service address and number, that get new flows by the tables and none by a
+/// later configuration.
+///
+/// While the store can't be written, nobody can make the tables that follow a configuration which
+/// was accepted before, and a leaving server would go on getting work. Each balancer that hears of
+/// the configuration can keep new flows away from these by itself
+/// ([`acacia_flow::Control::set_down`]), since that moves no base.
+///
+/// ```
+/// use acacia_tables::{Document, closing};
+/// assert_eq!(closing(&Document::default(), &acacia_config::Config::default()), []);
+/// ```
+#[must_use]
+pub fn closing(document: &Document, config: &Config) -> Vec<(Address, u16)> {
+    let active = config.servers().iter().filter(|server| server.is_active());
+    let front = |server: &acacia_config::Server| address(config.service(&server.service)?);
+    let active: Set<_> = active
+        .map(|server| (front(server), server.address))
+        .collect();
+    let services = document.services.iter();
+    services
+        .flat_map(|service| {
+            service
+                .servers
+                .iter()
+                .map(|server| (service.address, server))
+        })
+        .filter(|(_, server)| server.state == State::Up)
+        .filter(|(address, server)| !active.contains(&(Some(*address), server.address)))
+        .map(|(address, server)| (address, server.number))
+        .collect()
+}
--- a/crates/tables/src/follow.rs
+++ b/crates/tables/src/follow.rs
@@ -3,10 +3,9 @@
     sync::Arc,
 };
 
-use acacia_code::Code;
 use acacia_config::{self as config, Config};
 use acacia_flow::snapshot::Address;
-use acacia_wire::flow::Protocol;
+use acacia_wire::{collections::Set, flow::Protocol};
 
 use crate::{
     Error,
@@ -119,7 +118,7 @@
 }
 
 /// Where callers reach a service; none at addresses that flow resolution doesn't carry.
-fn address(service: &config::Service) -> Option<Address> {
+pub(crate) fn address(service: &config::Service) -> Option<Address> {
     let IpAddr::V4(ip) = service.address else {
         return None;
     };
@@ -165,9 +164,12 @@
             }
         }
         let mut services: Vec<Service> = fronts.iter().map(|front| self.aged(front)).collect();
-        for at in 0..services.len() {
-            let fresh = self.fresh(&services, at);
-            services[at].add(fresh, self.version);
+        let listed = services.iter().flat_map(|service| &service.servers);
+        let mut listed: Set<SocketAddr> = listed.map(|server| server.address).collect();
+        for service in &mut services {
+            let fresh = self.fresh(service, &listed);
+            listed.extend(fresh.iter().map(|(server, _)| server.address));
+            service.add(fresh, self.version);
         }
         for service in &mut services {
             self.finish(service);
@@ -231,16 +233,15 @@
         }
     }
 
-    /// The configuration's servers that the service at `at` doesn't have yet.
-    fn fresh(&self, services: &[Service], at: usize) -> Vec<(&'a config::Server, config::Limit)> {
-        let service = &services[at];
+    /// The configuration's servers that the service doesn't have yet, and that none has.
+    fn fresh(
+        &self,
+        service: &Service,
+        listed: &Set<SocketAddr>,
+    ) -> Vec<(&'a config::Server, config::Limit)> {
         let Some(front) = self.config.service(&service.name) else {
             return Vec::new();
         };
-        let listed = |address| {
-            let mut servers = services.iter().flat_map(|service| &service.servers);
-            servers.any(|server| server.address == address)
-        };
         // New flows of a service are held back until every balancer knows of it, so a new one
         // need not wait for servers.
         let is_new = service.since == self.version;
@@ -251,7 +252,7 @@
         let servers = self.config.servers_of(&front.name);
         servers
             .filter(|server| !server.state.is_gone(self.situation.now))
-            .filter(|server| !listed(server.address) && !in_use(server.address))
+            .filter(|server| !listed.contains(&server.address) && !in_use(server.address))
             .map(|server| (server, server.limit_in(front)))
             .collect()
     }
@@ -279,74 +280,32 @@
     front.address == old.address && front.instance == old.instance
 }
 
-/// Part of a configuration that the tables don't serve.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Unserved {
-    /// The service.
-    pub service: Arc<str>,
-    /// The server; none if it is the whole service.
-    pub server: Option<Arc<str>>,
-    /// Why not.
-    pub code: Code,
-}
-
-/// What of a configuration the tables leave out for good, to be logged when they change: services
-/// at addresses that can't be served, and servers for which no number is left. The rest of the
-/// configuration is in force all the same.
-#[must_use]
-pub fn unserved(document: &Document, config: &Config) -> Vec<Unserved> {
-    let mut found = Vec::new();
-    for service in config.services() {
-        let Some(address) = address(service) else {
-            found.push(Unserved {
-                service: Arc::clone(&service.name),
-                server: None,
-                code: Code::TablesFamily,
-            });
-            continue;
-        };
-        let used_up = |service: &&Service| service.next_number > u32::from(u16::MAX);
-        let Some(full) = document.service(&address).filter(used_up) else {
-            continue;
-        };
-        let listed = |server: &config::Server| {
-            let mut servers = full.servers.iter();
-            servers.any(|listed| listed.address == server.address)
-        };
-        let missing = config.servers_of(&service.name);
-        found.extend(
-            missing
-                .filter(|server| !listed(server))
-                .map(|server| Unserved {
-                    service: Arc::clone(&service.name),
-                    server: Some(Arc::clone(&server.name)),
-                    code: Code::TablesNumbersUsed,
-                }),
-        );
-    }
-    found
-}
-
 impl Document {
-    /// Whether [`follow`] may give another document under the same configuration: a deadline has
-    /// passed, or more is known everywhere. Cheap, so that it can be asked often.
+    /// How many things may let [`follow`] give another document under the same configuration:
+    /// deadlines that have passed, and changes that every balancer knows of. It only rises as long
+    /// as the document is the same, so a look is in vain while the number is. Cheap, so that it
+    /// can be asked often.
     ///
     /// ```
     /// use acacia_tables::Document;
-    /// assert!(!Document::default().is_due(0, &|_| true));
+    /// assert_eq!(Document::default().due(0, &|_| true), 0);
     /// ```
     #[must_use]
-    pub fn is_due(&self, now: u64, is_known: &dyn Fn(u64) -> bool) -> bool {
+    pub fn due(&self, now: u64, is_known: &dyn Fn(u64) -> bool) -> usize {
         let is_over = |until: Option<u64>| until.is_some_and(|until| until <= now);
-        let mut services = self.services.iter();
-        let mut released = self.released.iter();
-        let due = |server: &crate::Server| match server.state {
+        let is_due = |server: &&crate::Server| match server.state {
             State::Up => false,
             State::Draining { deadline } => is_over(deadline),
             State::Gone => server.closed.is_some_and(is_known),
         };
-        services.any(|service| is_over(service.strict_until))
-            || self.servers().any(due)
-            || released.any(|released| is_known(released.version))
+        let services = self.services.iter();
+        let released = self.released.iter();
+        services
+            .filter(|service| is_over(service.strict_until))
+            .count()
+            + self.servers().filter(is_due).count()
+            + released
+                .filter(|released| is_known(released.version))
+                .count()
     }
 }
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! Nothing here opens a socket, reads a clock or draws a random number.
 
+mod compare;
 mod document;
 mod error;
 mod follow;
@@ -16,9 +17,10 @@
 mod pack;
 pub mod writer;
 
+pub use compare::{Unserved, closing, unserved};
 pub use document::{BUCKETS, Document, FORMAT, KEY, MAX_SIZE, NOBODY, Server, Service, State};
 pub use error::Error;
-pub use follow::{Situation, UNIT, Unserved, follow, unserved};
+pub use follow::{Situation, UNIT, follow};
 pub use lookup::{Lookup, tables};
 pub use number::{Fold, MAX_RELEASED, MAX_RETIRED, Released, Retired};
 pub use writer::Writer;
--- a/crates/tables/src/writer.rs
+++ b/crates/tables/src/writer.rs
@@ -36,8 +36,6 @@
 /// from the store to every balancer, and moves new flows off their base, where each costs a pin.
 /// Speeds of backend servers change over tens of seconds. Changes of the configuration don't wait.
 pub const WEIGHT_PERIOD: u64 = 10_000;
-/// Milliseconds between two looks for what may be due, where the last found nothing to do.
-pub const LOOK: u64 = 1_000;
 /// Milliseconds without calls after the first that failed; doubled for each further one.
 pub const SHORTEST_PAUSE: u64 = 250;
 /// Longest pause, in milliseconds. Load: a store that is down for hours. Harm: calls that pile up
@@ -53,6 +51,14 @@
     is_readable: bool,
 }
 
+/// What decides whether the tables need a step: version, configuration and things due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Look {
+    version: u64,
+    config: u64,
+    due: usize,
+}
+
 /// One balancer's part in writing the tables.
 ///
 /// Pass it what is seen, then carry out [`Writer::step`], several times a second and after each
@@ -72,8 +78,8 @@
     weights: Map<Arc<str>, u32>,
     weighed_at: u64,
     wanted_since: Option<u64>,
-    /// The version and configuration that were found to need nothing, and when.
-    looked: Option<(u64, u64, u64)>,
+    /// What was found to need nothing.
+    looked: Option<Look>,
     quiet_until: u64,
     failures: u32,
 }
@@ -209,7 +215,7 @@
             self.weighed_at = now;
         }
         self.current = Some(document);
-        (self.wanted_since, self.looked) = (None, None);
+        self.wanted_since = None;
         true
     }
 
@@ -242,7 +248,8 @@
         match self.next(now, is_weighing, is_known) {
             Ok(Some(document)) => Ok(self.write(document)),
             Ok(None) => {
-                self.note_look(now.monotonic);
+                self.wanted_since = None;
+                self.looked = self.look(now, is_known);
                 Ok(Action::Idle)
             }
             Err(error) => {
@@ -262,11 +269,13 @@
         }
     }
 
-    fn note_look(&mut self, now: u64) {
-        let version = self.current.as_ref().map_or(0, |current| current.version);
-        let config = self.config.as_ref().map_or(0, |config| config.revision);
-        self.looked = Some((version, config, now));
-        self.wanted_since = None;
+    fn look(&self, now: Moment, is_known: &dyn Fn(u64) -> bool) -> Option<Look> {
+        let current = self.current.as_ref()?;
+        Some(Look {
+            version: current.version,
+            config: self.config.as_ref()?.revision,
+            due: current.due(now.unix, is_known),
+        })
     }
 
     /// Whether there may be something to write. Cheap.
@@ -281,19 +290,9 @@
         let Some(current) = &self.current else {
             return self.config.is_some();
         };
-        let newer = self.config.as_ref().map(|config| config.revision);
-        let newer = newer.filter(|revision| *revision > current.config);
-        let is_news = newer.is_some_and(|revision| {
-            let seen = (current.version, revision);
-            self.looked
-                .is_none_or(|(version, config, _)| (version, config) != seen)
-        });
-        let is_time = self
-            .looked
-            .is_none_or(|(_, _, at)| now.monotonic >= at + LOOK);
-        self.is_store_behind()
-            || is_news
-            || (is_time && self.config.is_some() && current.is_due(now.unix, is_known))
+        let is_news = |look: Look| look.config > current.config || look.due > 0;
+        let look = self.look(now, is_known).filter(|look| is_news(*look));
+        self.is_store_behind() || (look.is_some() && look != self.looked)
     }
 
     /// Whether the store has lost what is in force: its key was removed, or it came back from a
