--- a/crates/tables/src/compare.rs
+++ b/crates/tables/src/compare.rs
@@ -26,6 +26,15 @@
 /// What of a configuration the tables leave out for good, to be logged when they change: services
 /// at addresses that can't be served, and servers for which no number is left. The rest of the
 /// configuration is in force all the same.
+///
+/// ```
+/// use acacia_config::{Config, Service};
+/// use acacia_tables::{Document, unserved};
+/// let mut config = Config::default();
+/// config.add_service(Service::new("live", std::net::Ipv6Addr::LOCALHOST, 443, 70));
+/// let left = unserved(&Document::default(), &config);
+/// assert_eq!(left[0].code, acacia_code::Code::TablesFamily);
+/// ```
 #[must_use]
 pub fn unserved(document: &Document, config: &Config) -> Vec<Unserved> {
     let mut found = Vec::new();
--- a/crates/tables/src/writer.rs
+++ b/crates/tables/src/writer.rs
@@ -64,6 +64,31 @@
 /// Pass it what is seen, then carry out [`Writer::step`], several times a second and after each
 /// event. [`Writer::current`] is what to have in force and to pass on to other balancers: nothing
 /// that was not in the store.
+///
+/// ```
+/// use acacia_config::{Config, document::{self, Draft, Id}};
+/// use acacia_tables::writer::{Action, Answer, Moment, Writer};
+///
+/// let draft = Draft {
+///     change: Id::new(1),
+///     author: "aino".into(),
+///     time: 0,
+///     config: Config::default(),
+///     floor: 0,
+/// };
+/// let mut writer = Writer::new(0);
+/// writer.set_rank(Some(0));
+/// writer.saw_config(document::Document::follow(None, &draft)?.into());
+/// writer.saw_store(0, None, 0)?; // the key was never written
+/// let now = Moment { monotonic: 0, unix: 1_800_000_000 };
+/// let Action::Write { expected, document } = writer.step(now, &|_| false)? else {
+///     return Err("a write".into());
+/// };
+/// assert_eq!((expected, document.version), (0, 1));
+/// assert!(writer.answered(Answer::Written { revision: 1 }, 5));
+/// assert_eq!(writer.current(), Some(&document));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Debug, Default)]
 pub struct Writer {
     rank: Option<u16>,
--- a/crates/tables/tests/it/writer.rs
+++ b/crates/tables/tests/it/writer.rs
@@ -149,6 +149,23 @@
     assert_eq!(weights.collect::<Vec<_>>(), [UNIT; 3]);
 }
 
+/// A drain's deadline passes while nobody touches the configuration, and something that needs no
+/// new tables was due before. The server's callers would be sent to nobody for good.
+#[test]
+fn a_deadline_is_noticed_behind_what_was_due_before() {
+    let mut chain = Chain::new(3);
+    chain.apply(&[Change::Remove(3), Change::Drain(2, Some(1_060))]);
+    chain.spread();
+    assert!(chain.step(), "the removed server is let go");
+    let mut writer = Writer::new(0);
+    writer.set_rank(Some(0));
+    writer.saw_config(chain.operator.accepted());
+    assert_eq!(writer.saw_store(3, Some(&chain.text()), 0), Ok(true));
+    let mut step = |now| writer.step(at(now), &|_| true).expect("an action");
+    assert_eq!(step(59_999), Action::Idle);
+    assert_eq!(written(step(60_000)).1.services[0].servers.len(), 1);
+}
+
 /// The store comes back from a backup, an operator removed its key, or balancers that were cut
 /// off wrote to another copy of it. One that starts then would take up other tables than the rest.
 #[rstest]
