--- a/crates/tables/tests/it/invariant.rs
+++ b/crates/tables/tests/it/invariant.rs
@@ -15,8 +15,13 @@
 impl History {
     /// Checks a document against those before, while every balancer has at least `known`.
     pub fn add(&mut self, document: &Document, known: u64) {
-        let version = self.documents.last().map_or(0, |before| before.version);
+        let before = self.documents.last();
+        let (version, config) = before.map_or((0, 0), |before| (before.version, before.config));
         assert_eq!(document.version, version + 1);
+        assert!(
+            document.config >= config,
+            "an accepted change was taken back"
+        );
         self.check_numbers(document);
         for service in &document.services {
             check_shares(service);
