Answer operators from the running daemon, and report service-level burn

acaciad listens on its admin address and gives its status, document and counts of ended flows; acaciactl burn merges the counts of all balancers. Status carries pins as one number for a balancer, as they aren't counted by service; flows of a service are none where they aren't counted.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -1,12 +1,14 @@
 //! What balancers answer operators: a tarpc service over TCP.
 //!
-//! A balancer hands two functions to [`serve`]; operators' programs ask with [`ask`]. The service only reads: changes go through the platform's store.
+//! A balancer hands three functions to [`serve`]; operators' programs ask with [`ask`]. The service
+//! only reads: changes go through the platform's store.
 
 mod ask;
 pub mod status;
 
 use std::{sync::Arc, time::Duration};
 
+use acacia_burn::Ledger;
 use acacia_platform::server;
 use tarpc::{context::Context, server::Serve as _};
 use tokio::{net::TcpListener, time};
@@ -31,9 +33,11 @@
     /// The document that it has in force, encoded as in the platform's store; none if it has none
     /// yet. With the store down this is how operators see what is in force.
     async fn document() -> Option<Arc<str>>;
+    /// How the flows of each service ended here, for the report on service-level burn.
+    async fn ledger() -> Ledger;
 }
 
-/// Answers operators until told to stop, and returns once nothing of it runs any more. The two
+/// Answers operators until told to stop, and returns once nothing of it runs any more. The
 /// functions give the current answers; they are called on the runtime's threads, so they should
 /// read a snapshot and not wait.
 ///
@@ -47,7 +51,9 @@
 /// let address = listener.local_addr()?;
 /// let stop = CancellationToken::new();
 /// let status = || Status { name: "entry-1".into(), ..Status::default() };
-/// let server = tokio::spawn(acacia_api::serve(listener, stop.clone(), status, || None));
+/// let server = tokio::spawn(acacia_api::serve(
+///     listener, stop.clone(), status, || None, Default::default,
+/// ));
 ///
 /// let deadline = std::time::Duration::from_secs(5);
 /// let status = acacia_api::ask(address, deadline, async |admin, ctx| admin.status(ctx).await).await;
@@ -57,15 +63,22 @@
 /// # Ok(())
 /// # }
 /// ```
-pub async fn serve<S, D>(listener: TcpListener, stop: CancellationToken, status: S, document: D)
-where
+pub async fn serve<S, D, L>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    status: S,
+    document: D,
+    ledger: L,
+) where
     S: Fn() -> Status + Clone + Send + Sync + 'static,
     D: Fn() -> Option<Arc<str>> + Clone + Send + Sync + 'static,
+    L: Fn() -> Ledger + Clone + Send + Sync + 'static,
 {
     server::listen(listener, stop, CONNECTIONS, move |stream| {
         let answers = Answers {
             status: status.clone(),
             document: document.clone(),
+            ledger: ledger.clone(),
         };
         let connection = server::connection(stream, move |ctx, req| {
             answers.clone().serve().serve(ctx, req)
@@ -79,15 +92,17 @@
 
 /// The answers as a tarpc service.
 #[derive(Clone)]
-struct Answers<S, D> {
+struct Answers<S, D, L> {
     status: S,
     document: D,
+    ledger: L,
 }
 
-impl<S, D> Admin for Answers<S, D>
+impl<S, D, L> Admin for Answers<S, D, L>
 where
     S: Fn() -> Status + Send,
     D: Fn() -> Option<Arc<str>> + Send,
+    L: Fn() -> Ledger + Send,
 {
     async fn status(self, _: Context) -> Status {
         (self.status)()
@@ -96,4 +111,8 @@
     async fn document(self, _: Context) -> Option<Arc<str>> {
         (self.document)()
     }
+
+    async fn ledger(self, _: Context) -> Ledger {
+        (self.ledger)()
+    }
 }
--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -31,6 +31,8 @@
     pub services: Vec<Service>,
     /// Flows of each backend server through this balancer.
     pub servers: Vec<Server>,
+    /// Flows that this balancer remembers by a pin, of all services.
+    pub pins: u64,
 }
 
 /// Where a balancer stands between its start and its end.
@@ -54,8 +56,8 @@
     pub name: Arc<str>,
     /// Where it answers operators.
     pub admin: SocketAddr,
-    /// How long ago its last heartbeat came, in milliseconds.
-    pub heard_ms: u64,
+    /// How long ago its last heartbeat came, in milliseconds; none if none ever came.
+    pub heard_ms: Option<u64>,
     /// The revision that it said it has in force.
     pub revision: Option<u64>,
 }
@@ -69,10 +71,8 @@
     pub instance: u64,
     /// The version of its bucket table that is in force here.
     pub table: u64,
-    /// Flows of it that this balancer remembers.
-    pub flows: u64,
-    /// Pins of it that this balancer owns.
-    pub pins: u64,
+    /// Flows of it that this balancer remembers; none where it does not count them apart.
+    pub flows: Option<u64>,
 }
 
 /// What a backend server has through a balancer.
@@ -85,16 +85,36 @@
 }
 
 impl Status {
-    /// Flows of all services.
+    /// Flows of all services; none where no service's are counted.
     ///
     /// ```
     /// use acacia_api::{Status, status::Service};
-    /// let of = |flows| Service { name: "live".into(), instance: 1, table: 1, flows, pins: 0 };
-    /// let status = Status { services: vec![of(2), of(3)], ..Status::default() };
-    /// assert_eq!(status.flows(), 5);
+    /// let of = |flows| Service { name: "live".into(), instance: 1, table: 1, flows };
+    /// let status = Status { services: vec![of(Some(2)), of(Some(3))], ..Status::default() };
+    /// assert_eq!(status.flows(), Some(5));
+    /// ```
+    #[must_use]
+    pub fn flows(&self) -> Option<u64> {
+        let counted = self.services.iter().filter_map(|service| service.flows);
+        counted.reduce(|sum, flows| sum + flows)
+    }
+
+    /// The same account when it is given out `ms` milliseconds after it was made: ages go on.
+    ///
+    /// ```
+    /// use acacia_api::Status;
+    /// let status = Status { revision: Some(1), enforced_ms: 5, ..Status::default() }.aged(10);
+    /// assert_eq!((status.enforced_ms, status.store_ms), (15, None));
     /// ```
     #[must_use]
-    pub fn flows(&self) -> u64 {
-        self.services.iter().map(|service| service.flows).sum()
+    pub fn aged(mut self, ms: u64) -> Self {
+        if self.revision.is_some() {
+            self.enforced_ms += ms;
+        }
+        self.store_ms = self.store_ms.map(|age| age + ms);
+        for peer in &mut self.peers {
+            peer.heard_ms = peer.heard_ms.map(|age| age + ms);
+        }
+        self
     }
 }
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -79,6 +79,12 @@
     },
     /// Show every balancer: revision, tables, peers, flows, lag
     Status,
+    /// Show how fast each service spends the failures that its objective allows
+    Burn {
+        /// Write the report as a self-contained page
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
+    },
     /// List the last changes
     History,
     /// Write the completions of a shell
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -7,6 +7,7 @@
 };
 
 use acacia_api::{Error, Status, ask};
+use acacia_burn::Ledger;
 use tokio::task::JoinSet;
 
 use crate::Settings;
@@ -63,3 +64,23 @@
     }
     asking.join_all().await
 }
+
+/// What the balancers at these addresses have counted, by address.
+pub(crate) async fn ledgers(
+    settings: &Settings,
+    addresses: &[SocketAddr],
+) -> BTreeMap<SocketAddr, Result<Ledger, Error>> {
+    let deadline = settings.deadline;
+    let mut answers = BTreeMap::new();
+    for batch in addresses.chunks(AT_ONCE) {
+        let mut asking = JoinSet::new();
+        for address in batch.iter().copied() {
+            asking.spawn(async move {
+                let question = async |admin: &acacia_api::AdminClient, ctx| admin.ledger(ctx).await;
+                (address, ask(address, deadline, question).await)
+            });
+        }
+        answers.extend(asking.join_all().await);
+    }
+    answers
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -38,6 +38,7 @@
             verb::drain::undo(&settings, &servers, wait.patience()).await
         }
         Verb::Status => verb::status::run(&settings).await,
+        Verb::Burn { html } => verb::burn::run(&settings, html.as_deref()).await,
         Verb::History => verb::history::run(&settings).await,
         Verb::Completions { shell } => Ok(verb::completions::run(shell)),
     };
--- a/crates/ctl/src/verb.rs
+++ b/crates/ctl/src/verb.rs
@@ -1,6 +1,7 @@
 //! A module for each command.
 
 pub(crate) mod apply;
+pub(crate) mod burn;
 pub(crate) mod check;
 pub(crate) mod completions;
 pub(crate) mod drain;
--- a/crates/ctl/src/verb/status.rs
+++ b/crates/ctl/src/verb/status.rs
@@ -75,7 +75,6 @@
         Phase::Serving => "serving",
         Phase::Leaving => "leaving",
     };
-    let pins: u64 = status.services.iter().map(|service| service.pins).sum();
     vec![
         status.name.to_string(),
         status.data_centre.to_string(),
@@ -85,8 +84,8 @@
         seconds(status.enforced_ms),
         tables(&status.services),
         status.peers.len().to_string(),
-        status.flows().to_string(),
-        pins.to_string(),
+        status.flows().map_or("-".into(), |flows| flows.to_string()),
+        status.pins.to_string(),
         status.store_ms.map_or("-".into(), seconds),
     ]
 }
--- a/crates/ctl/tests/it/fixture.rs
+++ b/crates/ctl/tests/it/fixture.rs
@@ -5,6 +5,7 @@
 };
 
 use acacia_api::{Status, status::Peer};
+use acacia_burn::{Count, Ledger, Mark, Source};
 use acacia_config::{Config, Server, Service, document::Document, print};
 use acacia_ctl::{Cli, Moment, Report, run};
 use acacia_platform::{Client, Options};
@@ -14,6 +15,9 @@
 use tokio::{net::TcpListener, task::JoinSet};
 use tokio_util::sync::CancellationToken;
 
+/// The time of every command, in seconds of Unix time.
+const NOW: u64 = 1_800_000_000;
+
 fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -34,6 +38,22 @@
     config
 }
 
+/// What the balancer of that number has counted: 99 good flows and a broken one.
+fn ledger(id: u16) -> Ledger {
+    let source = Source {
+        balancer: id,
+        incarnation: 1,
+    };
+    let count = Count {
+        good: 99,
+        broken: 1,
+        ..Count::default()
+    };
+    let mut ledger = Ledger::new(source, NOW - 60);
+    ledger.add(source, NOW, &"live".into(), Mark::Paying, count);
+    ledger
+}
+
 /// A balancer as operators see it: a name and a document.
 type Shown = Arc<Mutex<Option<Document>>>;
 
@@ -70,7 +90,7 @@
             id,
             name: "peer".into(),
             admin: *admin,
-            heard_ms: 1,
+            heard_ms: Some(1),
             revision: None,
         });
         let peers: Vec<_> = known.collect();
@@ -91,8 +111,9 @@
                 .map(|d| d.encode().into())
         };
         let stop = self.stop.clone();
+        let ledger = move || ledger(id);
         self.tasks
-            .spawn(acacia_api::serve(listener, stop, status, document));
+            .spawn(acacia_api::serve(listener, stop, status, document, ledger));
     }
 
     /// The store's document.
@@ -138,14 +159,7 @@
         words.extend(line.split_whitespace());
         let cli = Cli::try_parse_from(words).expect("a command line");
         let random = rand::random();
-        run(
-            cli,
-            Moment {
-                unix: 1_800_000_000,
-                random,
-            },
-        )
-        .await
+        run(cli, Moment { unix: NOW, random }).await
     }
 
     pub async fn end(mut self) {
--- a/crates/ctl/tests/it/verb.rs
+++ b/crates/ctl/tests/it/verb.rs
@@ -225,3 +225,46 @@
     }
     site.end().await;
 }
+
+/// One of three balancers has stopped answering. The report still comes, of the others' flows, and
+/// says whose are missing.
+#[tokio::test]
+async fn the_burn_of_all_balancers_is_merged_and_the_silent_ones_are_named() {
+    let site = Site::new(2).await;
+    let file = site.file("one.ini", &config(70));
+    site.ctl(&format!("apply {}", file.display())).await;
+    let page = site.file("burn.html", &config(70));
+    let gone = site.gone();
+    let first = site.balancers[0].0;
+    let second = site.balancers[1].0;
+    let whole = format!("burn --balancer {first} --balancer {second}");
+    let partly = format!("{whole} --balancer {gone} --html {}", page.display());
+
+    let all = site.ctl(&whole).await;
+    let one_silent = site.ctl(&partly).await;
+
+    assert_eq!(all.code, Code::Success);
+    assert_eq!(all.data["report"]["sources"], 2);
+    let window = &all.data["report"]["rows"][0]["windows"][0];
+    assert_eq!(
+        (&window["count"]["good"], &window["failed"]),
+        (&json!(198), &json!(2))
+    );
+    assert_eq!(one_silent.code, Code::BalancerUnreachable);
+    assert_eq!(one_silent.data["silent"], json!([gone]));
+    assert!(
+        one_silent
+            .text
+            .contains(&format!("No answer came from {gone}"))
+    );
+    assert_eq!(
+        one_silent.data["report"]["rows"],
+        all.data["report"]["rows"]
+    );
+    let written = std::fs::read_to_string(page).expect("a page");
+    assert!(
+        written.contains("<html") && written.contains("live"),
+        "{written}"
+    );
+    site.end().await;
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's clock.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::time::{ClockId, clock_gettime};
 
@@ -19,3 +19,15 @@
         .expect("Linux has had CLOCK_BOOTTIME since version 2.6.39");
     Duration::from(time)
 }
+
+/// Time since 1970 by the machine's clock; before that, nothing.
+///
+/// ```
+/// assert!(acacia_node::clock::time_of_day().as_secs() > 0);
+/// ```
+#[must_use]
+pub fn time_of_day() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -1,5 +1,7 @@
 //! The control thread's state: time and messages in, messages and views out. No sockets.
 
+mod status;
+
 use std::{
     net::{SocketAddr, SocketAddrV4},
     sync::Arc,
@@ -37,6 +39,8 @@
     view::View,
 };
 
+pub use status::Standing;
+
 /// VMs of balancers carry this name and their number in the platform's list.
 const MACHINE: &str = "balancer-";
 /// Shards looked through in one tick. With 16 shards and 20 ticks a second a whole pass takes
@@ -85,6 +89,7 @@
     outgoing: Vec<Outgoing>,
     swept: usize,
     leaving: bool,
+    seen: status::Seen,
 }
 
 impl Core {
@@ -121,6 +126,7 @@
             outgoing: Vec::new(),
             swept: 0,
             leaving: false,
+            seen: status::Seen::default(),
             settings,
         }
     }
@@ -177,6 +183,7 @@
         self.group
             .receive(now, from, incarnation, heartbeat)
             .map_err(|refusal| refusal.code())?;
+        self.seen.heartbeat(now, from);
         self.refresh_members(now);
         let payload = Payload::decode(&heartbeat.payload).ok_or(Code::ControlUndecodable)?;
         self.flow.receive(from, incarnation, payload.flow);
@@ -190,6 +197,9 @@
 
     /// Takes in what the platform said.
     pub fn news(&mut self, now: Duration, news: News) {
+        if news.is_answer() {
+            self.seen.store(now);
+        }
         let outcome = match news {
             News::Config(answer) => self.agreement.saw_config(now, answer),
             News::Tables(entry) => self.agreement.saw_tables(now, entry),
@@ -221,6 +231,7 @@
             .agreement
             .version()
             .map_or(0, |version| version.revision);
+        self.seen.revision(now, revision);
         self.group.set_versions(revision, self.tables.version);
     }
 
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -47,6 +47,24 @@
     Machines(Vec<Machine>),
 }
 
+impl News {
+    /// Whether the platform's store has answered.
+    #[must_use]
+    pub fn is_answer(&self) -> bool {
+        match self {
+            News::Config(answer) => answer.is_some(),
+            News::Tables(entry) | News::ReadTables(entry) => entry.is_some(),
+            News::WroteTables(answer) => {
+                matches!(
+                    answer,
+                    writer::Answer::Written { .. } | writer::Answer::Conflict
+                )
+            }
+            News::Machines(_) => false,
+        }
+    }
+}
+
 /// Carries out orders until `stop` is raised.
 pub fn run(
     settings: &Settings,
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use acacia_flow::{Shards, verdict::Notice};
@@ -20,7 +20,8 @@
     platform::News,
 };
 use crate::{
-    clock,
+    admin,
+    clock::{self, time_of_day},
     counter::{Counter, Kind},
     message::Message,
     settings::Settings,
@@ -46,6 +47,8 @@
     pub orders: mpsc::Sender<Order>,
     /// From the traffic threads.
     pub notices: Receiver<(u16, Notice)>,
+    /// For the admin and metrics threads.
+    pub account: admin::Published,
     /// For the traffic threads.
     pub published: Published,
     /// Pins and caches.
@@ -71,6 +74,7 @@
     incarnation: u64,
     leaving: Option<Leaving>,
     counted: Duration,
+    showing: admin::Showing,
 }
 
 /// How far a graceful shutdown has come.
@@ -97,6 +101,7 @@
         incarnation,
         leaving: None,
         counted: now,
+        showing: admin::Showing::new(Arc::clone(&context.account)),
     };
     let ticks = tick(TICK);
     while !context.stop.load(Ordering::Relaxed) {
@@ -147,10 +152,17 @@
             .into_iter()
             .for_each(|message| self.send(message));
         self.leave(now);
+        self.showing
+            .tick(now, &self.core, &self.context.shards, || self.mesh.stats());
         if now.saturating_sub(self.counted) >= COUNTS {
             self.counted = now;
             let (id, counts) = (self.context.settings.id, self.context.counter.line());
-            log::info!("event=counts id={id} {counts}");
+            let traffic = self.showing.traffic();
+            log::info!(
+                "event=counts id={id} {counts} control_sent={} control_received={}",
+                traffic.sent,
+                traffic.received
+            );
         }
     }
 
@@ -185,10 +197,3 @@
         }
     }
 }
-
-/// Time since 1970 by the machine's clock; before that, nothing.
-fn time_of_day() -> Duration {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -19,8 +19,10 @@
 };
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
+    admin,
     control::{
         self,
         agreement::Order,
@@ -28,6 +30,8 @@
     },
     counter::Counter,
     journal,
+    ledger::Ledger,
+    metrics,
     settings::Settings,
     traffic::worker,
     view::Published,
@@ -53,6 +57,8 @@
     published: Published,
     shards: Arc<Shards>,
     counter: Arc<Counter>,
+    account: admin::Published,
+    ledger: Arc<Ledger>,
     leave: Arc<AtomicBool>,
     left: Arc<AtomicBool>,
 }
@@ -67,7 +73,9 @@
 pub fn run(settings: Settings) -> anyhow::Result<Code> {
     journal::start(settings.log)?;
     let shared = Arc::new(Shared {
+        ledger: Arc::new(Ledger::new(settings.id)),
         settings: Arc::new(settings),
+        account: admin::Published::default(),
         published: Published::default(),
         shards: Arc::new(Shards::new(SHARDS, Limits::default())),
         counter: Arc::default(),
@@ -78,6 +86,8 @@
     registry.add(platform_service(Arc::clone(&shared)));
     registry.add(control_service(Arc::clone(&shared)));
     registry.add(traffic_service(Arc::clone(&shared)));
+    registry.add(admin_service(Arc::clone(&shared)));
+    registry.add(metrics_service(Arc::clone(&shared)));
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let kernel = registry.start()?;
     let stopper = kernel.stopper();
@@ -154,6 +164,7 @@
             news: platform.news.clone(),
             orders: platform.orders.clone(),
             notices,
+            account: Arc::clone(&shared.account),
             published: Arc::clone(&shared.published),
             shards: Arc::clone(&shared.shards),
             counter: Arc::clone(&shared.counter),
@@ -189,6 +200,32 @@
     })
 }
 
+fn admin_service(shared: Arc<Shared>) -> Service {
+    Service::new("admin", ["control"], move |context| {
+        let listener = admin::listen(shared.settings.admin)?;
+        let stop = CancellationToken::new();
+        let token = stop.clone();
+        context.spawn(move || admin::run(listener, token, &shared.account, &shared.ledger))?;
+        context.on_stop(move || stop.cancel());
+        Ok(())
+    })
+}
+
+fn metrics_service(shared: Arc<Shared>) -> Service {
+    Service::new("metrics", ["control"], move |context| {
+        let Some(to) = shared.settings.metrics else {
+            return Ok(());
+        };
+        let (running, stop) = bounded::<()>(0);
+        context.spawn(move || {
+            let (id, account) = (shared.settings.id, &shared.account);
+            metrics::run(to, id, account, &shared.counter, &stop)
+        })?;
+        context.on_stop(move || drop(running));
+        Ok(())
+    })
+}
+
 /// A socket of its own for each traffic thread, on one address: the kernel spreads datagrams over
 /// them by their outer addresses.
 fn bind(address: SocketAddrV4) -> std::io::Result<UdpSocket> {
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,141 @@
+//! Metrics in statsd's format over UDP. Their names are listed in docs/METRICS.md.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddrV4, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
+
+use acacia_kernel::BoxError;
+use acacia_peer::Stats;
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, StatsdClient};
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+
+use crate::{admin, counter::Counter, counter::KINDS};
+
+/// Between two reports.
+pub const PERIOD: Duration = Duration::from_secs(10);
+/// Every metric's name begins with this, then comes the balancer's number.
+pub const PREFIX: &str = "acaciatrack";
+
+/// Bytes of control messages, without TCP's and IP's headers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Sent to peers.
+    pub sent: u64,
+    /// Received from peers and accepted.
+    pub received: u64,
+}
+
+/// Adds up the control messages of all peers. A peer's counters begin anew when it is set again.
+#[derive(Debug, Default)]
+pub struct Meter {
+    last: BTreeMap<u16, Traffic>,
+    total: Traffic,
+}
+
+impl Meter {
+    /// All bytes since the first reading.
+    ///
+    /// ```
+    /// use acacia_peer::{Stats, Traffic};
+    /// let stats = |sent_bytes| {
+    ///     let traffic = Traffic { sent_bytes, ..Traffic::default() };
+    ///     Stats { peers: [(1, traffic)].into(), ..Stats::default() }
+    /// };
+    /// let mut meter = acacia_node::metrics::Meter::default();
+    /// meter.read(&stats(50));
+    /// assert_eq!(meter.read(&Stats::default()).sent, 50);
+    /// assert_eq!(meter.read(&stats(20)).sent, 70);
+    /// ```
+    pub fn read(&mut self, stats: &Stats) -> Traffic {
+        let mut last = BTreeMap::new();
+        for (id, peer) in &stats.peers {
+            let now = Traffic {
+                sent: peer.sent_bytes,
+                received: peer.received_bytes,
+            };
+            let before = self.last.get(id).copied().unwrap_or_default();
+            self.total.sent += risen(before.sent, now.sent);
+            self.total.received += risen(before.received, now.received);
+            last.insert(*id, now);
+        }
+        self.last = last;
+        self.total
+    }
+}
+
+/// How far a counter has risen that may have begun anew.
+fn risen(before: u64, now: u64) -> u64 {
+    now.checked_sub(before).unwrap_or(now)
+}
+
+/// What was last reported.
+#[derive(Debug, Default)]
+struct Before {
+    counts: BTreeMap<&'static str, u64>,
+    traffic: Traffic,
+}
+
+/// Sends metrics until the other end of `stop` is dropped.
+pub fn run(
+    to: SocketAddrV4,
+    id: u16,
+    published: &admin::Published,
+    counter: &Counter,
+    stop: &Receiver<()>,
+) -> Result<(), BoxError> {
+    let socket = UdpSocket::bind((std::net::Ipv4Addr::UNSPECIFIED, 0))?;
+    // A full buffer loses a report rather than holding up the end of the process.
+    socket.set_nonblocking(true)?;
+    let sink = BufferedUdpMetricSink::from(to, socket)?;
+    let client = StatsdClient::from_sink(&format!("{PREFIX}.{id}"), sink);
+    let mut before = Before::default();
+    while let Err(RecvTimeoutError::Timeout) = stop.recv_timeout(PERIOD) {
+        let account = published.load();
+        report(&client, &account, counter, &mut before);
+    }
+    Ok(())
+}
+
+fn report(
+    client: &StatsdClient,
+    account: &Arc<admin::Account>,
+    counter: &Counter,
+    before: &mut Before,
+) {
+    let kinds = KINDS.iter().map(|(kind, name)| (*name, counter.of(*kind)));
+    let codes = counter.codes();
+    let codes = codes.iter().map(|(code, count)| (code.label(), *count));
+    for (name, count) in kinds.chain(codes) {
+        let reported = before.counts.insert(name, count).unwrap_or(0);
+        if count > reported {
+            let delta = i64::try_from(count - reported).unwrap_or(i64::MAX);
+            // Metrics may be lost on their way at any time; nothing depends on one.
+            let _ = client.count(name, delta);
+        }
+    }
+    let status = &account.status;
+    let fresh = |age: Option<u64>| age.is_some_and(|ms| ms <= PERIOD.as_millis() as u64);
+    let heard = status.peers.iter().filter(|peer| fresh(peer.heard_ms));
+    let table = status.services.iter().map(|service| service.table).max();
+    let per_second = |now: u64, before: u64| now.saturating_sub(before) / PERIOD.as_secs();
+    let (now, was) = (account.traffic, before.traffic);
+    let gauges = [
+        ("revision", status.revision.unwrap_or(0)),
+        ("table_version", table.unwrap_or(0)),
+        ("peers_heard", heard.count() as u64),
+        ("pins", status.pins),
+        ("control_sent_per_second", per_second(now.sent, was.sent)),
+        (
+            "control_received_per_second",
+            per_second(now.received, was.received),
+        ),
+    ];
+    for (name, value) in gauges {
+        let _ = client.gauge(name, value);
+    }
+    before.traffic = now;
+    let _ = client.flush();
+}
--- a/crates/node/tests/it/settings.rs
+++ b/crates/node/tests/it/settings.rs
@@ -4,7 +4,7 @@
 
 const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
-fn valid() -> String {
+pub fn valid() -> String {
     format!(
         "[balancer]\nid = 3\ndata_centre = hervanta\n\
          [traffic]\nlisten = 127.0.0.1:6080\nthreads = 2\ngateway = 127.0.0.1:6084\n\
