--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -23,7 +23,8 @@
     pub change: Option<Id>,
     /// How long the revision has been in force, in milliseconds.
     pub enforced_ms: u64,
-    /// How long ago it heard from the store; none if it never did or does not watch it.
+    /// How long ago it heard from the store, in milliseconds; none if it never did. It goes on on
+    /// those that do not watch the store but hear of changes from their peers.
     pub store_ms: Option<u64>,
     /// The other balancers that it knows.
     pub peers: Vec<Peer>,
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -23,6 +23,7 @@
     admin,
     clock::{self, time_of_day},
     counter::{Counter, Kind},
+    ledger::Ledger,
     message::Message,
     settings::Settings,
     view::Published,
@@ -49,6 +50,8 @@
     pub notices: Receiver<(u16, Notice)>,
     /// For the admin and metrics threads.
     pub account: admin::Published,
+    /// How flows ended, for operators.
+    pub ledger: Arc<Ledger>,
     /// For the traffic threads.
     pub published: Published,
     /// Pins and caches.
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -165,6 +165,7 @@
             orders: platform.orders.clone(),
             notices,
             account: Arc::clone(&shared.account),
+            ledger: Arc::clone(&shared.ledger),
             published: Arc::clone(&shared.published),
             shards: Arc::clone(&shared.shards),
             counter: Arc::clone(&shared.counter),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,8 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{SocketAddrV4, UdpSocket},
-    sync::Arc,
+    net::{Ipv4Addr, SocketAddrV4, UdpSocket},
     time::Duration,
 };
 
@@ -12,7 +11,10 @@
 use cadence::{BufferedUdpMetricSink, Counted, Gauged, StatsdClient};
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 
-use crate::{admin, counter::Counter, counter::KINDS};
+use crate::{
+    admin::{Account, Published},
+    counter::{Counter, KINDS},
+};
 
 /// Between two reports.
 pub const PERIOD: Duration = Duration::from_secs(10);
@@ -71,9 +73,10 @@
     now.checked_sub(before).unwrap_or(now)
 }
 
-/// What was last reported.
-#[derive(Debug, Default)]
-struct Before {
+/// Sends reports, and remembers what was last reported.
+#[derive(Debug)]
+pub struct Reporter {
+    client: StatsdClient,
     counts: BTreeMap<&'static str, u64>,
     traffic: Traffic,
 }
@@ -82,60 +85,76 @@
 pub fn run(
     to: SocketAddrV4,
     id: u16,
-    published: &admin::Published,
+    published: &Published,
     counter: &Counter,
     stop: &Receiver<()>,
 ) -> Result<(), BoxError> {
-    let socket = UdpSocket::bind((std::net::Ipv4Addr::UNSPECIFIED, 0))?;
-    // A full buffer loses a report rather than holding up the end of the process.
-    socket.set_nonblocking(true)?;
-    let sink = BufferedUdpMetricSink::from(to, socket)?;
-    let client = StatsdClient::from_sink(&format!("{PREFIX}.{id}"), sink);
-    let mut before = Before::default();
+    let mut reporter = Reporter::open(to, id)?;
     while let Err(RecvTimeoutError::Timeout) = stop.recv_timeout(PERIOD) {
-        let account = published.load();
-        report(&client, &account, counter, &mut before);
+        reporter.report(&published.load(), counter);
     }
     Ok(())
 }
 
-fn report(
-    client: &StatsdClient,
-    account: &Arc<admin::Account>,
-    counter: &Counter,
-    before: &mut Before,
-) {
-    let kinds = KINDS.iter().map(|(kind, name)| (*name, counter.of(*kind)));
-    let codes = counter.codes();
-    let codes = codes.iter().map(|(code, count)| (code.label(), *count));
-    for (name, count) in kinds.chain(codes) {
-        let reported = before.counts.insert(name, count).unwrap_or(0);
-        if count > reported {
-            let delta = i64::try_from(count - reported).unwrap_or(i64::MAX);
-            // Metrics may be lost on their way at any time; nothing depends on one.
-            let _ = client.count(name, delta);
+impl Reporter {
+    /// Reports of balancer `id` to a statsd server.
+    ///
+    /// # Errors
+    /// When no socket can be had.
+    pub fn open(to: SocketAddrV4, id: u16) -> Result<Self, BoxError> {
+        let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+        // A full buffer loses a report rather than holding up the end of the process.
+        socket.set_nonblocking(true)?;
+        let sink = BufferedUdpMetricSink::from(to, socket)?;
+        Ok(Reporter {
+            client: StatsdClient::from_sink(&format!("{PREFIX}.{id}"), sink),
+            counts: BTreeMap::new(),
+            traffic: Traffic::default(),
+        })
+    }
+
+    /// Reports what happened since the report before, [`PERIOD`] ago. Reports may be lost on their
+    /// way at any time and nothing depends on one, so errors are dropped.
+    pub fn report(&mut self, account: &Account, counter: &Counter) {
+        self.counts(counter);
+        self.gauges(account);
+        let _ = self.client.flush();
+    }
+
+    fn counts(&mut self, counter: &Counter) {
+        let kinds = KINDS.iter().map(|(kind, name)| (*name, counter.of(*kind)));
+        let codes = counter.codes();
+        let codes = codes.iter().map(|(code, count)| (code.label(), *count));
+        for (name, count) in kinds.chain(codes) {
+            let before = self.counts.insert(name, count).unwrap_or(0);
+            if count > before {
+                let delta = i64::try_from(count - before).unwrap_or(i64::MAX);
+                let _ = self.client.count(name, delta);
+            }
         }
     }
-    let status = &account.status;
-    let fresh = |age: Option<u64>| age.is_some_and(|ms| ms <= PERIOD.as_millis() as u64);
-    let heard = status.peers.iter().filter(|peer| fresh(peer.heard_ms));
-    let table = status.services.iter().map(|service| service.table).max();
-    let per_second = |now: u64, before: u64| now.saturating_sub(before) / PERIOD.as_secs();
-    let (now, was) = (account.traffic, before.traffic);
-    let gauges = [
-        ("revision", status.revision.unwrap_or(0)),
-        ("table_version", table.unwrap_or(0)),
-        ("peers_heard", heard.count() as u64),
-        ("pins", status.pins),
-        ("control_sent_per_second", per_second(now.sent, was.sent)),
-        (
-            "control_received_per_second",
-            per_second(now.received, was.received),
-        ),
-    ];
-    for (name, value) in gauges {
-        let _ = client.gauge(name, value);
+
+    fn gauges(&mut self, account: &Account) {
+        let status = &account.status;
+        let fresh = |age: Option<u64>| age.is_some_and(|ms| ms <= PERIOD.as_millis() as u64);
+        let heard = status.peers.iter().filter(|peer| fresh(peer.heard_ms));
+        let table = status.services.iter().map(|service| service.table).max();
+        let (now, before) = (account.traffic, self.traffic);
+        let per_second = |now: u64, before: u64| now.saturating_sub(before) / PERIOD.as_secs();
+        let gauges = [
+            ("revision", status.revision.unwrap_or(0)),
+            ("table_version", table.unwrap_or(0)),
+            ("peers_heard", heard.count() as u64),
+            ("pins", status.pins),
+            ("control_sent_per_second", per_second(now.sent, before.sent)),
+            (
+                "control_received_per_second",
+                per_second(now.received, before.received),
+            ),
+        ];
+        for (name, value) in gauges {
+            let _ = self.client.gauge(name, value);
+        }
+        self.traffic = now;
     }
-    before.traffic = now;
-    let _ = client.flush();
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -94,8 +94,8 @@
 
 impl std::error::Error for Error {}
 
-/// Every key that may stand in a section, for the check on unknown ones.
-const KEYS: &[(&str, &[&str])] = &[
+/// Every key that may stand in a section, for the check on unknown ones and for docs/SETTINGS.md.
+pub const KEYS: &[(&str, &[&str])] = &[
     ("balancer", &["id", "data_centre"]),
     ("traffic", &["listen", "threads", "gateway"]),
     ("control", &["listen", "key", "previous_key"]),
@@ -105,7 +105,7 @@
     ("log", &["level"]),
 ];
 /// Keys of a `[peer.N]` section.
-const PEER_KEYS: &[&str] = &["control", "data_centre"];
+pub const PEER_KEYS: &[&str] = &["control", "data_centre"];
 
 impl Settings {
     /// Reads and checks `text`.
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the daemon's library.
 
+mod admin;
+mod metrics;
 mod settings;
 mod status;
--- /dev/null
+++ b/crates/node/tests/it/metrics.rs
@@ -0,0 +1,80 @@
+//! What is sent to statsd.
+
+use std::{
+    net::{SocketAddr, SocketAddrV4, UdpSocket},
+    time::Duration,
+};
+
+use acacia_api::Status;
+use acacia_code::Code;
+use acacia_node::{
+    admin::Account,
+    counter::{Counter, KINDS, Kind},
+    metrics::{Reporter, Traffic},
+};
+
+fn statsd() -> (UdpSocket, SocketAddrV4) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    match socket.local_addr().unwrap() {
+        SocketAddr::V4(address) => (socket, address),
+        SocketAddr::V6(_) => unreachable!("bound to IPv4"),
+    }
+}
+
+/// All lines up to the last gauge: a report may take several datagrams.
+fn receive(socket: &UdpSocket) -> Vec<String> {
+    let mut lines: Vec<String> = Vec::new();
+    while !lines.iter().any(|line| line.contains("control_received")) {
+        let mut buffer = [0; 2048];
+        let length = socket.recv(&mut buffer).unwrap();
+        let text = std::str::from_utf8(&buffer[..length]).unwrap();
+        lines.extend(text.lines().map(str::to_owned));
+    }
+    lines
+}
+
+#[test]
+fn counters_are_sent_as_deltas_and_every_name_is_on_the_page() {
+    let (socket, address) = statsd();
+    let mut reporter = Reporter::open(address, 3).unwrap();
+    let counter = Counter::default();
+    let account = |sent| Account {
+        status: Status {
+            revision: Some(8),
+            ..Status::default()
+        },
+        traffic: Traffic { sent, received: 0 },
+        ..Account::default()
+    };
+
+    counter.kind(Kind::Ingress, 5);
+    counter.code(Code::PacketTruncated);
+    reporter.report(&account(1_000), &counter);
+    let first = receive(&socket);
+    counter.kind(Kind::Ingress, 2);
+    reporter.report(&account(3_000), &counter);
+    let second = receive(&socket);
+
+    for line in ["ingress:5|c", "packet-truncated:1|c", "revision:8|g"] {
+        assert!(
+            first.contains(&format!("acaciatrack.3.{line}")),
+            "{first:?}"
+        );
+    }
+    for line in ["ingress:2|c", "control_sent_per_second:200|g"] {
+        assert!(
+            second.contains(&format!("acaciatrack.3.{line}")),
+            "{second:?}"
+        );
+    }
+    assert!(!second.iter().any(|line| line.contains("packet-truncated")));
+    let page = include_str!("../../../../docs/METRICS.md");
+    let gauges = second.iter().filter_map(|line| line.strip_suffix("|g"));
+    let names = gauges.map(|line| line.split([':', '.']).nth(2).unwrap());
+    for name in names.chain(KINDS.iter().map(|(_, name)| *name)) {
+        assert!(page.contains(&format!("| `{name}` |")), "{name} is missing");
+    }
+}
--- a/crates/node/tests/it/settings.rs
+++ b/crates/node/tests/it/settings.rs
@@ -1,5 +1,5 @@
 use acacia_code::Code;
-use acacia_node::settings::Settings;
+use acacia_node::settings::{KEYS, PEER_KEYS, Settings};
 use proptest::prelude::*;
 
 const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
@@ -65,6 +65,30 @@
     assert!(!shown.contains("hunter2"));
 }
 
+#[test]
+fn the_page_on_settings_names_every_key() {
+    let page = include_str!("../../../../docs/SETTINGS.md");
+    let of_peers = ("peer.N", PEER_KEYS);
+
+    for (section, keys) in KEYS.iter().chain([&of_peers]) {
+        for key in *keys {
+            let row = format!("| `[{section}]` | `{key}` |");
+            assert!(page.contains(&row), "{row:?} is missing");
+        }
+    }
+}
+
+#[test]
+fn the_example_on_the_page_is_valid() {
+    let page = include_str!("../../../../docs/SETTINGS.md");
+    let (_, rest) = page.split_once("```ini\n").unwrap();
+    let (example, _) = rest.split_once("```").unwrap();
+
+    let settings = Settings::parse(example).unwrap();
+
+    assert_eq!((settings.id, settings.peers.len()), (3, 1));
+}
+
 proptest! {
     #[test]
     fn arbitrary_text_never_panics(text: String) {
