--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -21,6 +21,9 @@
     pub revision: Option<u64>,
     /// The change that made that revision.
     pub change: Option<Id>,
+    /// Whether its bucket tables don't follow that revision yet: new flows still go by an earlier
+    /// one, though the revision is known.
+    pub behind: bool,
     /// How long the revision has been in force, in milliseconds.
     pub enforced_ms: u64,
     /// How long ago it heard from the store, in milliseconds; none if it never did. It goes on on
--- a/crates/ctl/src/verb/status.rs
+++ b/crates/ctl/src/verb/status.rs
@@ -82,7 +82,7 @@
         status.revision.map_or("none".into(), |r| r.to_string()),
         lag.to_string(),
         seconds(status.enforced_ms),
-        tables(&status.services),
+        tables(status),
         status.peers.len().to_string(),
         status.flows().map_or("-".into(), |flows| flows.to_string()),
         status.pins.to_string(),
@@ -90,9 +90,11 @@
     ]
 }
 
-fn tables(services: &[Service]) -> String {
+fn tables(status: &Status) -> String {
     let version = |service: &Service| format!("{}:{}", service.name, service.table);
-    services.iter().map(version).collect::<Vec<_>>().join(" ")
+    let versions = status.services.iter().map(version);
+    let behind = status.behind.then(|| "(behind)".to_owned());
+    versions.chain(behind).collect::<Vec<_>>().join(" ")
 }
 
 fn seconds(ms: u64) -> String {
--- a/crates/ctl/src/wait.rs
+++ b/crates/ctl/src/wait.rs
@@ -36,10 +36,11 @@
 ///     (address(1), Ok(has("entry-1", Some(5)))),
 ///     (address(2), Ok(has("entry-2", Some(4)))),
 ///     (address(3), Err(Error::Unreachable)),
+///     (address(4), Ok(Status { behind: true, ..has("entry-4", Some(5)) })),
 /// ]);
 /// let verdict = acacia_ctl::wait::judge(5, &answers);
 /// assert_eq!(verdict.in_force, ["entry-1"]);
-/// assert_eq!(verdict.lagging, ["entry-2 (revision 4)"]);
+/// assert_eq!(verdict.lagging, ["entry-2 (revision 4)", "entry-4 (tables of an earlier revision)"]);
 /// assert_eq!(verdict.silent, ["127.0.0.1:3"]);
 /// assert!(!verdict.is_done());
 /// ```
@@ -48,6 +49,10 @@
     let mut verdict = Verdict::default();
     for (address, answer) in answers {
         match answer {
+            Ok(status) if status.revision >= Some(revision) && status.behind => {
+                let text = format!("{} (tables of an earlier revision)", status.name);
+                verdict.lagging.push(text);
+            }
             Ok(status) if status.revision >= Some(revision) => {
                 verdict.in_force.push(status.name.to_string());
             }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -67,7 +67,7 @@
     pub fn tick(
         &mut self,
         now: Duration,
-        core: &Core,
+        core: &mut Core,
         shards: &Shards,
         stats: impl FnOnce() -> acacia_peer::Stats,
     ) {
@@ -80,7 +80,7 @@
         }
         self.last = Some((now, standing));
         let before = self.published.load();
-        let status = core.status(now, shards);
+        let status = core.status(now, clock::time_of_day(), shards);
         // The document changes with its revision and change only; encoding it takes milliseconds.
         let version = |status: &Status| (status.revision, status.change);
         let is_same = before.document.is_some() && version(&before.status) == version(&status);
--- a/crates/node/src/control/core/status.rs
+++ b/crates/node/src/control/core/status.rs
@@ -8,6 +8,8 @@
 };
 use acacia_flow::{Shards, control::Stage};
 use acacia_member::{Member, State};
+use acacia_rollout::Version;
+use acacia_tables::{Situation, follow};
 use acacia_wire::collections::Map;
 
 use super::{Core, MACHINE, millis};
@@ -18,6 +20,16 @@
     store: Option<Duration>,
     heartbeats: Map<u16, Duration>,
     revision: Option<(u64, Duration)>,
+    followed: Option<Followed>,
+}
+
+/// Whether tables follow a configuration. Making the tables that follow one takes milliseconds;
+/// done for each account it would cost control more than all else. Hence it is remembered.
+#[derive(Debug, Clone, Copy)]
+struct Followed {
+    config: Version,
+    table: u64,
+    behind: bool,
 }
 
 impl Seen {
@@ -73,9 +85,10 @@
             .map(|document| document.encode().into())
     }
 
-    /// The balancer's account of itself.
+    /// The balancer's account of itself. `unix` is the time of day.
     #[must_use]
-    pub fn status(&self, now: Duration, shards: &Shards) -> Status {
+    pub fn status(&mut self, now: Duration, unix: Duration, shards: &Shards) -> Status {
+        let behind = self.is_behind(unix);
         let age = |since: Duration| millis(now.saturating_sub(since));
         let standing = self.standing();
         let view = self.group.view(now);
@@ -87,6 +100,7 @@
             phase: standing.phase,
             revision: standing.revision,
             change: self.agreement.version().map(|version| version.change),
+            behind,
             enforced_ms: self.seen.revision.map_or(0, |(_, since)| age(since)),
             store_ms: self.seen.store.map(age),
             peers: peers
@@ -104,6 +118,42 @@
         }
     }
 
+    /// Whether the tables in force don't follow the configuration in force yet. Once they have, they
+    /// do: later tables only bring weights and the ends of drains.
+    fn is_behind(&mut self, unix: Duration) -> bool {
+        let Some(config) = self.agreement.version() else {
+            return false;
+        };
+        let table = self.tables.version;
+        if let Some(known) = self.seen.followed
+            && known.config == config
+            && (!known.behind || known.table == table)
+        {
+            return known.behind;
+        }
+        let behind = self.makes_other_tables(unix);
+        self.seen.followed = Some(Followed {
+            config,
+            table,
+            behind,
+        });
+        behind
+    }
+
+    fn makes_other_tables(&self, unix: Duration) -> bool {
+        let (Some(config), Some(document)) = (self.agreement.config(), self.agreement.document())
+        else {
+            return true;
+        };
+        // What a change brings at once: bases move later, when all know of it.
+        let situation = Situation {
+            now: unix.as_secs(),
+            is_known: &|_| false,
+            weight: &|_, _| None,
+        };
+        !matches!(follow(Some(document), config, &situation), Ok(None))
+    }
+
     /// Whether operators have to ask the member whether a change is in force there: all but those
     /// that are dead or have left. One that is only unheard may be cut off and still serve.
     fn is_live(&self, member: &Member) -> bool {
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -156,7 +156,9 @@
             .for_each(|message| self.send(message));
         self.leave(now);
         self.showing
-            .tick(now, &self.core, &self.context.shards, || self.mesh.stats());
+            .tick(now, &mut self.core, &self.context.shards, || {
+                self.mesh.stats()
+            });
         if now.saturating_sub(self.counted) >= COUNTS {
             self.counted = now;
             let (id, counts) = (self.context.settings.id, self.context.counter.line());
--- a/crates/node/tests/it/status.rs
+++ b/crates/node/tests/it/status.rs
@@ -10,8 +10,8 @@
 
 fn status(at: Duration) -> Status {
     let settings = Settings::parse(&valid()).unwrap();
-    let core = Core::new(Arc::new(settings), 1, Duration::from_secs(100));
-    core.status(at, &Shards::new(4, Limits::default()))
+    let mut core = Core::new(Arc::new(settings), 1, Duration::from_secs(100));
+    core.status(at, Duration::ZERO, &Shards::new(4, Limits::default()))
 }
 
 #[test]
