--- a/crates/node/tests/it/status.rs
+++ b/crates/node/tests/it/status.rs
@@ -3,29 +3,114 @@
 use std::{sync::Arc, time::Duration};
 
 use acacia_api::{Status, status::Phase};
+use acacia_config::{
+    Config, Server, Service,
+    document::{Document, Draft, Id},
+};
 use acacia_flow::{Shards, shard::Limits};
-use acacia_node::{control::core::Core, settings::Settings};
+use acacia_node::{
+    control::{agreement::Entry, core::Core, platform::News},
+    settings::Settings,
+};
+use acacia_rollout::Answer;
+use acacia_tables::{Situation, follow};
 
 use crate::settings::valid;
 
-fn status(at: Duration) -> Status {
+const START: Duration = Duration::from_secs(100);
+
+fn core() -> Core {
     let settings = Settings::parse(&valid()).unwrap();
-    let mut core = Core::new(Arc::new(settings), 1, Duration::from_secs(100));
-    core.status(at, Duration::ZERO, &Shards::new(4, Limits::default()))
+    Core::new(Arc::new(settings), 1, START)
+}
+
+fn status(core: &mut Core) -> Status {
+    core.status(START, Duration::ZERO, &Shards::new(4, Limits::default()))
+}
+
+/// What follows `before` when one more server is added.
+fn grown(before: Option<&Document>) -> Document {
+    let mut config = Config::default();
+    config.add_service(Service::new("live", [10, 77, 0, 1], 443, 70));
+    for host in 0..=before.map_or(0, |document| document.revision) as u8 {
+        let address = ([10, 1, 0, host], 6080).into();
+        config.add_server(Server::new(
+            &format!("live-{host}"),
+            "live",
+            address,
+            "hervanta",
+        ));
+    }
+    let draft = Draft {
+        change: Id::new(7),
+        author: "aino".into(),
+        time: 0,
+        config,
+        in_force: None,
+    };
+    Document::follow(before, &draft).unwrap()
+}
+
+fn config(document: &Document) -> News {
+    News::Config(Some(Answer {
+        revision: document.revision,
+        document: Some(Arc::new(document.clone())),
+    }))
+}
+
+fn tables(before: Option<&acacia_tables::Document>, of: &Document) -> acacia_tables::Document {
+    let situation = Situation {
+        now: 0,
+        is_known: &|_| true,
+        weight: &|_, _| None,
+    };
+    follow(before, of, &situation).unwrap().unwrap()
+}
+
+fn stored(tables: &acacia_tables::Document) -> News {
+    News::Tables(Some(Entry {
+        revision: tables.version,
+        value: Some(tables.encode().unwrap().into()),
+    }))
 }
 
 #[test]
 fn a_balancer_that_has_just_started_says_so_and_names_its_peers() {
-    let status = status(Duration::from_secs(100));
+    let status = status(&mut core());
 
     assert_eq!(status.phase, Phase::Starting);
     assert_eq!((&*status.name, status.id), ("balancer-3", 3));
     assert_eq!((status.revision, status.store_ms), (None, None));
     assert_eq!((status.services.len(), status.pins), (0, 0));
-    let peers: Vec<_> = status
-        .peers
-        .iter()
+    let peers = status.peers.iter();
+    let peers: Vec<_> = peers
         .map(|peer| (peer.id, peer.admin, peer.heard_ms))
         .collect();
     assert_eq!(peers, [(4, "127.0.0.2:6082".parse().unwrap(), None)]);
 }
+
+/// A change reaches a balancer a moment before the tables that follow it. An operator who is told
+/// too early that a server was drained stops it while it still gets new flows, and they break.
+#[test]
+fn a_revision_is_shown_as_behind_until_the_tables_follow_it() {
+    let mut core = core();
+    let (first, second) = (grown(None), grown(Some(&grown(None))));
+    let old = tables(None, &first);
+    let new = tables(Some(&old), &second);
+    let mut shown = Vec::new();
+
+    for news in [config(&first), stored(&old), config(&second), stored(&new)] {
+        core.news(START, news);
+        let status = status(&mut core);
+        let table = status.services.first().map(|service| service.table);
+        shown.push((status.revision, table, status.behind));
+    }
+
+    let expected = [
+        (Some(1), None, true),
+        (Some(1), Some(1), false),
+        (Some(2), Some(1), true),
+        (Some(2), Some(2), false),
+    ];
+    assert_eq!(shown, expected);
+}
