Decide on new flows by measured load: shares, weights, silent servers

Traffic threads ask the load crate about each new flow and count what they see; the control thread makes plans once a second, exchanges reports in heartbeats, guards openings while demand nears capacity, leaves silent servers alone and, where it may write the tables, proposes weights. Servers that a configuration drains or removes get no new flows even while the store can't take the tables that follow.

--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -99,6 +99,7 @@
     260 LoadShareUsed "load-share-used": "A new flow was refused: its class is beyond its share and nothing is left to borrow."; "Compare the class's demand with its share; add backend servers if paying callers are refused".
     261 LoadConnectionsUsed "load-connections-used": "A new flow was refused: its class's part of the connections is in use."; "Raise the class's share, or add backend servers".
     262 LoadNoServer "load-no-server": "A new flow was refused: its service has no backend server."; "Add a backend server to the service".
+    263 ServerSilent "server-silent": "A backend server gives next to no answers while others do; it is left alone for a while."; "Look at the server".
     290 ControlTruncated "control-truncated": "A control frame is cut short."; "Look for the sender".
     291 ControlOversized "control-oversized": "A control frame is longer than any legal one."; "Look for the sender".
     292 ControlForged "control-forged": "A control frame carries no valid authenticator."; "Check that all balancers hold the same key; otherwise look for the sender".
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -9,16 +9,35 @@
 /// the flow and the servers alone.
 #[must_use]
 pub fn by_table(request: &Request<'_>) -> Placement {
+    ranked(request)
+        .first()
+        .map_or(Placement::Nowhere, |id| Placement::Server(*id))
+}
+
+/// The first and the second choice for a flow: the server that the agreed table says, if it takes
+/// new flows, and those that rank first by weighted rendezvous.
+#[must_use]
+pub fn ranked(request: &Request<'_>) -> Vec<u16> {
+    const CHOICES: usize = 2;
     let wanted = request.service.next[request.bucket];
-    if request.service.is_eligible(wanted) {
-        return Placement::Server(wanted);
+    let by_rank = |besides: &[u16]| {
+        let eligible = request.service.servers.iter();
+        eligible
+            .filter(|(id, server)| {
+                server.is_eligible() && server.weight > 0 && !besides.contains(id)
+            })
+            .map(|(&id, server)| (score(request.hash, id, server.weight), id))
+            .min_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal))
+            .map(|(_, id)| id)
+    };
+    let mut choices = Vec::with_capacity(CHOICES);
+    choices.extend(Some(wanted).filter(|wanted| request.service.is_eligible(*wanted)));
+    while choices.len() < CHOICES
+        && let Some(id) = by_rank(&choices)
+    {
+        choices.push(id);
     }
-    let eligible = request.service.servers.iter();
-    eligible
-        .filter(|(_, server)| server.is_eligible() && server.weight > 0)
-        .map(|(&id, server)| (score(request.hash, id, server.weight), id))
-        .min_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal))
-        .map_or(Placement::Nowhere, |(_, id)| Placement::Server(id))
+    choices
 }
 
 /// Weighted rendezvous: the least of exponential variables whose rates are the weights.
--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Traffic threads of this balancer, among which each plan is divided.
+    #[must_use]
+    pub fn threads(&self) -> u32 {
+        self.threads
+    }
+
     /// Adds what a gate has counted.
     pub fn absorb(&mut self, tally: &Tally) {
         self.peers.absorb(tally);
--- a/crates/node/src/control/agreement.rs
+++ b/crates/node/src/control/agreement.rs
@@ -7,7 +7,7 @@
 use acacia_config::document::Document as Config;
 use acacia_flow::{control::Tables, snapshot::Address};
 use acacia_member::{State, View};
-use acacia_rollout::{Action, Answer, Event, Options, Peer, Rollout, Version, WATCHERS};
+use acacia_rollout::{Action, Answer, Event, Held, Options, Peer, Rollout, Version, WATCHERS};
 use acacia_tables::{
     Document, tables,
     writer::{self, Moment, Writer},
@@ -125,6 +125,12 @@
         self.rollout.held().map(|held| &held.document)
     }
 
+    /// The configuration in force, decoded.
+    #[must_use]
+    pub fn held(&self) -> Option<&Held> {
+        self.rollout.held()
+    }
+
     /// Its version, for heartbeats.
     #[must_use]
     pub fn version(&self) -> Option<Version> {
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -21,6 +21,7 @@
 use acacia_peer::Class;
 use acacia_platform::machine;
 use acacia_rollout::Version;
+use acacia_tables::closing;
 use acacia_wire::{
     collections::{Map, Set},
     control::Envelope,
@@ -29,9 +30,11 @@
 
 use super::{
     agreement::{self, Agreement, Ask, Order},
+    load::Pools,
     platform::News,
 };
 use crate::{
+    load::{Counts, Policies},
     message::{Message, Payload},
     settings::Settings,
     view::View,
@@ -79,6 +82,9 @@
     listed: Set<u16>,
     gone: Set<u16>,
     agreement: Agreement,
+    pools: Pools,
+    policies: Arc<Policies>,
+    closing: Vec<(Address, u16)>,
     tables: Tables,
     servers: Arc<Map<(Address, u16), SocketAddrV4>>,
     orders: Vec<Order>,
@@ -115,6 +121,9 @@
             listed: Set::default(),
             gone: Set::default(),
             agreement: Agreement::new(&settings, incarnation, now),
+            pools: Pools::default(),
+            policies: Arc::default(),
+            closing: Vec::new(),
             tables: Tables::default(),
             servers: Arc::default(),
             orders: Vec::new(),
@@ -146,7 +155,7 @@
             Message::Notice(notice) => take_notice(notice, shards, millis(now)),
             Message::AskConfig => {
                 let document = self.agreement.config().cloned();
-                self.send(from, Class::Bulk, Message::Config(document));
+                self.send(from, Class::Urgent, Message::Config(document));
             }
             Message::Config(document) => {
                 let outcome = self.agreement.fetched_config(now, from, document);
@@ -157,7 +166,7 @@
                     .agreement
                     .document()
                     .and_then(|tables| tables.encode().ok());
-                self.send(from, Class::Bulk, Message::Tables(text.map(Into::into)));
+                self.send(from, Class::Urgent, Message::Tables(text.map(Into::into)));
             }
             Message::Tables(text) => {
                 let outcome = self.agreement.fetched_tables(now, from, text.as_deref())?;
@@ -180,6 +189,7 @@
         self.refresh_members(now);
         let payload = Payload::decode(&heartbeat.payload).ok_or(Code::ControlUndecodable)?;
         self.flow.receive(from, incarnation, payload.flow);
+        self.pools.merge(from, &payload.load, now);
         let version = payload
             .config
             .map(|(revision, change)| Version { revision, change });
@@ -278,6 +288,7 @@
             self.group.hasten();
         }
         self.agree(now, unix);
+        self.weigh(now);
         self.speak(now);
         self.take_events(now, shards);
         let peers = self.peers(now);
@@ -287,6 +298,7 @@
         let view = View {
             snapshot,
             servers: Arc::clone(&self.servers),
+            policies: Arc::clone(&self.policies),
             peers: traffic.collect(),
         };
         Outcome {
@@ -309,6 +321,69 @@
         self.follow(now, outcome);
     }
 
+    /// Takes in a traffic thread's counts.
+    pub fn counts(&mut self, counts: &Counts) {
+        self.pools.counts(counts);
+    }
+
+    /// Decisions under load, once a second and with each change of configuration or tables.
+    fn weigh(&mut self, now: Duration) {
+        let (Some(held), Some(document)) = (self.agreement.held(), self.agreement.document())
+        else {
+            return;
+        };
+        let revision = held.document.revision;
+        let renewed = self
+            .pools
+            .renew(&held.config, revision, document, self.settings.threads);
+        if renewed {
+            let closing = closing(document, &held.config);
+            self.close(closing, millis(now));
+        }
+        let view = self.group.view(now);
+        let heard = view
+            .members
+            .iter()
+            .filter(|member| member.state.is_heard())
+            .count();
+        let writes = view.ready().next() == Some(self.settings.id);
+        let outcome = self.pools.tick(now, heard + 1, writes);
+        if renewed || outcome.is_some() {
+            self.policies = Arc::new(self.pools.policies());
+        }
+        let Some(outcome) = outcome else { return };
+        for (address, guarded) in outcome.guard {
+            self.flow.guard(address, guarded);
+        }
+        for (address, loose) in outcome.loosen {
+            self.flow.loosen(address, loose, millis(now));
+        }
+        for (address, server, down) in outcome.down {
+            let code = Code::ServerSilent;
+            log::warn!(
+                "event=server-left-alone address={address:?} server={server} down={down} code={code}"
+            );
+            let down = down || self.closing.contains(&(address, server));
+            self.flow.set_down(address, server, down, millis(now));
+        }
+        if !outcome.weights.is_empty() {
+            self.agreement.set_weights(outcome.weights);
+        }
+    }
+
+    /// Keeps new flows away from servers that a configuration drains or removes before the tables
+    /// follow it, which they can't while the store is down.
+    fn close(&mut self, closing: Vec<(Address, u16)>, time: u64) {
+        for (address, server) in std::mem::replace(&mut self.closing, closing) {
+            if !self.closing.contains(&(address, server)) {
+                self.flow.set_down(address, server, false, time);
+            }
+        }
+        for (address, server) in &self.closing {
+            self.flow.set_down(*address, *server, true, time);
+        }
+    }
+
     /// Heartbeats and copies of pins that are due.
     fn speak(&mut self, now: Duration) {
         let time = millis(now);
@@ -316,11 +391,12 @@
             .agreement
             .version()
             .map(|version| (version.revision, version.change));
-        let flow = &mut self.flow;
+        let (flow, pools) = (&mut self.flow, &mut self.pools);
         let payload = |to| {
             Payload {
                 flow: flow.report(to, time),
                 config,
+                load: pools.reports(to),
             }
             .encode()
         };
@@ -348,6 +424,15 @@
                 Some(code) => log::warn!("event=membership change=\"{event:?}\" code={code}"),
                 None => log::info!("event=membership change=\"{event:?}\""),
             }
+            if let Event::Restarted { id, .. }
+            | Event::Changed {
+                id,
+                to: State::Dead,
+                ..
+            } = event
+            {
+                self.pools.forget(id);
+            }
             if let Event::Rejoined { incarnation, .. } = event {
                 self.rejoin(incarnation, now, shards);
             }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod agreement;
 pub mod core;
+pub mod load;
 pub mod platform;
 pub mod service;
 pub mod spread;
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -22,6 +22,7 @@
 use crate::{
     clock,
     counter::{Counter, Kind},
+    load::Counts,
     message::Message,
     settings::Settings,
     view::Published,
@@ -46,6 +47,8 @@
     pub orders: mpsc::Sender<Order>,
     /// From the traffic threads.
     pub notices: Receiver<(u16, Notice)>,
+    /// From the traffic threads.
+    pub counts: Receiver<Counts>,
     /// For the traffic threads.
     pub published: Published,
     /// Pins and caches.
@@ -107,6 +110,7 @@
                 let (to, notice) = notice?;
                 state.send(Core::notice(to, notice));
             }
+            recv(context.counts) -> counts => state.core.counts(&counts?),
             recv(ticks) -> _ => state.tick(),
         }
     }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -28,6 +28,7 @@
     },
     counter::Counter,
     journal,
+    load::Counts,
     settings::Settings,
     traffic::worker,
     view::Published,
@@ -63,6 +64,12 @@
     orders: mpsc::Sender<Order>,
 }
 
+/// The control thread's ends of its channels.
+struct Control {
+    notices: Sender<(u16, Notice)>,
+    counts: Sender<Counts>,
+}
+
 /// Runs the balancer until it is asked to end or a service of it dies.
 pub fn run(settings: Settings) -> anyhow::Result<Code> {
     journal::start(settings.log)?;
@@ -147,13 +154,15 @@
 fn control_service(shared: Arc<Shared>) -> Service {
     Service::new("control", ["platform"], move |context| {
         let platform = context.find::<Platform>("platform")?;
-        let (sender, notices) = bounded::<(u16, Notice)>(QUEUE);
+        let (notice_sender, notices) = bounded::<(u16, Notice)>(QUEUE);
+        let (count_sender, counts) = bounded::<Counts>(QUEUE);
         let stop = Arc::new(AtomicBool::new(false));
         let control = control::service::Context {
             settings: Arc::clone(&shared.settings),
             news: platform.news.clone(),
             orders: platform.orders.clone(),
             notices,
+            counts,
             published: Arc::clone(&shared.published),
             shards: Arc::clone(&shared.shards),
             counter: Arc::clone(&shared.counter),
@@ -163,23 +172,28 @@
         };
         context.spawn(move || Ok(control::service::run(&control)?))?;
         context.on_stop(move || stop.store(true, Ordering::Relaxed));
-        Ok(sender)
+        Ok(Control {
+            notices: notice_sender,
+            counts: count_sender,
+        })
     })
 }
 
 fn traffic_service(shared: Arc<Shared>) -> Service {
     Service::new("traffic", ["control"], move |context| {
-        let notices = context.find::<Sender<(u16, Notice)>>("control")?;
+        let control = context.find::<Control>("control")?;
         let stop = Arc::new(AtomicBool::new(false));
-        for _ in 0..shared.settings.threads {
+        for thread in 0..shared.settings.threads as u64 {
             let socket = bind(shared.settings.traffic)?;
             let traffic = worker::Context {
                 published: Arc::clone(&shared.published),
                 shards: Arc::clone(&shared.shards),
                 counter: Arc::clone(&shared.counter),
-                notices: (*notices).clone(),
+                notices: control.notices.clone(),
+                counts: control.counts.clone(),
                 secret: shared.settings.secret.clone(),
                 gateway: shared.settings.gateway,
+                seed: u64::from(shared.settings.id) << 32 | thread,
             };
             let stop = Arc::clone(&stop);
             context.spawn(move || Ok(worker::run(&socket, &traffic, &stop)?))?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod counter;
 pub mod daemon;
 pub mod journal;
+pub mod load;
 pub mod message;
 pub mod settings;
 pub mod traffic;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -5,6 +5,7 @@
 use acacia_config::document::{Document, Id};
 use acacia_flow::{
     control::{Acknowledgement, Batch, Report},
+    snapshot::Address,
     verdict::Notice,
 };
 use acacia_member::Heartbeat;
@@ -38,6 +39,8 @@
     pub flow: Report,
     /// The configuration in force: its revision, and the change that made it.
     pub config: Option<(u64, Id)>,
+    /// Counts under load, once a second.
+    pub load: Vec<(Address, acacia_load::report::Report)>,
 }
 
 impl Payload {
--- a/crates/node/src/traffic/worker.rs
+++ b/crates/node/src/traffic/worker.rs
@@ -6,15 +6,14 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
 use acacia_code::Code;
 use acacia_flow::{
-    Shards, Verdict,
-    place::by_table,
-    resolve,
+    Shards, Verdict, resolve,
     snapshot::Address,
-    verdict::{Action, Arrival, Notice},
+    verdict::{Action, Arrival, Notice, Request},
 };
 use acacia_wire::{
     control::Secret,
@@ -28,6 +27,7 @@
 use crate::{
     clock,
     counter::{Counter, Kind},
+    load::{Counts, Desk},
     view::{Published, View},
 };
 
@@ -42,6 +42,10 @@
     pub counter: Arc<Counter>,
     /// Notices for peers, sent by the control thread.
     pub notices: Sender<(u16, Notice)>,
+    /// Counts of load for the control thread.
+    pub counts: Sender<Counts>,
+    /// Seed of this thread's random choices.
+    pub seed: u64,
     /// Keys of redirects.
     pub secret: Secret,
     /// Where packets for callers go.
@@ -52,6 +56,7 @@
 pub fn run(socket: &UdpSocket, context: &Context, stop: &AtomicBool) -> std::io::Result<()> {
     let mut received = Received::default();
     let mut to_send = ToSend::default();
+    let mut desk = Desk::new(context.seed);
     while !stop.load(Ordering::Relaxed) {
         received.fill(socket)?;
         // One look a batch: a view is good for far longer than a batch takes.
@@ -59,7 +64,7 @@
         let Some(view) = view.as_deref() else {
             continue;
         };
-        let now = clock::now().as_millis() as u64;
+        let now = clock::now();
         for index in 0..received.len() {
             let mut step = Step {
                 context,
@@ -67,6 +72,7 @@
                 now,
                 index,
                 to_send: &mut to_send,
+                desk: &mut desk,
             };
             if let Err(code) = step.datagram(received.get(index)) {
                 context.counter.code(code);
@@ -74,6 +80,10 @@
         }
         let lost = to_send.flush(socket, &received);
         context.counter.kind(Kind::Unsent, lost as u64);
+        for counts in desk.drain(now) {
+            // A full queue loses half a second of counts; estimates go on with the next.
+            let _ = context.counts.try_send(counts);
+        }
     }
     Ok(())
 }
@@ -82,9 +92,10 @@
 struct Step<'a> {
     context: &'a Context,
     view: &'a View,
-    now: u64,
+    now: Duration,
     index: usize,
     to_send: &'a mut ToSend,
+    desk: &'a mut Desk,
 }
 
 impl Step<'_> {
@@ -102,17 +113,25 @@
             Frame::Redirected(redirect, bytes) => (Arrival::Redirected(redirect), bytes),
         };
         let packet = packet::parse(bytes, encap::PORT).map_err(packet_code)?;
+        let time = self.now.as_millis() as u64;
         let verdict = {
             let mut shard = self.context.shards.of(packet.key.hash());
+            let (desk, policies, now) = (&mut *self.desk, &self.view.policies, self.now);
+            let mut place = |request: &Request<'_>| desk.place(request, policies, now);
             resolve(
                 &self.view.snapshot,
                 &mut shard,
-                self.now,
+                time,
                 &packet,
                 arrival,
-                &mut by_table,
+                &mut place,
             )
         };
+        if let (Action::Forward { server }, Arrival::Ingress) = (verdict.action, arrival) {
+            let address = Address::of(&packet.key);
+            self.desk
+                .observe(&packet, address, server, &self.view.policies, self.now);
+        }
         self.carry_out(verdict, &packet, datagram.len() - bytes.len(), bytes)
     }
 
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -6,6 +6,8 @@
 use acacia_wire::collections::Map;
 use arc_swap::ArcSwapOption;
 
+use crate::load::Policies;
+
 /// One moment's knowledge: who owns which flows, and where everybody is.
 #[derive(Debug, Clone)]
 pub struct View {
@@ -13,6 +15,8 @@
     pub snapshot: Snapshot,
     /// Where each backend server takes encapsulated packets.
     pub servers: Arc<Map<(Address, u16), SocketAddrV4>>,
+    /// What new flows are decided by.
+    pub policies: Arc<Policies>,
     /// Where each balancer takes redirected packets.
     pub peers: Map<u16, SocketAddrV4>,
 }
