Measure decisions, redirects and forwarding with acacia-bench speed

One line a case: nanoseconds of processor time for a decision on flows with and without pins, new flows, decoding and encoding, and datagrams forwarded by the worker beside a bare echo with the same batch code, in turns.

--- /dev/null
+++ b/crates/bench/src/speed/cpu.rs
@@ -0,0 +1,17 @@
+use std::time::Duration;
+
+use nix::time::{ClockId, clock_gettime};
+
+/// Processor time that the calling thread has used. Unlike the time of day it leaves out what
+/// other processes of the machine take meanwhile.
+///
+/// ```
+/// let earlier = acacia_bench::speed::cpu::thread();
+/// assert!(acacia_bench::speed::cpu::thread() >= earlier);
+/// ```
+#[must_use]
+pub fn thread() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID)
+        .expect("Linux has had clocks of threads since version 2.6");
+    Duration::from(time)
+}
--- /dev/null
+++ b/crates/bench/src/speed/decide.rs
@@ -0,0 +1,278 @@
+use std::hint::black_box;
+
+use acacia_flow::{
+    Shards, Snapshot,
+    place::by_table,
+    resolve,
+    shard::Limits,
+    verdict::{Action, Arrival},
+};
+use acacia_wire::{
+    control::Secret,
+    encap::{self, Frame, NO_SERVER, Purpose, Redirect, Told},
+    flow::Key,
+    packet::{self, Packet},
+};
+use anyhow::Context as _;
+
+use super::{Options, cpu, scene, spread};
+
+/// Shards of the daemon.
+const SHARDS: usize = 16;
+/// New flows of one measurement: below the room for openings of all shards.
+const NEW: usize = 100_000;
+/// Packets with real bytes; their buffers stay in the processor's caches as those of a batch do.
+const PACKETS: usize = 4_096;
+
+/// What came of the decisions of one measurement.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    forwarded: u64,
+    redirected: u64,
+    other: u64,
+}
+
+impl Tally {
+    fn add(&mut self, action: &Action) {
+        match action {
+            Action::Forward { .. } => self.forwarded += 1,
+            Action::Redirect { .. } => self.redirected += 1,
+            _ => self.other += 1,
+        }
+    }
+}
+
+/// One balancer's state.
+struct Node {
+    snapshot: Snapshot,
+    shards: Shards,
+}
+
+impl Node {
+    fn new(flagged: bool) -> Self {
+        Node {
+            snapshot: scene::snapshot(flagged),
+            shards: Shards::new(SHARDS, Limits::default()),
+        }
+    }
+
+    fn decide(&self, packet: &Packet, arrival: Arrival) -> Action {
+        let mut shard = self.shards.of(packet.key.hash());
+        let (snapshot, place) = (&self.snapshot, &mut by_table);
+        resolve(snapshot, &mut shard, scene::NOW, packet, arrival, place).action
+    }
+
+    fn pass(&self, packets: &[Packet], arrival: Arrival) -> Tally {
+        let mut tally = Tally::default();
+        for packet in packets {
+            tally.add(&self.decide(packet, arrival));
+        }
+        tally
+    }
+
+    fn decode(&self, datagram: &[u8], secret: &Secret) -> anyhow::Result<Action> {
+        let (arrival, bytes) = match encap::decode(datagram, secret)? {
+            Frame::Plain(bytes) => (Arrival::Ingress, bytes),
+            Frame::Redirected(redirect, bytes) => (Arrival::Redirected(redirect), bytes),
+        };
+        let packet = packet::parse(bytes, encap::PORT)?;
+        Ok(self.decide(&packet, arrival))
+    }
+}
+
+/// The header under which another balancer asks this one.
+fn question() -> Redirect {
+    Redirect {
+        purpose: Purpose::Resolve,
+        hops: 1,
+        sender: 1,
+        server: NO_SERVER,
+        passed_on: false,
+        told: Told::default(),
+    }
+}
+
+/// A balancer whose flows all have pins and are beyond their openings.
+fn pinned(keys: &[Key]) -> Node {
+    let node = Node::new(true);
+    let asked = Arrival::Redirected(question());
+    for key in keys {
+        node.decide(&scene::opening(key), asked);
+        node.decide(&scene::middle(key), asked);
+    }
+    node
+}
+
+/// Runs the cases and prints their lines.
+pub fn run(options: &Options, seed: u64) -> anyhow::Result<()> {
+    let owned = scene::keys(seed, options.flows, true);
+    let others = scene::keys(seed, options.flows, false);
+    let asked = Arrival::Redirected(question());
+    let report = Report { options, seed };
+    let middle: Vec<Packet> = owned.iter().map(scene::middle).collect();
+    let opening: Vec<Packet> = owned.iter().take(NEW).map(scene::opening).collect();
+    let foreign: Vec<Packet> = others.iter().map(scene::middle).collect();
+    let foreign_opening: Vec<Packet> = others.iter().map(scene::opening).collect();
+
+    let base = Node::new(false);
+    report.repeat("warm_base", &base, &middle, Arrival::Ingress)?;
+    report.repeat("new_base", &base, &opening, Arrival::Ingress)?;
+    if report.any(&["warm_pinned", "decode"]) {
+        let owner = pinned(&owned);
+        report.repeat("warm_pinned_owner", &owner, &middle, asked)?;
+        report.repeat(
+            "warm_pinned_owner_ingress",
+            &owner,
+            &middle,
+            Arrival::Ingress,
+        )?;
+        report.bytes("decode_redirected", &owner, &owned, true)?;
+    }
+    let flagged = Node::new(true);
+    report.repeat("warm_pinned_ingress", &flagged, &foreign, Arrival::Ingress)?;
+    report.repeat(
+        "new_pinned_ingress",
+        &flagged,
+        &foreign_opening,
+        Arrival::Ingress,
+    )?;
+    report.fresh("new_pinned_owner", &opening, asked)?;
+    report.bytes("decode_plain", &base, &owned, false)?;
+    report.encode(&owned)
+}
+
+/// Prints measurements.
+struct Report<'a> {
+    options: &'a Options,
+    seed: u64,
+}
+
+impl Report<'_> {
+    fn any(&self, names: &[&str]) -> bool {
+        let cases = &self.options.cases;
+        cases.is_empty()
+            || cases
+                .iter()
+                .any(|case| names.iter().any(|n| case.starts_with(n)))
+    }
+
+    fn line(&self, case: &str, flows: usize, nanos: Vec<f64>, state: f64, tally: Tally) {
+        let [median, least, most] = spread(nanos);
+        println!(
+            "case={case} seed={} flows={flows} nanos={median:.1} nanos_least={least:.1} \
+             nanos_most={most:.1} per_second={:.0} state_bytes_per_flow={state:.1} \
+             forwarded={} redirected={}",
+            self.seed,
+            1e9 / median,
+            tally.forwarded,
+            tally.redirected
+        );
+    }
+
+    /// The same packets over and over at a balancer that knows their flows.
+    fn repeat(
+        &self,
+        case: &str,
+        node: &Node,
+        packets: &[Packet],
+        arrival: Arrival,
+    ) -> anyhow::Result<()> {
+        if !self.options.wants(case) {
+            return Ok(());
+        }
+        // The first pass fills the processor's caches as far as they hold the state.
+        let tally = node.pass(packets, arrival);
+        anyhow::ensure!(tally.other == 0, "{case}: {} packets dropped", tally.other);
+        let measure = |_| {
+            let start = cpu::thread();
+            black_box(node.pass(packets, arrival));
+            nanos(start, packets.len())
+        };
+        let nanos = (0..self.options.rounds).map(measure).collect();
+        let state = node.shards.bytes() as f64 / packets.len() as f64;
+        self.line(case, packets.len(), nanos, state, tally);
+        Ok(())
+    }
+
+    /// Openings at an owner that knows none of their flows.
+    fn fresh(&self, case: &str, packets: &[Packet], arrival: Arrival) -> anyhow::Result<()> {
+        if !self.options.wants(case) {
+            return Ok(());
+        }
+        let (mut times, mut tally, mut state) = (Vec::new(), Tally::default(), 0.0);
+        for _ in 0..self.options.rounds {
+            let node = Node::new(true);
+            let start = cpu::thread();
+            tally = node.pass(packets, arrival);
+            times.push(nanos(start, packets.len()));
+            state = node.shards.bytes() as f64 / packets.len() as f64;
+        }
+        anyhow::ensure!(tally.other == 0, "{case}: {} packets dropped", tally.other);
+        self.line(case, packets.len(), times, state, tally);
+        Ok(())
+    }
+
+    /// From a datagram's bytes to the decision.
+    fn bytes(&self, case: &str, node: &Node, keys: &[Key], redirected: bool) -> anyhow::Result<()> {
+        if !self.options.wants(case) {
+            return Ok(());
+        }
+        let secret = scene::secret();
+        let mut datagrams = Vec::new();
+        for key in keys.iter().take(PACKETS) {
+            let bytes = scene::bytes(key)?;
+            let mut datagram = Vec::new();
+            match redirected {
+                true => encap::encode(&question(), &bytes, &secret, &mut datagram),
+                false => datagram = bytes,
+            }
+            datagrams.push(datagram);
+        }
+        let (mut times, mut tally) = (Vec::new(), Tally::default());
+        for _ in 0..self.options.rounds {
+            tally = Tally::default();
+            let start = cpu::thread();
+            for datagram in &datagrams {
+                tally.add(&node.decode(datagram, &secret).context("decoding")?);
+            }
+            times.push(nanos(start, datagrams.len()));
+        }
+        anyhow::ensure!(tally.other == 0, "{case}: {} packets dropped", tally.other);
+        self.line(case, datagrams.len(), times, 0.0, tally);
+        Ok(())
+    }
+
+    /// A redirect header before a packet, into a buffer that is used again.
+    fn encode(&self, keys: &[Key]) -> anyhow::Result<()> {
+        let case = "encode_redirect";
+        if !self.options.wants(case) {
+            return Ok(());
+        }
+        let (secret, mut out) = (scene::secret(), Vec::new());
+        let packets: Vec<Vec<u8>> = keys
+            .iter()
+            .take(PACKETS)
+            .map(scene::bytes)
+            .collect::<anyhow::Result<_>>()?;
+        let measure = |_| {
+            let start = cpu::thread();
+            for packet in &packets {
+                encap::encode(&question(), packet, &secret, &mut out);
+                black_box(&out);
+            }
+            nanos(start, packets.len())
+        };
+        let times = (0..self.options.rounds).map(measure).collect();
+        let tally = Tally {
+            redirected: packets.len() as u64,
+            ..Tally::default()
+        };
+        self.line(case, packets.len(), times, 0.0, tally);
+        Ok(())
+    }
+}
+
+/// Nanoseconds of this thread's processor time for each of `count` steps since `start`.
+fn nanos(start: std::time::Duration, count: usize) -> f64 {
+    (cpu::thread() - start).as_nanos() as f64 / count as f64
+}
--- /dev/null
+++ b/crates/bench/src/speed/forward.rs
@@ -0,0 +1,199 @@
+use std::{
+    net::{Ipv4Addr, SocketAddrV4, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, sleep},
+    time::{Duration, Instant},
+};
+
+use acacia_flow::{Shards, shard::Limits};
+use acacia_node::{
+    counter::{Counter, Kind},
+    traffic::{
+        batch::{Received, SIZE, ToSend},
+        worker,
+    },
+    view::{Published, View},
+};
+use anyhow::anyhow;
+
+use super::{Options, cpu, scene, spread};
+
+/// Flows whose packets go round.
+const FLOWS: usize = 4_096;
+/// Receive buffer, as the daemon's.
+const BUFFER: usize = 4 << 20;
+/// The longest that a thread waits for packets.
+const LOOK: Duration = Duration::from_millis(20);
+/// Packets lost by the first batches on cold caches are not measured.
+const WARM: Duration = Duration::from_millis(50);
+
+/// What one measurement gave.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    packets: u64,
+    processor: Duration,
+    wall: Duration,
+}
+
+impl Rate {
+    /// Packets for each second of processor time of the thread that forwards.
+    fn per_second(&self) -> f64 {
+        self.packets as f64 / self.processor.as_secs_f64()
+    }
+
+    fn per_wall_second(&self) -> f64 {
+        self.packets as f64 / self.wall.as_secs_f64()
+    }
+}
+
+/// Runs the cases and prints their lines: the worker and the bare echo take turns.
+pub fn run(options: &Options, seed: u64) -> anyhow::Result<()> {
+    for (case, flagged) in [("forward_base", false), ("forward_redirect", true)] {
+        if !options.wants(case) {
+            continue;
+        }
+        let keys = scene::keys(seed, FLOWS, false);
+        let packets: Vec<Vec<u8>> = keys
+            .iter()
+            .map(scene::bytes)
+            .collect::<anyhow::Result<_>>()?;
+        let (mut ours, mut echo, mut ratios) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..options.rounds {
+            let duration = Duration::from_millis(options.millis);
+            let bare = measure(&packets, duration, &|socket, sink, stop| {
+                bare(socket, sink, stop)
+            })?;
+            let worker = measure(&packets, duration, &|socket, sink, stop| {
+                through_worker(socket, sink, stop, flagged)
+            })?;
+            ratios.push(worker.per_second() / bare.per_second());
+            ours.push(worker);
+            echo.push(bare);
+        }
+        let middle =
+            |rates: &[Rate], of: fn(&Rate) -> f64| spread(rates.iter().map(of).collect())[0];
+        let [ratio, least, most] = spread(ratios);
+        println!(
+            "case={case} seed={seed} rounds={} per_second={:.0} echo_per_second={:.0} \
+             ratio={ratio:.3} ratio_least={least:.3} ratio_most={most:.3} \
+             wall_per_second={:.0} echo_wall_per_second={:.0}",
+            options.rounds,
+            middle(&ours, Rate::per_second),
+            middle(&echo, Rate::per_second),
+            middle(&ours, Rate::per_wall_second),
+            middle(&echo, Rate::per_wall_second),
+        );
+    }
+    Ok(())
+}
+
+/// A thread that forwards until it is told to stop, and gives how many datagrams.
+type Forwarder<'a> =
+    &'a (dyn Fn(&UdpSocket, SocketAddrV4, &AtomicBool) -> std::io::Result<u64> + Sync);
+
+/// Sends packets as fast as one thread can to one that forwards them to a socket nobody reads:
+/// the kernel drops what doesn't fit there, for the worker's datagrams as for the echo's.
+fn measure(
+    packets: &[Vec<u8>],
+    duration: Duration,
+    forward: Forwarder<'_>,
+) -> anyhow::Result<Rate> {
+    let (socket, at) = bind()?;
+    let (sink, to) = bind()?;
+    let (generating, stop) = (AtomicBool::new(true), AtomicBool::new(false));
+    let rate = thread::scope(|scope| {
+        let generator = scope.spawn(|| generate(packets, at, &generating));
+        sleep(WARM);
+        let forwarder = scope.spawn(|| {
+            let (start, before) = (Instant::now(), cpu::thread());
+            let packets = forward(&socket, to, &stop)?;
+            std::io::Result::Ok(Rate {
+                packets,
+                processor: cpu::thread() - before,
+                wall: start.elapsed(),
+            })
+        });
+        sleep(duration);
+        stop.store(true, Ordering::Relaxed);
+        let rate = forwarder.join();
+        generating.store(false, Ordering::Relaxed);
+        let generated = generator.join();
+        generated.map_err(|_| anyhow!("the generator panicked"))??;
+        Ok::<Rate, anyhow::Error>(rate.map_err(|_| anyhow!("the forwarder panicked"))??)
+    })?;
+    drop(sink);
+    anyhow::ensure!(rate.packets > 0, "nothing was forwarded");
+    Ok(rate)
+}
+
+fn bind() -> anyhow::Result<(UdpSocket, SocketAddrV4)> {
+    let socket = UdpSocket::bind((Ipv4Addr::new(127, 0, 0, 1), 0))?;
+    // The system may grant less.
+    let _ = socket2::SockRef::from(&socket).set_recv_buffer_size(BUFFER);
+    socket.set_read_timeout(Some(LOOK))?;
+    match socket.local_addr()? {
+        std::net::SocketAddr::V4(at) => Ok((socket, at)),
+        std::net::SocketAddr::V6(at) => Err(anyhow!("not an IPv4 address: {at}")),
+    }
+}
+
+fn generate(packets: &[Vec<u8>], to: SocketAddrV4, on: &AtomicBool) -> anyhow::Result<()> {
+    let (socket, _) = bind()?;
+    let (received, mut batch) = (Received::default(), ToSend::default());
+    let mut round = packets.iter().cycle();
+    while on.load(Ordering::Relaxed) {
+        for packet in round.by_ref().take(SIZE) {
+            batch.build(to, |out| out.extend_from_slice(packet));
+        }
+        batch.flush(&socket, &received);
+    }
+    Ok(())
+}
+
+/// The least that a forwarder of datagrams can do with the same calls.
+fn bare(socket: &UdpSocket, sink: SocketAddrV4, stop: &AtomicBool) -> std::io::Result<u64> {
+    let (mut received, mut batch) = (Received::default(), ToSend::default());
+    let mut packets = 0;
+    while !stop.load(Ordering::Relaxed) {
+        received.fill(socket)?;
+        for index in 0..received.len() {
+            batch.forward(sink, index, 0..received.get(index).len());
+        }
+        packets += received.len() - batch.flush(socket, &received);
+    }
+    Ok(packets as u64)
+}
+
+fn through_worker(
+    socket: &UdpSocket,
+    sink: SocketAddrV4,
+    stop: &AtomicBool,
+    flagged: bool,
+) -> std::io::Result<u64> {
+    let servers = scene::addresses()
+        .flat_map(|address| (1..=scene::SERVERS).map(move |server| ((address, server), sink)));
+    let view = View {
+        snapshot: scene::snapshot(flagged),
+        servers: Arc::new(servers.collect()),
+        peers: (0..scene::BALANCERS).map(|id| (id, sink)).collect(),
+    };
+    let published = Published::default();
+    published.store(Some(Arc::new(view)));
+    let counter = Arc::new(Counter::default());
+    // Notices go nowhere; a full queue loses them as in the daemon.
+    let (notices, _kept) = crossbeam_channel::bounded(1);
+    let context = worker::Context {
+        published,
+        shards: Arc::new(Shards::new(16, Limits::default())),
+        counter: Arc::clone(&counter),
+        notices,
+        secret: scene::secret(),
+        gateway: sink,
+    };
+    worker::run(socket, &context, stop)?;
+    let sent = counter.of(Kind::Forwarded) + counter.of(Kind::Redirected);
+    Ok(sent - counter.of(Kind::Unsent))
+}
--- /dev/null
+++ b/crates/bench/src/speed/scene.rs
@@ -0,0 +1,184 @@
+use std::{net::Ipv4Addr, sync::Arc};
+
+use acacia_flow::{
+    Snapshot,
+    bitmap::Bitmap,
+    rank::{Node, pair},
+    snapshot::{Address, Entry, Server, Service, State},
+    table::build,
+};
+use acacia_tables::BUCKETS;
+use acacia_wire::{
+    collections::Map,
+    control::Secret,
+    flow::{Key, Protocol, mix},
+    packet::{Kind, Packet},
+};
+use etherparse::PacketBuilder;
+
+/// Balancers, as in today's fleet.
+pub const BALANCERS: u16 = 8;
+/// Services.
+const SERVICES: u8 = 9;
+/// Backend servers of each service.
+pub const SERVERS: u16 = 15;
+/// The time of every decision, in milliseconds.
+pub const NOW: u64 = 1_000_000;
+/// Bytes of payload in a packet in mid-flow: a short request.
+const PAYLOAD: usize = 200;
+/// The caller's initial sequence number.
+const ISN: u32 = 7;
+
+/// The balancer that is measured.
+pub const ME: u16 = 0;
+
+/// Where callers reach service `number`.
+#[must_use]
+pub fn address(number: u8) -> Address {
+    Address {
+        ip: Ipv4Addr::new(198, 51, 100, number),
+        port: 443,
+        protocol: Protocol::Tcp,
+    }
+}
+
+/// All services' addresses.
+pub fn addresses() -> impl Iterator<Item = Address> {
+    (0..SERVICES).map(address)
+}
+
+/// Flow `index` of a seed's flows. Callers of all services come from everywhere.
+#[must_use]
+pub fn key(seed: u64, index: usize) -> Key {
+    let draw = mix(mix(seed) ^ index as u64);
+    Key {
+        client: Ipv4Addr::from_bits(0x0a00_0000 | (draw >> 40) as u32),
+        service: address((index % usize::from(SERVICES)) as u8).ip,
+        client_port: 1_024 + (draw as u16 >> 1),
+        service_port: 443,
+        protocol: Protocol::Tcp,
+    }
+}
+
+/// The first `count` flows that the measured balancer owns, or those that it does not own.
+#[must_use]
+pub fn keys(seed: u64, count: usize, owned: bool) -> Vec<Key> {
+    let nodes = nodes();
+    let is_owned = |key: &Key| pair(key.hash(), &nodes)[0].map(|node| node.id) == Some(ME);
+    let all = (0..).map(|index| key(seed, index));
+    all.filter(|key| is_owned(key) == owned)
+        .take(count)
+        .collect()
+}
+
+fn nodes() -> Vec<Node> {
+    let node = |id| Node { id, incarnation: 1 };
+    (0..BALANCERS).map(node).collect()
+}
+
+/// What the measured balancer knows: all is well, and all buckets are flagged or none is.
+#[must_use]
+pub fn snapshot(flagged: bool) -> Snapshot {
+    let set: Arc<[Node]> = nodes().into();
+    Snapshot {
+        me: Node {
+            id: ME,
+            incarnation: 1,
+        },
+        sure_until: u64::MAX,
+        awake_until: u64::MAX,
+        owner: true,
+        free: true,
+        alive: Arc::clone(&set),
+        heard: (0..BALANCERS).collect(),
+        settled: Arc::clone(&set),
+        missing: Arc::default(),
+        strangers: false,
+        ready: Arc::clone(&set),
+        target: Arc::clone(&set),
+        previous: set,
+        steady: true,
+        services: addresses()
+            .map(|address| (address, entry(address, flagged)))
+            .collect(),
+    }
+}
+
+fn entry(address: Address, flagged: bool) -> Entry {
+    let weights: Vec<(u16, u32)> = (1..=SERVERS).map(|server| (server, 1)).collect();
+    let base: Arc<[u16]> = build(BUCKETS, &weights, &[]).into();
+    // Flows are off their base: every bucket is to go to the next server.
+    let off = |server: &u16| server % SERVERS + 1;
+    let next = match flagged {
+        true => base.iter().map(off).collect(),
+        false => Arc::clone(&base),
+    };
+    let server = Server {
+        state: State::Up,
+        weight: 1,
+    };
+    let flags = match flagged {
+        true => Bitmap::full(BUCKETS),
+        false => Bitmap::new(BUCKETS),
+    };
+    Entry {
+        service: Arc::new(Service {
+            address,
+            since: 1,
+            strict: false,
+            base,
+            next,
+            servers: weights
+                .iter()
+                .map(|(id, _)| (*id, server))
+                .collect::<Map<_, _>>(),
+        }),
+        open: flags.clone(),
+        flags,
+        aged: Bitmap::default(),
+        moved: Bitmap::default(),
+        guarded: false,
+        refusable: false,
+        accepting: true,
+    }
+}
+
+/// The packet that opens a flow.
+#[must_use]
+pub fn opening(key: &Key) -> Packet {
+    Packet {
+        key: *key,
+        kind: Kind::Opening { isn: ISN },
+        payload: 0,
+        sequence: ISN,
+        acknowledgement: 0,
+    }
+}
+
+/// A packet in mid-flow.
+#[must_use]
+pub fn middle(key: &Key) -> Packet {
+    Packet {
+        key: *key,
+        kind: Kind::Middle,
+        payload: PAYLOAD as u16,
+        sequence: ISN + 1,
+        acknowledgement: 1,
+    }
+}
+
+/// The bytes of a packet in mid-flow, as the fabric hands it over.
+pub fn bytes(key: &Key) -> anyhow::Result<Vec<u8>> {
+    let builder = PacketBuilder::ipv4(key.client.octets(), key.service.octets(), 60)
+        .tcp(key.client_port, key.service_port, ISN + 1, 4_096)
+        .ack(1);
+    let mut bytes = Vec::new();
+    builder.write(&mut bytes, &[b'x'; PAYLOAD])?;
+    Ok(bytes)
+}
+
+/// The balancers' key.
+#[must_use]
+pub fn secret() -> Secret {
+    Secret::new(&[7; 32], None)
+}
