Measure what control costs with acacia-bench control

The product's own control cores run in virtual time, joined by queues, with every message sealed and opened. A line for each number of peers, servers, services, pins and changes a minute, and a fitted line for each of bytes, processor time, store calls and memory.

--- /dev/null
+++ b/crates/bench/src/control/fleet.rs
@@ -0,0 +1,333 @@
+use std::{collections::VecDeque, fmt, net::Ipv4Addr, sync::Arc, time::Duration};
+
+use acacia_config::Config;
+use acacia_flow::{
+    Shards,
+    pin::{Phase, Pin},
+    rank::{Node, pair},
+    shard::Limits,
+};
+use acacia_node::{
+    control::core::{Core, Outgoing},
+    message::Message,
+    settings::Settings,
+    view::View,
+};
+use acacia_peer::{Class, Echo, Parcel};
+use acacia_wire::{
+    control::{Envelope, open, seal},
+    flow::{Key, Protocol, mix},
+};
+
+use super::{
+    size::{Size, change},
+    store::Store,
+};
+use crate::speed::{cpu, scene};
+
+/// Between two ticks, as in the daemon.
+const TICK: Duration = Duration::from_millis(50);
+/// Shards, as in the daemon.
+const SHARDS: usize = 16;
+/// Bytes of the length that nng puts before a message on TCP (SP transport mapping for TCP: 64
+/// bits).
+pub const LENGTH: usize = 8;
+/// Bytes of TCP and IP headers of a segment: 20 (RFC 9293) + 12 of timestamps (RFC 7323) + 20
+/// (RFC 791).
+pub const HEADERS: usize = 52;
+/// Bytes of payload in a segment on Ethernet: 1,500 less the headers.
+const SEGMENT: usize = 1_448;
+/// Unix time at the start.
+const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+/// Numbers of servers count from 1 in the order of the configuration: a server other than the
+/// base of most buckets.
+const PINNED_TO: u16 = 1;
+
+/// Bytes on the network of a frame, its headers included.
+///
+/// ```
+/// use acacia_bench::control::fleet::wire;
+/// assert_eq!(wire(100), 100 + 8 + 52);
+/// assert_eq!(wire(2_000), 2_000 + 8 + 2 * 52);
+/// ```
+#[must_use]
+pub fn wire(frame: usize) -> usize {
+    let payload = frame + LENGTH;
+    payload + payload.div_ceil(SEGMENT) * HEADERS
+}
+
+/// What control costs one balancer, on average.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Cost {
+    /// Heartbeats sent, in bytes a second, headers included.
+    pub heartbeats: f64,
+    /// Urgent and bulk messages sent, in bytes a second, headers included.
+    pub rest: f64,
+    /// TCP acknowledgements of what it receives, in bytes a second: at most one for each segment.
+    pub acks: f64,
+    /// Processor time, in microseconds a second.
+    pub micros: f64,
+    /// Calls to the platform's store, by all balancers together, a second.
+    pub calls: f64,
+}
+
+impl Cost {
+    /// All messages sent.
+    #[must_use]
+    pub fn sent(&self) -> f64 {
+        self.heartbeats + self.rest
+    }
+}
+
+impl fmt::Display for Cost {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "sent_bytes_per_second={:.0} heartbeat_bytes_per_second={:.0} \
+             tcp_acknowledgement_bytes_per_second={:.0} processor_micros_per_second={:.0} \
+             store_calls_per_second={:.2}",
+            self.sent(),
+            self.heartbeats,
+            self.acks,
+            self.micros,
+            self.calls
+        )
+    }
+}
+
+/// Counts since the last reset, over all balancers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    since: Duration,
+    heartbeats: usize,
+    rest: usize,
+    segments: usize,
+    calls: u64,
+    processor: Duration,
+}
+
+struct Balancer {
+    core: Core,
+    shards: Shards,
+    incarnation: u64,
+    sequence: u64,
+    /// Held as the traffic threads hold it.
+    view: Option<View>,
+}
+
+/// Balancers joined by queues.
+pub struct Fleet {
+    balancers: Vec<Balancer>,
+    frames: VecDeque<(usize, Vec<u8>)>,
+    store: Store,
+    config: Config,
+    now: Duration,
+    changed: u64,
+    tally: Tally,
+}
+
+impl Fleet {
+    /// Balancers that have just started, with their pins.
+    pub fn new(size: &Size, seed: u64) -> anyhow::Result<Self> {
+        let config = size.config();
+        let now = Duration::from_secs(1_000);
+        let balancer = |id: u16| -> anyhow::Result<Balancer> {
+            let settings = Settings::parse(&settings(id, size.peers))?;
+            let incarnation = 1_000 + u64::from(id) + (seed << 16);
+            Ok(Balancer {
+                core: Core::new(Arc::new(settings), incarnation, now),
+                shards: Shards::new(SHARDS, Limits::default()),
+                incarnation,
+                sequence: 0,
+                view: None,
+            })
+        };
+        let balancers: Vec<Balancer> = (0..size.peers).map(balancer).collect::<Result<_, _>>()?;
+        let document = change(None, config.clone(), 0)?;
+        let fleet = Fleet {
+            balancers,
+            frames: VecDeque::new(),
+            store: Store::new(document),
+            config,
+            now,
+            changed: 0,
+            tally: Tally::default(),
+        };
+        fleet.pin(size, seed);
+        Ok(fleet)
+    }
+
+    /// Gives each flow's two owners its pin, until each has about as many as wanted.
+    fn pin(&self, size: &Size, seed: u64) {
+        let nodes: Vec<Node> = (0..size.peers)
+            .map(|id| Node { id, incarnation: 0 })
+            .collect();
+        let pin = Pin {
+            synced: self.now.as_secs() as u32,
+            isn: 1,
+            server: PINNED_TO,
+            phase: Phase::Open,
+            light: false,
+            asked: false,
+        };
+        let flows = u64::from(size.pins) * u64::from(size.peers) / 2;
+        for flow in 0..flows {
+            let draw = mix(mix(seed) ^ flow);
+            let key = Key {
+                client: Ipv4Addr::from_bits(0x0a00_0000 | (draw >> 40) as u32),
+                service: Ipv4Addr::new(10, 77, 0, (flow % u64::from(size.services)) as u8),
+                client_port: 1_024 + (draw as u16 >> 1),
+                service_port: 443,
+                protocol: Protocol::Tcp,
+            };
+            for owner in pair(key.hash(), &nodes).into_iter().flatten() {
+                let shards = &self.balancers[usize::from(owner.id)].shards;
+                shards.of(key.hash()).store(key, pin);
+            }
+        }
+    }
+
+    /// Forgets what was counted.
+    pub fn reset(&mut self) {
+        self.tally = Tally {
+            since: self.now,
+            calls: self.store.calls,
+            ..Tally::default()
+        };
+    }
+
+    /// What control has cost since the last reset.
+    #[must_use]
+    pub fn cost(&self) -> Cost {
+        let seconds = (self.now - self.tally.since).as_secs_f64();
+        let each = seconds * self.balancers.len() as f64;
+        Cost {
+            heartbeats: self.tally.heartbeats as f64 / each,
+            rest: self.tally.rest as f64 / each,
+            acks: (self.tally.segments * HEADERS) as f64 / each,
+            micros: self.tally.processor.as_secs_f64() * 1e6 / each,
+            calls: (self.store.calls - self.tally.calls) as f64 / seconds,
+        }
+    }
+
+    /// How many balancers may serve.
+    #[must_use]
+    pub fn serving(&self) -> usize {
+        let serving = self.balancers.iter().filter(|own| own.view.is_some());
+        serving.count()
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration, size: &Size) {
+        let end = self.now + time;
+        let begin = self.now;
+        while self.now < end {
+            self.now += TICK;
+            let due = |time: Duration| time.as_secs_f64() / 60.0 * f64::from(size.changes);
+            if due(self.now - begin).floor() > due(self.now - begin - TICK).floor() {
+                self.change();
+            }
+            self.turn();
+        }
+    }
+
+    fn change(&mut self) {
+        self.changed += 1;
+        if let Ok(document) = change(Some(&self.store.config), self.config.clone(), self.changed) {
+            self.store.config = document;
+        }
+    }
+
+    /// One tick of every balancer, with all messages and answers that come of it.
+    fn turn(&mut self) {
+        let answers = self.store.answers(self.now);
+        let start = cpu::thread();
+        for (by, news) in answers {
+            self.balancers[by].core.news(self.now, news);
+        }
+        let mut orders = Vec::new();
+        for at in 0..self.balancers.len() {
+            let own = &mut self.balancers[at];
+            let outcome = own.core.tick(self.now, EPOCH + self.now, &own.shards);
+            own.incarnation = outcome.incarnation;
+            own.view = outcome.view;
+            orders.extend(outcome.orders.into_iter().map(|order| (at, order)));
+            self.send(at, outcome.outgoing);
+        }
+        while let Some((to, frame)) = self.frames.pop_front() {
+            self.receive(to, &frame);
+        }
+        self.tally.processor += cpu::thread() - start;
+        for (by, order) in orders {
+            self.store.call(by, order, self.now);
+        }
+    }
+
+    fn send(&mut self, from: usize, messages: Vec<Outgoing>) {
+        for outgoing in messages {
+            let own = &mut self.balancers[from];
+            own.sequence += 1;
+            let envelope = Envelope {
+                sender: from as u16,
+                incarnation: own.incarnation,
+                sequence: own.sequence,
+            };
+            let parcel = Parcel {
+                to: outgoing.to,
+                echo: Some(Echo {
+                    incarnation: own.incarnation,
+                    sequence: own.sequence,
+                }),
+                body: postcard::to_allocvec(&outgoing.message).ok(),
+            };
+            let frame = seal(&envelope, &parcel, &scene::secret());
+            let bytes = wire(frame.len());
+            match outgoing.class {
+                Class::Heartbeat => self.tally.heartbeats += bytes,
+                _ => self.tally.rest += bytes,
+            }
+            self.tally.segments += (frame.len() + LENGTH).div_ceil(SEGMENT);
+            self.frames.push_back((usize::from(outgoing.to), frame));
+        }
+    }
+
+    fn receive(&mut self, to: usize, frame: &[u8]) {
+        let Ok((envelope, parcel)) = open::<Parcel>(frame, &scene::secret()) else {
+            return;
+        };
+        let body = parcel.body.unwrap_or_default();
+        let Ok(message) = postcard::from_bytes::<Message>(&body) else {
+            return;
+        };
+        let own = &mut self.balancers[to];
+        let answers = own.core.receive(self.now, &envelope, message, &own.shards);
+        self.send(to, answers.unwrap_or_default());
+    }
+}
+
+impl fmt::Debug for Fleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Fleet({})", self.balancers.len())
+    }
+}
+
+/// A balancer's settings: the others are its peers from the start.
+fn settings(id: u16, peers: u16) -> String {
+    use std::fmt::Write as _;
+    let mut text = format!(
+        "[balancer]\nid = {id}\ndata_centre = hervanta\n\
+         [traffic]\nlisten = 10.9.0.{id}:6080\ngateway = 10.9.255.1:6080\n\
+         [control]\nlisten = 10.9.0.{id}:6081\nkey = {}\n\
+         [admin]\nlisten = 10.9.0.{id}:6082\n\
+         [platform]\naddress = 10.9.255.2:6083\n",
+        "07".repeat(32)
+    );
+    for peer in (0..peers).filter(|peer| *peer != id) {
+        // Writing to a string can't fail.
+        let _ = write!(
+            text,
+            "[peer.{peer}]\ncontrol = 10.9.0.{peer}:6081\ndata_centre = hervanta\n"
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/bench/src/control/store.rs
@@ -0,0 +1,106 @@
+use std::{sync::Arc, time::Duration};
+
+use acacia_config::document::Document;
+use acacia_node::control::{
+    agreement::{Entry, Order},
+    platform::News,
+};
+use acacia_rollout::Answer;
+use acacia_tables::writer;
+
+/// How long the client lets a watch wait for something new (`acacia_platform::Options`).
+const WATCH: Duration = Duration::from_secs(2);
+
+/// A call that waits.
+#[derive(Debug)]
+struct Waiting {
+    by: usize,
+    since: Duration,
+    order: Order,
+}
+
+/// The platform's store: two keys, compare-and-swap, watches that wait.
+#[derive(Debug)]
+pub struct Store {
+    /// The configuration.
+    pub config: Arc<Document>,
+    tables: Entry,
+    waiting: Vec<Waiting>,
+    /// Calls taken since the start.
+    pub calls: u64,
+}
+
+impl Store {
+    /// A store with a configuration and no tables yet.
+    #[must_use]
+    pub fn new(config: Arc<Document>) -> Self {
+        Store {
+            config,
+            tables: Entry {
+                revision: 0,
+                value: None,
+            },
+            waiting: Vec::new(),
+            calls: 0,
+        }
+    }
+
+    /// Takes a call of the balancer at place `by`. Answers come from [`Store::answers`].
+    pub fn call(&mut self, by: usize, order: Order, now: Duration) {
+        self.calls += 1;
+        let same = |waiting: &Waiting| {
+            let kind = std::mem::discriminant(&waiting.order);
+            waiting.by == by && kind == std::mem::discriminant(&order)
+        };
+        self.waiting.retain(|waiting| !same(waiting));
+        self.waiting.push(Waiting {
+            by,
+            since: now,
+            order,
+        });
+    }
+
+    /// What can be answered now, and to whom.
+    pub fn answers(&mut self, now: Duration) -> Vec<(usize, News)> {
+        let mut answers = Vec::new();
+        for waiting in std::mem::take(&mut self.waiting) {
+            let late = now >= waiting.since + WATCH;
+            match self.answer(&waiting.order, late) {
+                Some(news) => answers.push((waiting.by, news)),
+                None => self.waiting.push(waiting),
+            }
+        }
+        answers
+    }
+
+    fn answer(&mut self, order: &Order, late: bool) -> Option<News> {
+        match order {
+            Order::WatchConfig { above } => {
+                let answer = Answer {
+                    revision: self.config.revision,
+                    document: Some(Arc::clone(&self.config)),
+                };
+                (late || answer.revision > *above).then_some(News::Config(Some(answer)))
+            }
+            Order::WatchTables { above } => (late || self.tables.revision > *above)
+                .then(|| News::Tables(Some(self.tables.clone()))),
+            Order::ReadTables => Some(News::ReadTables(Some(self.tables.clone()))),
+            Order::WriteTables { expected, text } => {
+                Some(News::WroteTables(self.swap(*expected, Arc::clone(text))))
+            }
+        }
+    }
+
+    fn swap(&mut self, expected: u64, text: Arc<str>) -> writer::Answer {
+        if expected != self.tables.revision {
+            return writer::Answer::Conflict;
+        }
+        self.tables = Entry {
+            revision: expected + 1,
+            value: Some(text),
+        };
+        writer::Answer::Written {
+            revision: expected + 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/it/control.rs
@@ -0,0 +1,61 @@
+use std::time::Duration;
+
+use acacia_bench::control::{
+    fleet::{Fleet, wire},
+    line::Line,
+    size::Size,
+};
+use rstest::rstest;
+
+/// Worked out by hand: the sums of squares are 5 (x), 4 (both) and 5 (y).
+#[test]
+fn a_line_through_scattered_points_is_that_of_least_squares() {
+    let line = Line::fit([(0.0, 1.0), (1.0, 3.0), (2.0, 2.0), (3.0, 4.0)]);
+    assert!((line.slope - 0.8).abs() < 1e-12);
+    assert!((line.intercept - 1.3).abs() < 1e-12);
+    assert!((line.determined - 0.64).abs() < 1e-12);
+}
+
+#[rstest]
+#[case::no_points(&[], 0.0)]
+#[case::one_x(&[(2.0, 4.0), (2.0, 6.0)], 5.0)]
+fn points_without_two_x_have_no_slope(#[case] points: &[(f64, f64)], #[case] mean: f64) {
+    let line = Line::fit(points.iter().copied());
+    assert_eq!((line.slope, line.intercept), (0.0, mean));
+}
+
+/// A segment's headers count once for each 1,448 bytes of what nng sends.
+#[rstest]
+#[case(0, 60)]
+#[case(1_440, 1_500)]
+#[case(1_441, 1_553)]
+fn a_frame_takes_headers_for_each_segment(#[case] frame: usize, #[case] bytes: usize) {
+    assert_eq!(wire(frame), bytes);
+}
+
+#[test]
+fn balancers_that_joined_serve_and_send_heartbeats_only() -> anyhow::Result<()> {
+    let size = Size::default().with("peers", 3);
+    let mut fleet = Fleet::new(&size, 1)?;
+    fleet.run(Duration::from_secs(20), &size);
+    fleet.reset();
+    fleet.run(Duration::from_secs(10), &size);
+    let cost = fleet.cost();
+    assert_eq!(fleet.serving(), 3);
+    assert!(cost.heartbeats > 0.0);
+    assert_eq!(cost.rest, 0.0);
+    // Two watchers, a watch of 2 s for each of the two keys.
+    assert!((cost.calls - 2.0).abs() < 0.5, "{cost}");
+    Ok(())
+}
+
+#[test]
+fn a_change_reaches_balancers_that_do_not_watch() -> anyhow::Result<()> {
+    let size = Size::default().with("peers", 4).with("changes", 6);
+    let mut fleet = Fleet::new(&size, 1)?;
+    fleet.run(Duration::from_secs(20), &Size { changes: 0, ..size });
+    fleet.reset();
+    fleet.run(Duration::from_secs(12), &size);
+    assert!(fleet.cost().rest > 0.0, "{}", fleet.cost());
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests of what the measuring program computes.
+
+mod control;
+mod speed;
--- /dev/null
+++ b/crates/bench/tests/it/speed.rs
@@ -0,0 +1,32 @@
+use acacia_bench::speed::{scene, spread};
+use acacia_flow::{place::by_table, resolve, shard::Limits, shard::Shard, verdict};
+
+#[test]
+fn spread_gives_the_middle_and_both_ends() {
+    assert_eq!(spread(vec![5.0, 1.0, 4.0, 2.0, 3.0]), [3.0, 1.0, 5.0]);
+    assert_eq!(spread(vec![2.0]), [2.0; 3]);
+    assert!(spread(Vec::new())[0].is_nan());
+}
+
+#[test]
+fn a_seed_gives_the_same_flows_again() {
+    assert_eq!(scene::keys(3, 50, true), scene::keys(3, 50, true));
+    assert_ne!(scene::keys(3, 50, true), scene::keys(4, 50, true));
+}
+
+/// Were the flows' owners mixed up, the cases would measure something else than their names say.
+#[test]
+fn openings_off_base_stay_with_their_owner_only() {
+    let snapshot = scene::snapshot(true);
+    for owned in [true, false] {
+        for key in scene::keys(1, 50, owned) {
+            let mut shard = Shard::new(Limits::default());
+            let packet = scene::opening(&key);
+            let arrival = verdict::Arrival::Ingress;
+            let now = scene::NOW;
+            let verdict = resolve(&snapshot, &mut shard, now, &packet, arrival, &mut by_table);
+            assert!(matches!(verdict.action, verdict::Action::Redirect { .. }));
+            assert_eq!(shard.pin(&key).is_some(), owned);
+        }
+    }
+}
