Send batches of packets without allocating for each

Cause: ToSend::build grew a new buffer for every redirected packet (four reallocations each), and flush collected two vectors a batch. Buffers are now kept from batch to batch, and what the system call needs is on the stack.

--- a/crates/node/src/traffic/batch.rs
+++ b/crates/node/src/traffic/batch.rs
@@ -94,7 +94,9 @@
 #[derive(Debug)]
 pub struct ToSend {
     entries: Vec<(SocketAddrV4, Source)>,
+    /// Buffers, kept from batch to batch; the first `used` are in this one.
     built: Vec<Vec<u8>>,
+    used: usize,
     headers: MultiHeaders<SockaddrIn>,
 }
 
@@ -103,6 +105,7 @@
         ToSend {
             entries: Vec::with_capacity(SIZE),
             built: Vec::new(),
+            used: 0,
             headers: MultiHeaders::preallocate(SIZE, None),
         }
     }
@@ -116,10 +119,14 @@
 
     /// Adds a datagram that `write` builds in an empty buffer.
     pub fn build(&mut self, to: SocketAddrV4, write: impl FnOnce(&mut Vec<u8>)) {
-        let mut bytes = Vec::new();
-        write(&mut bytes);
-        self.entries.push((to, Source::Built(self.built.len())));
-        self.built.push(bytes);
+        if self.used == self.built.len() {
+            self.built.push(Vec::new());
+        }
+        let buffer = &mut self.built[self.used];
+        buffer.clear();
+        write(buffer);
+        self.entries.push((to, Source::Built(self.used)));
+        self.used += 1;
     }
 
     /// Sends the batch and empties it. Returns how many datagrams the kernel did not take: they
@@ -127,32 +134,32 @@
     pub fn flush(&mut self, socket: &UdpSocket, received: &Received) -> usize {
         let mut lost = 0;
         for chunk in self.entries.chunks(SIZE) {
-            let slices: Vec<[IoSlice<'_>; 1]> = chunk
-                .iter()
-                .map(|(_, source)| match source {
-                    Source::Received(index, range) => {
-                        [IoSlice::new(&received.get(*index)[range.clone()])]
+            // On the stack: two allocations a batch cost more than all else here.
+            let slices: [[IoSlice<'_>; 1]; SIZE] = std::array::from_fn(|at| {
+                let bytes = match chunk.get(at) {
+                    Some((_, Source::Received(index, range))) => {
+                        &received.get(*index)[range.clone()]
                     }
-                    Source::Built(index) => [IoSlice::new(&self.built[*index])],
-                })
-                .collect();
-            let addresses: Vec<Option<SockaddrIn>> = chunk
-                .iter()
-                .map(|(to, _)| Some(SockaddrIn::from(*to)))
-                .collect();
+                    Some((_, Source::Built(index))) => &self.built[*index],
+                    None => &[],
+                };
+                [IoSlice::new(bytes)]
+            });
+            let addresses: [Option<SockaddrIn>; SIZE] =
+                std::array::from_fn(|at| chunk.get(at).map(|(to, _)| SockaddrIn::from(*to)));
             let no_control: [ControlMessage<'_>; 0] = [];
             let sent = sendmmsg(
                 socket.as_raw_fd(),
                 &mut self.headers,
-                &slices,
-                &addresses,
+                &slices[..chunk.len()],
+                &addresses[..chunk.len()],
                 no_control,
                 MsgFlags::MSG_DONTWAIT,
             );
             lost += chunk.len() - sent.map_or(0, Iterator::count);
         }
         self.entries.clear();
-        self.built.clear();
+        self.used = 0;
         lost
     }
 }
