Keep a batch's other packets when the kernel refuses one

Cause: sendmmsg stops at the first datagram that it can't send, and flush counted all behind it as lost. One backend server whose network is gone, or one datagram too large for its path, took up to 31 packets of other flows with it.

When the socket's buffer is full the rest is still dropped at once.

--- a/crates/node/src/traffic/batch.rs
+++ b/crates/node/src/traffic/batch.rs
@@ -132,34 +132,58 @@
     /// Sends the batch and empties it. Returns how many datagrams the kernel did not take: they
     /// are lost as in any network, and the caller's transport sends them again.
     pub fn flush(&mut self, socket: &UdpSocket, received: &Received) -> usize {
-        let mut lost = 0;
-        for chunk in self.entries.chunks(SIZE) {
-            // On the stack: two allocations a batch cost more than all else here.
-            let slices: [[IoSlice<'_>; 1]; SIZE] = std::array::from_fn(|at| {
-                let bytes = match chunk.get(at) {
-                    Some((_, Source::Received(index, range))) => {
-                        &received.get(*index)[range.clone()]
-                    }
-                    Some((_, Source::Built(index))) => &self.built[*index],
-                    None => &[],
-                };
-                [IoSlice::new(bytes)]
-            });
-            let addresses: [Option<SockaddrIn>; SIZE] =
-                std::array::from_fn(|at| chunk.get(at).map(|(to, _)| SockaddrIn::from(*to)));
-            let no_control: [ControlMessage<'_>; 0] = [];
-            let sent = sendmmsg(
-                socket.as_raw_fd(),
-                &mut self.headers,
-                &slices[..chunk.len()],
-                &addresses[..chunk.len()],
-                no_control,
-                MsgFlags::MSG_DONTWAIT,
-            );
-            lost += chunk.len() - sent.map_or(0, Iterator::count);
+        let (mut at, mut lost) = (0, 0);
+        while at < self.entries.len() {
+            match self.send(socket, received, at) {
+                Ok(sent) if sent > 0 => at += sent,
+                // The socket takes no more now, and packets that waited would come too late.
+                Err(Errno::EAGAIN | Errno::ENOBUFS) => {
+                    lost += self.entries.len() - at;
+                    break;
+                }
+                // The kernel stops at a datagram that it refuses: its network is gone, a rule
+                // forbids it, or it is too large. Given up with it, the packets behind it would be
+                // missed by the flows of healthy servers.
+                _ => {
+                    lost += 1;
+                    at += 1;
+                }
+            }
         }
         self.entries.clear();
         self.used = 0;
         lost
     }
+
+    /// Sends up to [`SIZE`] datagrams from `first` on; gives how many the kernel took.
+    fn send(
+        &mut self,
+        socket: &UdpSocket,
+        received: &Received,
+        first: usize,
+    ) -> Result<usize, Errno> {
+        let rest = &self.entries[first..];
+        let chunk = &rest[..rest.len().min(SIZE)];
+        // On the stack: two allocations a batch cost more than all else here.
+        let slices: [[IoSlice<'_>; 1]; SIZE] = std::array::from_fn(|at| {
+            let bytes = match chunk.get(at) {
+                Some((_, Source::Received(index, range))) => &received.get(*index)[range.clone()],
+                Some((_, Source::Built(index))) => &self.built[*index],
+                None => &[],
+            };
+            [IoSlice::new(bytes)]
+        });
+        let addresses: [Option<SockaddrIn>; SIZE] =
+            std::array::from_fn(|at| chunk.get(at).map(|(to, _)| SockaddrIn::from(*to)));
+        let no_control: [ControlMessage<'_>; 0] = [];
+        let sent = sendmmsg(
+            socket.as_raw_fd(),
+            &mut self.headers,
+            &slices[..chunk.len()],
+            &addresses[..chunk.len()],
+            no_control,
+            MsgFlags::MSG_DONTWAIT,
+        );
+        sent.map(Iterator::count)
+    }
 }
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the daemon's library.
 
 mod settings;
+mod traffic;
--- /dev/null
+++ b/crates/node/tests/it/traffic/mod.rs
@@ -0,0 +1,1 @@
+mod batch;
