Measure control's cost of pins, and of a balancer replaced with them

Pins were given to balancers that had not joined and dropped them, so the points showed no growth. They are given after joining now, and each line says how many are held. A new case ends one balancer of eight and counts what the others send until the new one owns flows.

--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -11,6 +11,8 @@
 pub mod line;
 /// Memory of the process.
 pub mod memory;
+/// Replacement of a balancer that holds pins.
+pub mod replace;
 /// What is controlled.
 pub mod size;
 /// The platform's store, in memory.
@@ -28,7 +30,7 @@
     /// Seeds, one run each.
     #[arg(long, value_delimiter = ',', default_value = "1")]
     pub seeds: Vec<u64>,
-    /// Dimensions: peers, servers, services, pins, changes, documents; all if none is named.
+    /// Dimensions: peers, servers, services, pins, changes, replaced, documents; all if none is named.
     #[arg(long, value_delimiter = ',')]
     pub cases: Vec<String>,
     /// Seconds of virtual time that are measured, after the balancers have joined.
@@ -39,16 +41,24 @@
 /// Time to join, before anything is measured: at 64 balancers heartbeats are 4 s apart and a
 /// member is trusted after several.
 const JOINING: Duration = Duration::from_secs(120);
+/// Time for the flags of new pins to reach everybody.
+const FLAGGING: Duration = Duration::from_secs(20);
 
 /// Runs the cases and prints their lines.
 pub fn run(options: &Options) -> anyhow::Result<()> {
     let wants = |case: &str| options.cases.is_empty() || options.cases.iter().any(|c| c == case);
     // Kept to the end: memory that one fleet gives back would hide what the next one takes.
-    let mut fleets = Vec::new();
+    // The first takes what a process takes once.
+    let size = Size::default();
+    let mut fleets = vec![Fleet::new(&size, 0)?];
+    fleets[0].run(FLAGGING, &size);
     for &seed in &options.seeds {
         for (name, sizes) in DIMENSIONS.iter().filter(|(name, _)| wants(name)) {
             sweep(name, sizes, seed, options.seconds, &mut fleets)?;
         }
+        if wants("replaced") {
+            replace::run(seed)?;
+        }
     }
     if wants("documents") {
         document::run()?;
@@ -70,13 +80,18 @@
         let before = memory::resident()?;
         let mut fleet = Fleet::new(&size, seed)?;
         fleet.run(JOINING, &size);
+        fleet.pin(&size, seed);
+        fleet.run(FLAGGING, &size);
         let memory = memory::resident()?.saturating_sub(before) / u64::from(size.peers);
         fleet.reset();
         fleet.run(Duration::from_secs(seconds), &size);
         let (cost, serving) = (fleet.cost(), fleet.serving());
         let all = usize::from(size.peers);
         anyhow::ensure!(serving == all, "{serving} of {all} balancers serve");
-        println!("case={name} seed={seed} {size} {cost} memory_bytes={memory}");
+        println!(
+            "case={name} seed={seed} {size} {cost} memory_bytes={memory} pins_held={}",
+            fleet.pins()
+        );
         points.push(Point {
             value: f64::from(value),
             cost,
--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -115,6 +115,24 @@
     view: Option<View>,
 }
 
+impl Balancer {
+    fn new(id: u16, peers: u16, incarnation: u64, now: Duration) -> anyhow::Result<Self> {
+        let settings = Settings::parse(&settings(id, peers))?;
+        Ok(Balancer {
+            core: Core::new(Arc::new(settings), incarnation, now),
+            shards: Shards::new(SHARDS, Limits::default()),
+            incarnation,
+            sequence: 0,
+            view: None,
+        })
+    }
+
+    fn pins(&self) -> usize {
+        let shards = 0..self.shards.count();
+        shards.map(|index| self.shards.at(index).len()).sum()
+    }
+}
+
 /// Balancers joined by queues.
 pub struct Fleet {
     balancers: Vec<Balancer>,
@@ -127,24 +145,15 @@
 }
 
 impl Fleet {
-    /// Balancers that have just started, with their pins.
+    /// Balancers that have just started.
     pub fn new(size: &Size, seed: u64) -> anyhow::Result<Self> {
         let config = size.config();
         let now = Duration::from_secs(1_000);
-        let balancer = |id: u16| -> anyhow::Result<Balancer> {
-            let settings = Settings::parse(&settings(id, size.peers))?;
-            let incarnation = 1_000 + u64::from(id) + (seed << 16);
-            Ok(Balancer {
-                core: Core::new(Arc::new(settings), incarnation, now),
-                shards: Shards::new(SHARDS, Limits::default()),
-                incarnation,
-                sequence: 0,
-                view: None,
-            })
-        };
-        let balancers: Vec<Balancer> = (0..size.peers).map(balancer).collect::<Result<_, _>>()?;
+        let balancers: Vec<Balancer> = (0..size.peers)
+            .map(|id| Balancer::new(id, size.peers, 1_000 + u64::from(id) + (seed << 16), now))
+            .collect::<Result<_, _>>()?;
         let document = change(None, config.clone(), 0)?;
-        let fleet = Fleet {
+        Ok(Fleet {
             balancers,
             frames: VecDeque::new(),
             store: Store::new(document),
@@ -152,13 +161,12 @@
             now,
             changed: 0,
             tally: Tally::default(),
-        };
-        fleet.pin(size, seed);
-        Ok(fleet)
+        })
     }
 
-    /// Gives each flow's two owners its pin, until each has about as many as wanted.
-    fn pin(&self, size: &Size, seed: u64) {
+    /// Gives each flow's two owners its pin, until each has about as many as wanted. Balancers that
+    /// have not joined yet would drop them again.
+    pub fn pin(&self, size: &Size, seed: u64) {
         let nodes: Vec<Node> = (0..size.peers)
             .map(|id| Node { id, incarnation: 0 })
             .collect();
@@ -210,6 +218,38 @@
         }
     }
 
+    /// Puts a new process in the place of the first balancer, which ends at once.
+    pub fn replace(&mut self) -> anyhow::Result<()> {
+        let first = &self.balancers[0];
+        let (incarnation, peers) = (first.incarnation + 1_000_000, self.balancers.len() as u16);
+        self.balancers[0] = Balancer::new(0, peers, incarnation, self.now)?;
+        Ok(())
+    }
+
+    /// Whether the owners' set is that of all balancers again, at every one of them.
+    #[must_use]
+    pub fn is_steady(&self) -> bool {
+        let views = self.balancers.iter().filter_map(|own| own.view.as_ref());
+        let steady = views.filter(|view| {
+            let snapshot = &view.snapshot;
+            snapshot.owner && snapshot.steady && snapshot.settled.len() == self.balancers.len()
+        });
+        steady.count() == self.balancers.len()
+    }
+
+    /// Pins that a balancer holds, on average.
+    #[must_use]
+    pub fn pins(&self) -> usize {
+        let all: usize = self.balancers.iter().map(Balancer::pins).sum();
+        all / self.balancers.len().max(1)
+    }
+
+    /// Urgent and bulk bytes that all balancers together have sent since the last reset.
+    #[must_use]
+    pub fn rest(&self) -> usize {
+        self.tally.rest
+    }
+
     /// How many balancers may serve.
     #[must_use]
     pub fn serving(&self) -> usize {
--- /dev/null
+++ b/crates/bench/src/control/replace.rs
@@ -0,0 +1,44 @@
+use std::time::Duration;
+
+use super::{FLAGGING, JOINING, fleet::Fleet, line::Line, size::Size};
+
+/// Pins of each balancer.
+const PINS: &[u32] = &[0, 2_500, 5_000, 10_000, 20_000];
+/// Between two looks whether the new balancer owns flows.
+const LOOK: Duration = Duration::from_millis(250);
+/// After this long a replacement counts as failed.
+const PATIENCE: Duration = Duration::from_secs(1_800);
+
+/// Ends one balancer of eight without notice and starts another in its place. Prints what the
+/// others send it, and how long it takes until it owns flows and everybody knows.
+pub fn run(seed: u64) -> anyhow::Result<()> {
+    let mut points = Vec::new();
+    for &pins in PINS {
+        let size = Size::default().with("pins", pins);
+        let mut fleet = Fleet::new(&size, seed)?;
+        fleet.run(JOINING, &size);
+        fleet.pin(&size, seed);
+        fleet.run(FLAGGING, &size);
+        let held = fleet.pins();
+        fleet.reset();
+        fleet.replace()?;
+        let mut passed = Duration::ZERO;
+        while !fleet.is_steady() {
+            fleet.run(LOOK, &size);
+            passed += LOOK;
+            anyhow::ensure!(passed < PATIENCE, "the new balancer never owned flows");
+        }
+        let (bytes, seconds) = (fleet.rest(), passed.as_secs_f64());
+        println!(
+            "case=replaced seed={seed} {size} pins_held={held} pins_after={} sent_bytes={bytes} \
+             seconds={seconds:.1}",
+            fleet.pins()
+        );
+        points.push((f64::from(pins), bytes as f64, seconds));
+    }
+    let bytes = Line::fit(points.iter().map(|(pins, bytes, _)| (*pins, *bytes)));
+    let seconds = Line::fit(points.iter().map(|(pins, _, seconds)| (*pins, *seconds)));
+    println!("case=replaced fit=sent_bytes seed={seed} {bytes}");
+    println!("case=replaced fit=seconds seed={seed} {seconds}");
+    Ok(())
+}
