--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -263,7 +263,8 @@
         let begin = self.now;
         while self.now < end {
             self.now += TICK;
-            let due = |time: Duration| time.as_secs_f64() / 60.0 * f64::from(size.changes);
+            // The first after half of the time between two, so that their effects are counted.
+            let due = |time: Duration| time.as_secs_f64() / 60.0 * f64::from(size.changes) + 0.5;
             if due(self.now - begin).floor() > due(self.now - begin - TICK).floor() {
                 self.change();
             }
