--- a/crates/bench/src/control/document.rs
+++ b/crates/bench/src/control/document.rs
@@ -1,3 +1,4 @@
+use acacia_platform::machine::{Machine, State};
 use acacia_tables::{Situation, follow};
 
 use super::{
@@ -9,9 +10,14 @@
 const SERVICES: &[u32] = &[1, 9, 18, 36, 54];
 /// Servers of one service.
 const SERVERS: &[u32] = &[15, 60, 240, 960];
+/// Machines of the platform's list.
+const MACHINES: &[u16] = &[8, 390, 3_900];
+/// What a group of 8 balancers has at 3,900 balancers, 21,000 hosts and 3,900 addresses.
+const GROUP: (u32, u32) = (8, 6);
 
-/// Prints the sizes of both documents against services and servers.
+/// Prints the sizes of both documents against services and servers, and of the list of VMs.
 pub fn run() -> anyhow::Result<()> {
+    machines()?;
     let one = |name: &'static str, values: &[u32], size: &dyn Fn(u32) -> Size| {
         let mut points = Vec::new();
         for &value in values {
@@ -23,7 +29,8 @@
             );
             points.push((f64::from(value), bytes));
         }
-        for (at, figure) in ["config_bytes", "tables_bytes"].iter().enumerate() {
+        let figures = ["config_bytes", "tables_bytes"];
+        for (at, figure) in figures.iter().enumerate().filter(|_| values.len() > 1) {
             let line = Line::fit(points.iter().map(|(x, bytes)| (*x, bytes[at] as f64)));
             println!("case=documents by={name} fit={figure} {line}");
         }
@@ -37,9 +44,37 @@
         services: 1,
         servers,
         ..Size::default()
+    })?;
+    one("group", &[GROUP.1], &|servers| Size {
+        services: GROUP.0,
+        servers,
+        ..Size::default()
     })
 }
 
+/// The platform answers with the whole list, as JSON.
+fn machines() -> anyhow::Result<()> {
+    let mut points = Vec::new();
+    for &count in MACHINES {
+        let list: Vec<Machine> = (0..count)
+            .map(|id| Machine {
+                name: format!("balancer-{id}").into(),
+                address: std::net::Ipv4Addr::from_bits(0x0a09_0000 + u32::from(id)).into(),
+                data_centre: "hervanta".into(),
+                state: State::Live,
+            })
+            .collect();
+        let bytes = serde_json::to_vec(&list)?.len();
+        println!("case=documents by=machines machines={count} list_bytes={bytes}");
+        points.push((f64::from(count), bytes as f64));
+    }
+    println!(
+        "case=documents by=machines fit=list_bytes {}",
+        Line::fit(points)
+    );
+    Ok(())
+}
+
 /// Bytes of the configuration and of the tables, as the store holds them.
 fn measure(size: &Size) -> anyhow::Result<[usize; 2]> {
     let config = change(None, size.config(), 0)?;
