--- a/crates/bench/src/speed.rs
+++ b/crates/bench/src/speed.rs
@@ -9,6 +9,8 @@
 pub mod forward;
 /// Services, balancers, flows and packets.
 pub mod scene;
+/// Several threads on the same state.
+pub mod shared;
 
 /// What to run.
 #[derive(Debug, Clone, clap::Args)]
@@ -42,6 +44,7 @@
 pub fn run(options: &Options) -> anyhow::Result<()> {
     for &seed in &options.seeds {
         decide::run(options, seed)?;
+        shared::run(options, seed)?;
         forward::run(options, seed)?;
     }
     Ok(())
