--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -3,6 +3,8 @@
 //! Several of the product's own [`acacia_node::control::core::Core`]s run in one thread, in virtual
 //! time, joined by queues. Every message is sealed, opened and decoded as on the wire.
 
+/// One balancer of a fleet.
+mod balancer;
 /// Sizes of what the store holds and balancers pass on.
 pub mod document;
 /// Balancers joined by queues.
@@ -15,6 +17,8 @@
 pub mod replace;
 /// What is controlled.
 pub mod size;
+/// Time until a change is in force everywhere.
+pub mod spread;
 /// The platform's store, in memory.
 pub mod store;
 
@@ -30,7 +34,7 @@
     /// Seeds, one run each.
     #[arg(long, value_delimiter = ',', default_value = "1")]
     pub seeds: Vec<u64>,
-    /// Dimensions: peers, servers, services, pins, changes, replaced, documents; all if none is named.
+    /// Dimensions: peers, servers, services, pins, changes, replaced, spread, documents; all if none is named.
     #[arg(long, value_delimiter = ',')]
     pub cases: Vec<String>,
     /// Seconds of virtual time that are measured, after the balancers have joined.
@@ -59,6 +63,9 @@
         if wants("replaced") {
             replace::run(seed)?;
         }
+        if wants("spread") {
+            spread::run(seed)?;
+        }
     }
     if wants("documents") {
         document::run()?;
--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -1,25 +1,20 @@
-use std::{collections::VecDeque, fmt, net::Ipv4Addr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, fmt, net::Ipv4Addr, time::Duration};
 
 use acacia_config::Config;
 use acacia_flow::{
-    Shards,
     pin::{Phase, Pin},
     rank::{Node, pair},
-    shard::Limits,
+    snapshot::State,
 };
-use acacia_node::{
-    control::core::{Core, Outgoing},
-    message::Message,
-    settings::Settings,
-    view::View,
-};
-use acacia_peer::{Class, Echo, Parcel};
+use acacia_node::{control::core::Outgoing, message::Message, view::View};
+use acacia_peer::{Bucket, Class, Echo, Parcel};
 use acacia_wire::{
     control::{Envelope, open, seal},
     flow::{Key, Protocol, mix},
 };
 
 use super::{
+    balancer::Balancer,
     size::{Size, change},
     store::Store,
 };
@@ -27,8 +22,6 @@
 
 /// Between two ticks, as in the daemon.
 const TICK: Duration = Duration::from_millis(50);
-/// Shards, as in the daemon.
-const SHARDS: usize = 16;
 /// Bytes of the length that nng puts before a message on TCP (SP transport mapping for TCP: 64
 /// bits).
 pub const LENGTH: usize = 8;
@@ -42,6 +35,8 @@
 /// Numbers of servers count from 1 in the order of the configuration: a server other than the
 /// base of most buckets.
 const PINNED_TO: u16 = 1;
+/// The address of the service whose first server the changes drain and put back.
+const CHANGED: Ipv4Addr = Ipv4Addr::new(10, 77, 0, 0);
 
 /// Bytes on the network of a frame, its headers included.
 ///
@@ -106,33 +101,6 @@
     processor: Duration,
 }
 
-struct Balancer {
-    core: Core,
-    shards: Shards,
-    incarnation: u64,
-    sequence: u64,
-    /// Held as the traffic threads hold it.
-    view: Option<View>,
-}
-
-impl Balancer {
-    fn new(id: u16, peers: u16, incarnation: u64, now: Duration) -> anyhow::Result<Self> {
-        let settings = Settings::parse(&settings(id, peers))?;
-        Ok(Balancer {
-            core: Core::new(Arc::new(settings), incarnation, now),
-            shards: Shards::new(SHARDS, Limits::default()),
-            incarnation,
-            sequence: 0,
-            view: None,
-        })
-    }
-
-    fn pins(&self) -> usize {
-        let shards = 0..self.shards.count();
-        shards.map(|index| self.shards.at(index).len()).sum()
-    }
-}
-
 /// Balancers joined by queues.
 pub struct Fleet {
     balancers: Vec<Balancer>,
@@ -195,6 +163,31 @@
         }
     }
 
+    /// Lets bulk messages wait for the byte budget of `acacia_peer`, as in the daemon.
+    pub fn keep_budget(&mut self) {
+        let settings = acacia_peer::Settings::new(0, ([127, 0, 0, 1], 0).into(), 0);
+        for own in &mut self.balancers {
+            own.bucket = Some(Bucket::new(settings.rate, settings.burst, self.now));
+        }
+    }
+
+    /// Whether every balancer has tables in force in which the changed server is as the latest
+    /// change wants it.
+    #[must_use]
+    pub fn is_in_force(&self) -> bool {
+        let wanted = match self.changed % 2 {
+            1 => State::Draining,
+            _ => State::Up,
+        };
+        let state = |view: &View| {
+            let mut entries = view.snapshot.services.values();
+            let first = entries.find(|entry| entry.service.address.ip == CHANGED);
+            first.and_then(|entry| Some(entry.service.servers.get(&PINNED_TO)?.state))
+        };
+        let mut views = self.balancers.iter().map(|own| own.view.as_ref());
+        views.all(|view| view.and_then(state) == Some(wanted))
+    }
+
     /// Forgets what was counted.
     pub fn reset(&mut self) {
         self.tally = Tally {
@@ -272,7 +265,8 @@
         }
     }
 
-    fn change(&mut self) {
+    /// Puts a change into the store.
+    pub fn change(&mut self) {
         self.changed += 1;
         if let Ok(document) = change(Some(&self.store.config), self.config.clone(), self.changed) {
             self.store.config = document;
@@ -306,30 +300,43 @@
 
     fn send(&mut self, from: usize, messages: Vec<Outgoing>) {
         for outgoing in messages {
-            let own = &mut self.balancers[from];
-            own.sequence += 1;
-            let envelope = Envelope {
-                sender: from as u16,
-                incarnation: own.incarnation,
-                sequence: own.sequence,
-            };
-            let parcel = Parcel {
-                to: outgoing.to,
-                echo: Some(Echo {
-                    incarnation: own.incarnation,
-                    sequence: own.sequence,
-                }),
-                body: postcard::to_allocvec(&outgoing.message).ok(),
-            };
-            let frame = seal(&envelope, &parcel, &scene::secret());
-            let bytes = wire(frame.len());
             match outgoing.class {
-                Class::Heartbeat => self.tally.heartbeats += bytes,
-                _ => self.tally.rest += bytes,
+                Class::Bulk => self.balancers[from].waiting.push_back(outgoing),
+                _ => self.transmit(from, &outgoing),
             }
-            self.tally.segments += (frame.len() + LENGTH).div_ceil(SEGMENT);
-            self.frames.push_back((usize::from(outgoing.to), frame));
         }
+        while let Some(outgoing) = self.balancers[from].next_bulk(self.now) {
+            self.transmit(from, &outgoing);
+        }
+    }
+
+    fn transmit(&mut self, from: usize, outgoing: &Outgoing) {
+        let own = &mut self.balancers[from];
+        own.sequence += 1;
+        let envelope = Envelope {
+            sender: from as u16,
+            incarnation: own.incarnation,
+            sequence: own.sequence,
+        };
+        let parcel = Parcel {
+            to: outgoing.to,
+            echo: Some(Echo {
+                incarnation: own.incarnation,
+                sequence: own.sequence,
+            }),
+            body: postcard::to_allocvec(&outgoing.message).ok(),
+        };
+        let frame = seal(&envelope, &parcel, &scene::secret());
+        let bytes = wire(frame.len());
+        if let Some(bucket) = &mut own.bucket {
+            bucket.charge(frame.len() + LENGTH);
+        }
+        match outgoing.class {
+            Class::Heartbeat => self.tally.heartbeats += bytes,
+            _ => self.tally.rest += bytes,
+        }
+        self.tally.segments += (frame.len() + LENGTH).div_ceil(SEGMENT);
+        self.frames.push_back((usize::from(outgoing.to), frame));
     }
 
     fn receive(&mut self, to: usize, frame: &[u8]) {
@@ -351,24 +358,3 @@
         write!(f, "Fleet({})", self.balancers.len())
     }
 }
-
-/// A balancer's settings: the others are its peers from the start.
-fn settings(id: u16, peers: u16) -> String {
-    use std::fmt::Write as _;
-    let mut text = format!(
-        "[balancer]\nid = {id}\ndata_centre = hervanta\n\
-         [traffic]\nlisten = 10.9.0.{id}:6080\ngateway = 10.9.255.1:6080\n\
-         [control]\nlisten = 10.9.0.{id}:6081\nkey = {}\n\
-         [admin]\nlisten = 10.9.0.{id}:6082\n\
-         [platform]\naddress = 10.9.255.2:6083\n",
-        "07".repeat(32)
-    );
-    for peer in (0..peers).filter(|peer| *peer != id) {
-        // Writing to a string can't fail.
-        let _ = write!(
-            text,
-            "[peer.{peer}]\ncontrol = 10.9.0.{peer}:6081\ndata_centre = hervanta\n"
-        );
-    }
-    text
-}
