Agree on the settled set before a handover counts

Two old owners with different views of it could each take the other for the sender. A report now names both sets; a balancer that missed reports adopts what its peers settled; where several started at once or came back apart, all send all they hold.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -119,9 +119,13 @@
     sequence: u32,
     news: bool,
     settled: Arc<[Node]>,
+    /// The latest targets, oldest first: a peer may know that the handover to one is complete.
+    targets: VecDeque<Arc<[Node]>>,
     previous: Arc<[Node]>,
     previous_until: u64,
     settled_at: u64,
+    /// Since when some peer has gone by another settled set.
+    disagree_since: Option<u64>,
     /// When copies of pins last came in.
     copied_at: u64,
     seen_members: bool,
@@ -130,6 +134,11 @@
     handover: Handover,
 }
 
+/// Milliseconds for which balancers may go by different settled sets before all send all they
+/// hold: several start at once, or come back after each took the other for gone.
+const DISAGREE: u64 = 3_000;
+/// Most targets remembered: more than change while a balancer misses a few heartbeats.
+const TARGETS: usize = 8;
 /// Milliseconds for which a bucket stays flagged beyond the life of any snapshot in which flows
 /// could be placed off its base: two passes over the shards, in which their pins are met.
 const LINGER: u64 = 2_500;
@@ -153,9 +162,11 @@
             sequence: 0,
             news: true,
             settled: Arc::default(),
+            targets: VecDeque::new(),
             previous: Arc::default(),
             previous_until: 0,
             settled_at: now,
+            disagree_since: None,
             copied_at: 0,
             seen_members: false,
             turned: now,
@@ -300,9 +311,41 @@
         nodes.into()
     }
 
+    /// Whether all have handed their pins over to `target`. One that joins has none of its own,
+    /// and goes by the settled set of the others.
     fn is_handed_over(&self, target: u64) -> bool {
-        let theirs = self.alive().all(|peer| peer.handed == target);
-        theirs && self.handover.finished() == Some(target)
+        let joins = self.stage == Stage::Joining;
+        let mut sets = self.grown().map(|peer| peer.settled);
+        let mine = digest(&self.settled);
+        let settled = if joins {
+            sets.next().unwrap_or(mine)
+        } else {
+            mine
+        };
+        let same = if joins {
+            sets.all(|set| set == settled)
+        } else {
+            self.agrees()
+        };
+        let done = handover::token(if same { settled } else { handover::APART }, target);
+        let finished = self.handover.finished();
+        let ended = if joins {
+            finished.is_some()
+        } else {
+            finished == Some(done)
+        };
+        ended && self.grown().all(|peer| peer.handed == done)
+    }
+
+    fn grown(&self) -> impl Iterator<Item = &Peer> {
+        self.alive()
+            .filter(|peer| peer.member.stage != Stage::Joining)
+    }
+
+    /// Whether all go by the same settled set. For a moment they don't after each handover.
+    fn agrees(&self) -> bool {
+        self.disagree_since
+            .is_none_or(|since| self.turned < since + DISAGREE)
     }
 
     fn refresh(&mut self, now: u64) {
@@ -331,6 +374,7 @@
         let view = handover::View {
             me: self.me,
             settled: &self.settled,
+            agreed: self.agrees(),
             previous: &self.previous,
             target: &target,
             ready: &ready,
--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
-use acacia_wire::flow::Key;
+use acacia_wire::flow::{Key, mix};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -95,6 +95,8 @@
 pub(super) struct View<'a> {
     pub(super) me: Node,
     pub(super) settled: &'a [Node],
+    /// Whether all balancers go by it. Without, each sends all it holds to all that should.
+    pub(super) agreed: bool,
     pub(super) previous: &'a [Node],
     pub(super) ready: &'a [Node],
     pub(super) target: &'a [Node],
@@ -123,13 +125,15 @@
         owners.any(|node| !self.alive.contains(&node) && !self.missing.contains(&node))
     }
 
-    /// Who has to get a copy from this balancer: the new owners, from each old one.
+    /// Who has to get a copy from this balancer: the new owners, from one of the old.
     fn receivers(&self, hash: u64) -> impl Iterator<Item = Node> + use<> {
         let old = pair(hash, self.settled).map(|node| node.filter(|n| self.ready.contains(n)));
-        // Each old owner sends, not one of the two: whose views of the settled set differ could
-        // each take the other for the sender, and both would report that all is handed over.
-        let mut senders = old.iter().flatten();
-        let sends = old.contains(&Some(self.me)) || senders.next().is_none();
+        // Half of the flows each, so that one that leaves is not left to send all it holds alone.
+        // All go by the same settled set: a peer's report counts only if it names this one's.
+        let order = [old[hash as usize & 1], old[!hash as usize & 1]];
+        let sender = order.into_iter().flatten().next();
+        let sends = !self.agreed || sender.is_none_or(|sender| sender == self.me);
+        let old = if self.agreed { old } else { [None; 2] };
         let new = pair(hash, self.target).map(|node| {
             node.filter(|node| sends && *node != self.me && !old.contains(&Some(*node)))
         });
@@ -144,6 +148,24 @@
     batch: Batch,
 }
 
+/// What a pass over the shards works for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Goal {
+    target: u64,
+    settled: u64,
+    alive: u64,
+}
+
+/// Stands for the settled set where balancers go by different ones.
+pub(super) const APART: u64 = 0;
+
+/// Stands for a finished handover from the settled set to the target, by their digests. Two
+/// balancers that go by different settled sets may each take the other for the sender of a pin;
+/// their reports then differ in this, and neither counts.
+pub(super) fn token(settled: u64, target: u64) -> u64 {
+    mix(mix(settled) ^ target)
+}
+
 /// Copies of pins on their way to new owners.
 #[derive(Debug)]
 pub(super) struct Handover {
@@ -151,8 +173,7 @@
     tokens: u64,
     refilled: u64,
     number: u32,
-    /// What the pass over the shards works for: the owners-to-be, and the living.
-    goal: Option<(u64, u64)>,
+    goal: Option<Goal>,
     /// How many shards the pass has done, and of how many.
     done: usize,
     count: usize,
@@ -178,17 +199,25 @@
         }
     }
 
-    /// The owners' set to which all pins have been handed over.
+    /// The [`token`] of the handover that is complete on this side.
     pub(super) fn finished(&self) -> Option<u64> {
         let sent = self.queues.is_empty() && self.unacknowledged.is_empty();
-        let (target, _) = self.goal?;
-        (sent && self.done == self.count).then_some(target)
+        let goal = self.goal?;
+        (sent && self.done == self.count).then(|| token(goal.settled, goal.target))
     }
 
     /// Begins with shard `index` of `count`. A new goal starts the pass anew at the first shard;
     /// so does a death, since the dead one's part falls to others.
     pub(super) fn start_shard(&mut self, index: usize, count: usize, view: &View<'_>) {
-        let goal = (digest(view.target), digest(view.alive));
+        let goal = Goal {
+            target: digest(view.target),
+            settled: if view.agreed {
+                digest(view.settled)
+            } else {
+                APART
+            },
+            alive: digest(view.alive),
+        };
         if index == 0 && self.goal != Some(goal) {
             self.goal = Some(goal);
             self.done = 0;
--- a/crates/flow/src/control/peer.rs
+++ b/crates/flow/src/control/peer.rs
@@ -28,8 +28,10 @@
     pub version: u32,
     /// Version of the receiver's flags that the sender goes by.
     pub acknowledged: u32,
-    /// Digest of the owners' set to which the sender has handed over its pins.
+    /// Stands for the owners' sets between which the sender has handed over its pins.
     pub handed: u64,
+    /// Digest of the owners' set whose handover the sender knows to be complete.
+    pub settled: u64,
     /// The flags of `version`, unless the receiver has acknowledged them.
     pub wanted: Option<Vec<(Address, Wanted)>>,
 }
@@ -42,6 +44,7 @@
     pub(super) echoed: u64,
     pub(super) tables: u64,
     pub(super) handed: u64,
+    pub(super) settled: u64,
     /// Whether the flags it wants are known.
     pub(super) has_flags: bool,
     /// Whether it was seen to join, and so had all pins copied to it.
@@ -59,6 +62,7 @@
             echoed: 0,
             tables: 0,
             handed: 0,
+            settled: 0,
             has_flags: false,
             has_joined: false,
             wanted: Map::default(),
@@ -96,6 +100,7 @@
             version: self.flags.version,
             acknowledged: peer.map_or(0, |peer| peer.version),
             handed: self.handover.finished().unwrap_or(0),
+            settled: digest(&self.settled),
             wanted: (!known).then(|| self.wanted()),
         }
     }
@@ -136,6 +141,7 @@
         }
         peer.tables = report.tables;
         peer.handed = report.handed;
+        peer.settled = report.settled;
         peer.acknowledged = report.acknowledged;
         if let Some(wanted) = report.wanted {
             // A sender that goes on sending them has not heard that they are known.
--- a/crates/flow/src/control/publish.rs
+++ b/crates/flow/src/control/publish.rs
@@ -2,11 +2,11 @@
 
 use acacia_wire::{collections::Map, flow::Protocol};
 
-use super::{Control, Peer, Stage};
+use super::{Control, Peer, Stage, TARGETS};
 use crate::{
     bitmap::Bitmap,
     pin::IDLE_DATAGRAMS,
-    rank::digest,
+    rank::{Node, digest},
     snapshot::{Address, Entry, Service, Snapshot},
 };
 
@@ -48,16 +48,49 @@
         }
         // One that is taken for dead may be cut off and hold pins that nobody else has.
         let certain = !self.peers.values().any(|peer| peer.member.dead);
+        if self.targets.back() != Some(&target) {
+            self.targets.push_back(Arc::clone(&target));
+            if self.targets.len() > TARGETS {
+                self.targets.pop_front();
+            }
+        }
         if certain && complete && *self.ready() == *target && self.settled != target {
-            self.previous = std::mem::replace(&mut self.settled, target);
-            self.previous_until = now + self.settings.grace;
-            self.settled_at = now;
+            self.settle(target, now);
+        } else if let Some(later) = self.settled_elsewhere() {
+            self.settle(later, now);
         }
+        let settled = digest(&self.settled);
+        let differs = self.grown().any(|peer| peer.settled != settled);
+        self.disagree_since = self.disagree_since.or(Some(now)).filter(|_| differs);
         if now > self.previous_until {
             self.previous = Arc::clone(&self.settled);
         }
     }
 
+    fn settle(&mut self, settled: Arc<[Node]>, now: u64) {
+        self.previous = std::mem::replace(&mut self.settled, settled);
+        self.previous_until = now + self.settings.grace;
+        self.settled_at = now;
+    }
+
+    /// A set of owners later than the settled one that a peer knows to be settled. This balancer
+    /// has missed the reports that said so, and the next handover waits for it.
+    fn settled_elsewhere(&self) -> Option<Arc<[Node]>> {
+        let mine = self
+            .targets
+            .iter()
+            .rposition(|target| *target == self.settled);
+        let later = self.targets.iter().skip(mine.map_or(0, |at| at + 1));
+        let known = |set: &&Arc<[Node]>| {
+            let digest = digest(set);
+            let mut grown = self
+                .alive()
+                .filter(|peer| peer.member.stage != Stage::Joining);
+            **set != self.settled && grown.any(|peer| peer.settled == digest)
+        };
+        later.rev().find(known).cloned()
+    }
+
     /// The view to publish to traffic threads at `now`.
     pub fn snapshot(&mut self, now: u64) -> Snapshot {
         self.rejoin(now);
