--- a/crates/flow/src/control/peer.rs
+++ b/crates/flow/src/control/peer.rs
@@ -1,8 +1,12 @@
 use acacia_wire::collections::Map;
 use serde::{Deserialize, Serialize};
 
-use super::{Control, Member, REMEMBERED};
-use crate::{bitmap::Bitmap, rank::digest, snapshot::Address};
+use super::{Control, Member, REMEMBERED, Stage};
+use crate::{
+    bitmap::Bitmap,
+    rank::{Node, digest},
+    snapshot::Address,
+};
 
 /// Flags that a balancer wants for one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +36,8 @@
     pub handed: u64,
     /// Digest of the owners' set whose handover the sender knows to be complete.
     pub settled: u64,
+    /// That set itself, unless the receiver goes by it. One that joins can't know it otherwise.
+    pub owners: Option<Vec<Node>>,
     /// The flags of `version`, unless the receiver has acknowledged them.
     pub wanted: Option<Vec<(Address, Wanted)>>,
 }
@@ -93,6 +99,8 @@
         }
         let peer = self.peers.get(&to);
         let known = peer.is_some_and(|peer| peer.acknowledged == self.flags.version);
+        let settled = digest(&self.settled);
+        let agrees = self.stage == Stage::Joining || peer.is_none_or(|p| p.settled == settled);
         Report {
             sequence: self.sequence,
             echo: peer.map_or(0, |peer| peer.received),
@@ -100,7 +108,8 @@
             version: self.flags.version,
             acknowledged: peer.map_or(0, |peer| peer.version),
             handed: self.handover.finished().unwrap_or(0),
-            settled: digest(&self.settled),
+            settled,
+            owners: (!agrees).then(|| self.settled.to_vec()),
             wanted: (!known).then(|| self.wanted()),
         }
     }
@@ -142,6 +151,9 @@
         peer.tables = report.tables;
         peer.handed = report.handed;
         peer.settled = report.settled;
+        if let Some(owners) = report.owners.filter(|_| self.stage == Stage::Joining) {
+            self.settled = owners.into();
+        }
         peer.acknowledged = report.acknowledged;
         if let Some(wanted) = report.wanted {
             // A sender that goes on sending them has not heard that they are known.
