--- a/crates/flow/tests/it/handover.rs
+++ b/crates/flow/tests/it/handover.rs
@@ -166,3 +166,32 @@
     assert_eq!(fleet.failures, Vec::<String>::new());
     assert_eq!(lost, Vec::<u32>::new(), "drops {:?}", fleet.drops);
 }
+
+/// A balancer starts while another is leaving and hands over slowly. If the newcomer went by an
+/// owners' set of its own, no later handover would end, and a crash would lose pins.
+#[test]
+fn a_start_in_the_middle_of_a_handover_settles() {
+    let mut fleet = draining(25);
+    open(&mut fleet, 0, 200);
+    fleet.crash(3);
+    fleet.run(8_000);
+    fleet.balancers[1].control.leave();
+    fleet.run(300);
+    fleet.start(acacia_flow::rank::Node {
+        id: 3,
+        incarnation: 2,
+    });
+    for round in 0..20 {
+        open(&mut fleet, 200 + round * 10, 210 + round * 10);
+        fleet.run(700);
+    }
+    fleet.crash(0);
+    fleet.run(20_000);
+    let lost = talk(&mut fleet, 0, 400);
+
+    assert!(fleet.balancers[1].control.may_leave());
+    let settled = |at: usize| fleet.balancers[at].snapshot.settled.clone();
+    assert!([2, 3, 4].into_iter().all(|at| settled(at) == settled(1)));
+    assert_eq!(fleet.failures, Vec::<String>::new());
+    assert_eq!(lost, Vec::<u32>::new(), "drops {:?}", fleet.drops);
+}
