--- a/crates/flow/src/resolve.rs
+++ b/crates/flow/src/resolve.rs
@@ -19,6 +19,37 @@
 /// Decides what to do with `packet`, which came to this balancer at `now`.
 ///
 /// `shard` is the one that holds the packet's flow. `place` chooses the server of a new flow.
+///
+/// ```
+/// use std::sync::Arc;
+/// use acacia_flow::{control::{Settings, Tables}, place::by_table, rank::Node, resolve};
+/// use acacia_flow::{shard::Limits, snapshot::{Address, Server, Service, State}, table::build};
+/// use acacia_flow::{verdict::{Action, Arrival}, Control, Shards};
+/// use acacia_wire::{flow::{Key, Protocol}, packet::{Kind, Packet}};
+///
+/// // A single balancer with one service of two servers.
+/// let address = Address { ip: [198, 51, 100, 1].into(), port: 443, protocol: Protocol::Tcp };
+/// let table: Arc<[u16]> = build(4_096, &[(1, 10), (2, 10)], &[]).into();
+/// let up = Server { state: State::Up, weight: 10 };
+/// let service = Service { address, since: 1, strict: false, base: table.clone(), next: table,
+///     servers: [(1, up), (2, up)].into_iter().collect() };
+/// let mut control = Control::new(Node { id: 1, incarnation: 1 }, Settings::default(), 0);
+/// control.set_tables(Tables { version: 1, services: vec![Arc::new(service)] }, 0);
+/// control.set_members(&[]);
+/// let shards = Shards::new(16, Limits::default());
+/// for index in 0..shards.count() {
+///     control.sweep(&mut shards.at(index), index, shards.count(), 0);
+/// }
+/// let snapshot = control.snapshot(0);
+///
+/// let key = Key { client: [192, 0, 2, 1].into(), client_port: 40_000,
+///     service: address.ip, service_port: 443, protocol: Protocol::Tcp };
+/// let packet = Packet { key, kind: Kind::Opening { isn: 7 }, payload: 0, sequence: 7,
+///     acknowledgement: 0 };
+/// let mut shard = shards.of(key.hash());
+/// let verdict = resolve(&snapshot, &mut shard, 0, &packet, Arrival::Ingress, &mut by_table);
+/// assert!(matches!(verdict.action, Action::Forward { server: 1 | 2 }));
+/// ```
 pub fn resolve(
     snapshot: &Snapshot,
     shard: &mut Shard,
