--- a/crates/flow/src/resolve/owner.rs
+++ b/crates/flow/src/resolve/owner.rs
@@ -218,7 +218,9 @@
         let me = self.snapshot.me.id;
         let is_told = |id: u16| id == me || told & 1 << chain.number(id) != 0;
         let waits = pin.phase == Phase::Opening && !pin.light;
-        let rest = || chain.ids().iter().copied().filter(|&id| !is_told(id));
+        // The last in the chain first: it may be one that joins, of which the others have not all
+        // heard. Told by somebody who has, it knows of the flow whatever the rest does.
+        let rest = || chain.ids().iter().rev().copied().filter(|&id| !is_told(id));
         if waits && rest().any(|id| !self.snapshot.is_heard(id)) {
             return drop(Code::OwnersUnreachable);
         }
--- a/crates/flow/tests/it/planned.rs
+++ b/crates/flow/tests/it/planned.rs
@@ -113,6 +113,9 @@
 // A copy came in before the receiver knew what it was for, and was swept away.
 #[case(12300283875526376047, &[(Change::Drain(4), 3_736, false), (Change::Restore(0), 130, false),
     (Change::Replace(0), 3_455, false), (Change::Replace(0), 3_334, true)])]
+// The second owner had not heard of one that joined, and did not tell it.
+#[case(13453869123369339379, &[(Change::Weights, 68, false), (Change::Add(10), 237, false),
+    (Change::Drain(0), 737, false), (Change::Replace(3), 429, true)])]
 fn found_cases_break_no_flow(#[case] seed: u64, #[case] changes: &[(Change, u64, bool)]) {
     let (fleet, lost) = suffer(seed, changes);
 
