--- a/crates/bench/src/control/size.rs
+++ b/crates/bench/src/control/size.rs
@@ -103,7 +103,7 @@
         author: "aino".into(),
         time: 1_800_000_000 + number,
         config,
-        floor: 0,
+        in_force: None,
     };
     Ok(Arc::new(Document::follow(before, &draft)?))
 }
--- a/crates/bench/src/speed/forward.rs
+++ b/crates/bench/src/speed/forward.rs
@@ -178,6 +178,7 @@
     let view = View {
         snapshot: scene::snapshot(flagged),
         servers: Arc::new(servers.collect()),
+        policies: Arc::default(),
         peers: (0..scene::BALANCERS).map(|id| (id, sink)).collect(),
     };
     let published = Published::default();
@@ -185,11 +186,14 @@
     let counter = Arc::new(Counter::default());
     // Notices go nowhere; a full queue loses them as in the daemon.
     let (notices, _kept) = crossbeam_channel::bounded(1);
+    let (counts, _kept_counts) = crossbeam_channel::bounded(1);
     let context = worker::Context {
         published,
         shards: Arc::new(Shards::new(16, Limits::default())),
         counter: Arc::clone(&counter),
         notices,
+        counts,
+        seed: 1,
         secret: scene::secret(),
         gateway: sink,
     };
--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -4,7 +4,6 @@
     collections::{Map, Set},
     flow::Key,
 };
-use serde::{Deserialize, Serialize};
 
 use crate::{
     pin::Pin,
@@ -17,87 +16,14 @@
 mod handover;
 mod peer;
 mod publish;
+mod settings;
 
 use flags::Flags;
 use handover::Handover;
 pub use handover::{Acknowledgement, Batch, Packed};
 use peer::Peer;
 pub use peer::{Report, Wanted};
-
-/// Times and budgets of the control thread.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Settings {
-    /// Milliseconds without an echo from a peer after which it is not asked any more. Echoes are
-    /// up to one second old with heartbeats of half a second, so two in a row may be lost.
-    pub reach: u64,
-    /// Milliseconds without an echo from a peer after which no flow is placed off its base. Shorter
-    /// than `sure`: a peer that stops hearing this balancer must not answer for its flows before
-    /// this balancer has stopped.
-    pub free: u64,
-    /// Milliseconds without an echo from a peer after which flags are no longer known to be
-    /// complete.
-    pub sure: u64,
-    /// Milliseconds for which a bucket is flagged everywhere before flows are placed off its base.
-    /// An opening that was sent to the base before the flag is resent after 1 and 3 s (RFC 6298),
-    /// and must still meet the same server.
-    pub settle: u64,
-    /// Milliseconds for which former owners keep their pins and are still told of new ones after
-    /// a handover: longer than any two balancers' views of it lie apart.
-    pub grace: u64,
-    /// Milliseconds without a turn of the control thread after which this balancer joins anew.
-    /// Shorter than the time after which the membership takes a silent balancer for gone: from
-    /// then on others place flows that this one has not heard of.
-    pub lapse: u64,
-    /// Bytes a second for copies of pins, to all peers together.
-    pub budget: u32,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Settings {
-            reach: 2_000,
-            free: 3_000,
-            sure: 4_000,
-            settle: 3_200,
-            grace: 10_000,
-            lapse: 15_000,
-            budget: 2_000,
-        }
-    }
-}
-
-/// Where a balancer is in its life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Stage {
-    /// Takes over pins; owns no flows.
-    Joining,
-    /// Owns flows.
-    Ready,
-    /// Owns flows until its pins are handed over.
-    Leaving,
-}
-
-/// What the membership knows of another balancer. One that is gone for certain (it said so, or
-/// the platform confirms it, or it was silent for much longer than any cut lasts) is left out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Member {
-    /// Which process.
-    pub node: Node,
-    /// Where it is in its life.
-    pub stage: Stage,
-    /// Whether it is taken for dead. It may as well be cut off and serving flows, so that nothing
-    /// is placed off base until it is back or gone.
-    pub dead: bool,
-}
-
-/// The tables in force at this balancer.
-#[derive(Debug, Clone, Default)]
-pub struct Tables {
-    /// Rises with every change of any service.
-    pub version: u64,
-    /// All services.
-    pub services: Vec<Arc<Service>>,
-}
+pub use settings::{Member, Settings, Stage, Tables};
 
 /// The control thread's state.
 ///
@@ -119,12 +45,16 @@
     sequence: u32,
     news: bool,
     settled: Arc<[Node]>,
+    /// The latest targets, oldest first: a peer may know that the handover to one is complete.
+    targets: VecDeque<Arc<[Node]>>,
     previous: Arc<[Node]>,
     previous_until: u64,
     settled_at: u64,
     /// Owners that are lost, and when the last of them was noticed to be.
     lost: Vec<Node>,
     lost_at: u64,
+    /// Since when some peer has gone by another settled set.
+    disagree_since: Option<u64>,
     /// When copies of pins last came in.
     copied_at: u64,
     seen_members: bool,
@@ -133,6 +63,11 @@
     handover: Handover,
 }
 
+/// Milliseconds for which balancers may go by different settled sets before all send all they
+/// hold: several start at once, or come back after each took the other for gone.
+const DISAGREE: u64 = 3_000;
+/// Most targets remembered: more than change while a balancer misses a few heartbeats.
+const TARGETS: usize = 8;
 /// Milliseconds for which a bucket stays flagged beyond the life of any snapshot in which flows
 /// could be placed off its base: two passes over the shards, in which their pins are met.
 const LINGER: u64 = 2_500;
@@ -156,11 +91,13 @@
             sequence: 0,
             news: true,
             settled: Arc::default(),
+            targets: VecDeque::new(),
             previous: Arc::default(),
             previous_until: 0,
             settled_at: now,
             lost: Vec::new(),
             lost_at: now,
+            disagree_since: None,
             copied_at: 0,
             seen_members: false,
             turned: now,
@@ -305,9 +242,41 @@
         nodes.into()
     }
 
+    /// Whether all have handed their pins over to `target`. One that joins has none of its own,
+    /// and goes by the settled set of the others.
     fn is_handed_over(&self, target: u64) -> bool {
-        let theirs = self.alive().all(|peer| peer.handed == target);
-        theirs && self.handover.finished() == Some(target)
+        let joins = self.stage == Stage::Joining;
+        let mut sets = self.grown().map(|peer| peer.settled);
+        let mine = digest(&self.settled);
+        let settled = if joins {
+            sets.next().unwrap_or(mine)
+        } else {
+            mine
+        };
+        let same = if joins {
+            sets.all(|set| set == settled)
+        } else {
+            self.agrees()
+        };
+        let done = handover::token(if same { settled } else { handover::APART }, target);
+        let finished = self.handover.finished();
+        let ended = if joins {
+            finished.is_some()
+        } else {
+            finished == Some(done)
+        };
+        ended && self.grown().all(|peer| peer.handed == done)
+    }
+
+    fn grown(&self) -> impl Iterator<Item = &Peer> {
+        self.alive()
+            .filter(|peer| peer.member.stage != Stage::Joining)
+    }
+
+    /// Whether all go by the same settled set. For a moment they don't after each handover.
+    fn agrees(&self) -> bool {
+        self.disagree_since
+            .is_none_or(|since| self.turned < since + DISAGREE)
     }
 
     fn refresh(&mut self, now: u64) {
@@ -336,6 +305,7 @@
         let view = handover::View {
             me: self.me,
             settled: &self.settled,
+            agreed: self.agrees(),
             previous: &self.previous,
             target: &target,
             ready: &ready,
