Read who was told by the sender's set of balancers only where both go by the same

The marks count balancers by their place in the sender's set; a receiver that had dropped the leaving one took itself and its peer for told.

--- a/crates/flow/src/resolve/owner.rs
+++ b/crates/flow/src/resolve/owner.rs
@@ -235,7 +235,7 @@
             .fold(told, |told, &id| told | 1 << chain.number(id));
         match rest().find(|&id| self.snapshot.is_heard(id)) {
             Some(to) if waits || self.hops < MAX_HOPS => {
-                self.redirect(to, purpose, pin.server, told)
+                self.redirect(to, purpose, pin.server, told | chain.digest() << TOLD)
             }
             _ => forward(pin.server),
         }
@@ -247,9 +247,10 @@
             return drop(Code::NotOwner);
         }
         let chain = self.snapshot.chain(self.hash);
+        let told = told_so_far(header, &chain);
         let known = self
             .known_pin()
-            .filter(|pin| pin.server == header.server || self.prevails(pin, &chain, header.asked));
+            .filter(|pin| pin.server == header.server || self.prevails(pin, &chain, told));
         let server = known.map_or(header.server, |pin| pin.server);
         if !self.service.servers.contains_key(&server) {
             return drop(Code::ServerUnknown);
@@ -269,7 +270,7 @@
         if !self.shard.store(self.packet.key, pin) {
             return drop(Code::PinsFull);
         }
-        let mut verdict = self.pass_on(&pin, &chain, header.asked);
+        let mut verdict = self.pass_on(&pin, &chain, told);
         if server != header.server {
             let key = self.packet.key;
             verdict.notice = Some((header.sender, Notice::Correct { key, server }));
@@ -311,3 +312,16 @@
         }
     }
 }
+
+/// Bits of [`Redirect::asked`] for the balancers told so far; above them a digest of the chain.
+const TOLD: u32 = 4;
+
+/// Which of `chain` know of the flow, by number. A sender that goes by another set of balancers
+/// numbers them differently: then only the sender itself is known to know.
+fn told_so_far(header: &Redirect, chain: &Chain) -> u8 {
+    if header.asked >> TOLD == chain.digest() {
+        return header.asked & 0xf;
+    }
+    let sender = chain.ids().iter().find(|&&id| id == header.sender);
+    sender.map_or(0, |&id| 1 << chain.number(id))
+}
--- a/crates/flow/src/snapshot.rs
+++ b/crates/flow/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use acacia_wire::{
     collections::Map,
-    flow::{Key, Protocol},
+    flow::{Key, Protocol, mix},
 };
 use serde::{Deserialize, Serialize};
 
@@ -139,13 +139,23 @@
         &self.ids[..self.len]
     }
 
-    /// A number from 0 for each balancer of the chain. Views that differ only in the order of the
-    /// same balancers give them the same numbers.
+    /// A number from 0 for each balancer of the chain, whatever their order.
     #[must_use]
     pub fn number(&self, id: u16) -> usize {
         self.ids().iter().filter(|&&other| other < id).count()
     }
 
+    /// Four bits that stand for the set of balancers: the numbers of two chains mean the same only
+    /// where these are equal.
+    #[must_use]
+    pub fn digest(&self) -> u8 {
+        let sum = self
+            .ids()
+            .iter()
+            .fold(0u64, |sum, &id| sum.wrapping_add(mix(u64::from(id))));
+        (mix(sum) & 0xf) as u8
+    }
+
     fn push(&mut self, id: u16) {
         if self.len < CHAIN && !self.ids().contains(&id) {
             self.ids[self.len] = id;
