Cut balancers from each other in tests, and silence their connections

A relay stand-in stands at the addresses that balancers advertise (new setting [balancer] advertise, by default the IP number of [control] listen). It passes on redirected packets, control connections and calls to the platform, and on command cuts chosen directions or lets open connections go silent. Processes' logs are kept, so that tests can wait for a revision to be in force.

--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -1,10 +1,10 @@
 //! A whole deployment: platform, fabric, backend servers and balancers, each a process.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{SocketAddr, SocketAddrV4},
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use acacia_config::{
@@ -17,23 +17,23 @@
 use nix::sys::signal::Signal;
 
 use crate::{
-    net::{ADMIN, ANSWERS, CONTROL, Network, PLATFORM, TRAFFIC},
-    process::Process,
+    layout::{
+        FABRIC_HOST, PLATFORM_HOST, SERVERS, fabric_arguments, host, platform_arguments,
+        relay_arguments,
+    },
+    net::{ADMIN, ANSWERS, Network, PLATFORM, TRAFFIC},
+    process::{Ended, Process},
 };
 
-/// Host number of the platform.
-const PLATFORM_HOST: u8 = 2;
-/// Host number of the fabric.
-const FABRIC_HOST: u8 = 3;
-/// Host number of the first balancer, which is number 1.
-const BALANCERS: u8 = 10;
-/// Host number of the first backend server.
-const SERVERS: u8 = 100;
-/// Key of the traffic between balancers, in hexadecimal.
-const SECRET: &str = "4d2f1a9b8c7d6e5f00112233445566778899aabbccddeeff0123456789abcdef";
 /// How long a process may take to end when asked to.
 const ENDING: Duration = Duration::from_secs(20);
 
+/// How long a change may take to be in force everywhere: several times what is promised, for
+/// machines that are busy with other tests.
+const IN_FORCE: Duration = Duration::from_secs(20);
+/// Between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// Balancers that start together own flows after this long, several times over.
 const SETTLED: Duration = Duration::from_secs(4);
 
@@ -63,6 +63,9 @@
     pub data_centres: Vec<&'static str>,
 }
 
+/// A sender and a receiver: balancers' numbers, or [`PLATFORM_ID`](crate::fault::PLATFORM_ID).
+pub type Direction = (u16, u16);
+
 /// A backend server that runs.
 #[derive(Debug)]
 struct Server {
@@ -74,14 +77,17 @@
 /// The running processes. Dropping it ends them all.
 #[derive(Debug)]
 pub struct Deployment {
-    network: Network,
-    plan: Plan,
-    runtime: tokio::runtime::Runtime,
+    pub(crate) network: Network,
+    pub(crate) plan: Plan,
+    pub(crate) runtime: tokio::runtime::Runtime,
     servers: Vec<Server>,
     balancers: BTreeMap<u16, Process>,
+    pub(crate) cut: BTreeSet<Direction>,
     _fabric: Process,
     _platform: Process,
+    _relay: Process,
     changes: u128,
+    applied: Option<Config>,
 }
 
 impl Deployment {
@@ -90,6 +96,7 @@
         let network = Network::unused();
         let platform = Process::start("acacia-stand", &platform_arguments(network), "")?;
         let fabric = Process::start("acacia-stand", &fabric_arguments(network), "")?;
+        let relay = Process::start("acacia-stand", &relay_arguments(network, &plan), "")?;
         let mut deployment = Deployment {
             network,
             plan,
@@ -98,9 +105,12 @@
                 .build()?,
             servers: Vec::new(),
             balancers: BTreeMap::new(),
+            cut: BTreeSet::new(),
             _fabric: fabric,
             _platform: platform,
+            _relay: relay,
             changes: 0,
+            applied: None,
         };
         deployment.start_servers()?;
         deployment.apply(&deployment.config()?)?;
@@ -148,6 +158,14 @@
         Ok(config)
     }
 
+    /// The configuration that was applied last.
+    pub fn current(&self) -> anyhow::Result<Config> {
+        match &self.applied {
+            Some(config) => Ok(config.clone()),
+            None => self.config(),
+        }
+    }
+
     /// Swaps `config` into the platform's store, as an operator's `apply` does.
     pub fn apply(&mut self, config: &Config) -> anyhow::Result<u64> {
         self.changes += 1;
@@ -158,6 +176,7 @@
             config: config.clone(),
             floor: 0,
         };
+        self.applied = Some(config.clone());
         let address = SocketAddr::V4(self.network.port(PLATFORM_HOST, PLATFORM));
         self.runtime.block_on(async {
             let client = Client::new(address, Options::default());
@@ -189,7 +208,47 @@
     /// Asks balancer `id` to end and waits for it; gives its exit status.
     pub fn end_balancer(&mut self, id: u16) -> anyhow::Result<i32> {
         let process = self.balancers.remove(&id).context("no such balancer")?;
-        Ok(process.end(ENDING)?.0)
+        Ok(process.end(ENDING)?.status)
+    }
+
+    /// Waits until balancer `id`, which was told to end, has ended.
+    pub fn wait_balancer(&mut self, id: u16) -> anyhow::Result<Ended> {
+        let process = self.balancers.remove(&id).context("no such balancer")?;
+        process.wait(ENDING)
+    }
+
+    /// Whether balancer `id` runs.
+    pub fn is_running(&mut self, id: u16) -> bool {
+        self.balancers.get_mut(&id).is_some_and(Process::is_running)
+    }
+
+    /// The highest revision of the configuration that balancer `id` has had in force, 0 if none,
+    /// and whether none of them was lower than the one before.
+    #[must_use]
+    pub fn in_force(&self, id: u16) -> (u64, bool) {
+        let log = self
+            .balancers
+            .get(&id)
+            .map(Process::log)
+            .unwrap_or_default();
+        let revisions: Vec<u64> = log
+            .lines()
+            .filter_map(|line| line.split_once("event=config-in-force revision="))
+            .filter_map(|(_, revision)| revision.trim().parse().ok())
+            .collect();
+        let last = revisions.last().copied().unwrap_or(0);
+        (last, revisions.is_sorted())
+    }
+
+    /// Waits until each of `ids` has `revision` of the configuration in force, or a later one.
+    pub fn wait_in_force(&self, ids: &[u16], revision: u64) -> anyhow::Result<()> {
+        wait_until(IN_FORCE, || {
+            let late = ids.iter().find(|id| self.in_force(**id).0 < revision);
+            match late {
+                Some(id) => anyhow::bail!("balancer {id} does not have revision {revision}"),
+                None => Ok(()),
+            }
+        })
     }
 
     /// Sends a signal to balancer `id`.
@@ -303,7 +362,7 @@
         let servers = std::mem::take(&mut self.servers);
         servers
             .into_iter()
-            .map(|server| Ok(server.process.end(ENDING)?.1))
+            .map(|server| Ok(server.process.end(ENDING)?.output))
             .collect()
     }
 
@@ -335,54 +394,24 @@
         Ok(())
     }
 
-    fn data_centre(&self, number: u16) -> &'static str {
+    /// The data centre of the balancer or backend server with this number.
+    pub(crate) fn data_centre(&self, number: u16) -> &'static str {
         let count = self.plan.data_centres.len();
         self.plan.data_centres[usize::from(number) % count]
     }
+}
 
-    fn settings(&self, id: u16) -> String {
-        let at = |port| self.network.port(host(id), port);
-        let mut text = format!(
-            "[balancer]\nid = {id}\ndata_centre = {}\n\
-             [traffic]\nlisten = {}\nthreads = 1\ngateway = {}\n\
-             [control]\nlisten = {}\nkey = {SECRET}\n\
-             [admin]\nlisten = {}\n[platform]\naddress = {}\n",
-            self.data_centre(id),
-            at(TRAFFIC),
-            self.network.port(FABRIC_HOST, ANSWERS),
-            at(CONTROL),
-            at(ADMIN),
-            self.network.port(PLATFORM_HOST, PLATFORM),
-        );
-        for peer in (1..=self.plan.balancers).filter(|peer| *peer != id) {
-            text += &format!(
-                "[peer.{peer}]\ncontrol = {}\ndata_centre = {}\n",
-                self.network.port(host(peer), CONTROL),
-                self.data_centre(peer)
-            );
+/// Looks until `look` finds nothing amiss; after `limit` fails with what it finds then.
+pub fn wait_until(
+    limit: Duration,
+    mut look: impl FnMut() -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
+    let deadline = Instant::now() + limit;
+    loop {
+        match look() {
+            Err(error) if Instant::now() >= deadline => return Err(error),
+            Err(_) => std::thread::sleep(LOOK),
+            Ok(()) => return Ok(()),
         }
-        text
     }
 }
-
-/// Host number of balancer `id`.
-fn host(id: u16) -> u8 {
-    BALANCERS + id as u8
-}
-
-fn platform_arguments(network: Network) -> [String; 3] {
-    [
-        "platform".to_owned(),
-        format!("--listen={}", network.port(PLATFORM_HOST, PLATFORM)),
-        format!("--control={}", network.port(PLATFORM_HOST, ADMIN)),
-    ]
-}
-
-fn fabric_arguments(network: Network) -> [String; 4] {
-    [
-        "fabric".to_owned(),
-        format!("--callers={}", network.port(FABRIC_HOST, TRAFFIC)),
-        format!("--answers={}", network.port(FABRIC_HOST, ANSWERS)),
-        format!("--admin={}", network.port(FABRIC_HOST, ADMIN)),
-    ]
-}
--- /dev/null
+++ b/crates/e2e/src/layout.rs
@@ -0,0 +1,93 @@
+//! Where each process of a deployment lives, and what it is started with.
+
+use crate::{
+    deployment::{Deployment, Plan},
+    net::{ADMIN, ANSWERS, CONTROL, Network, PLATFORM, TRAFFIC},
+};
+
+/// Host number of the platform.
+pub(crate) const PLATFORM_HOST: u8 = 2;
+/// Host number of the fabric.
+pub(crate) const FABRIC_HOST: u8 = 3;
+/// Host number of the first balancer, which is number 1.
+pub(crate) const BALANCERS: u8 = 10;
+/// Host number of the first address that balancers advertise; the relay stands there.
+pub(crate) const ADVERTISED: u8 = 40;
+/// Host number of the relay's administration.
+pub(crate) const RELAY_HOST: u8 = 4;
+/// Host number of the first backend server.
+pub(crate) const SERVERS: u8 = 100;
+/// Key of the traffic between balancers, in hexadecimal.
+pub(crate) const SECRET: &str = "4d2f1a9b8c7d6e5f00112233445566778899aabbccddeeff0123456789abcdef";
+/// Balancers that may be started beyond those of the plan.
+pub(crate) const SPARE: u16 = 2;
+
+impl Deployment {
+    /// The settings of balancer `id`.
+    pub(crate) fn settings(&self, id: u16) -> String {
+        let at = |port| self.network.port(host(id), port);
+        let mut text = format!(
+            "[balancer]\nid = {id}\ndata_centre = {}\nadvertise = {}\n\
+             [traffic]\nlisten = {}\nthreads = 1\ngateway = {}\n\
+             [control]\nlisten = {}\nkey = {SECRET}\n\
+             [admin]\nlisten = {}\n[platform]\naddress = {}\n",
+            self.data_centre(id),
+            self.network.host(advertised(id)),
+            at(TRAFFIC),
+            self.network.port(FABRIC_HOST, ANSWERS),
+            at(CONTROL),
+            at(ADMIN),
+            self.network.port(advertised(id), PLATFORM),
+        );
+        for peer in (1..=self.plan.balancers).filter(|peer| *peer != id) {
+            text += &format!(
+                "[peer.{peer}]\ncontrol = {}\ndata_centre = {}\n",
+                self.network.port(advertised(peer), CONTROL),
+                self.data_centre(peer)
+            );
+        }
+        text
+    }
+}
+
+/// Host number of balancer `id`.
+pub(crate) fn host(id: u16) -> u8 {
+    BALANCERS + id as u8
+}
+
+/// Host number at which others reach balancer `id`.
+pub(crate) fn advertised(id: u16) -> u8 {
+    ADVERTISED + id as u8
+}
+
+pub(crate) fn relay_arguments(network: Network, plan: &Plan) -> Vec<String> {
+    let mut arguments = vec![
+        "relay".to_owned(),
+        format!("--traffic={TRAFFIC}"),
+        format!("--control={CONTROL}"),
+        format!("--platform={}", network.port(PLATFORM_HOST, PLATFORM)),
+        format!("--admin={}", network.port(RELAY_HOST, ADMIN)),
+    ];
+    arguments.extend((1..=plan.balancers + SPARE).map(|id| {
+        let (advertised, real) = (network.host(advertised(id)), network.host(host(id)));
+        format!("--balancer={id},{advertised},{real}")
+    }));
+    arguments
+}
+
+pub(crate) fn platform_arguments(network: Network) -> [String; 3] {
+    [
+        "platform".to_owned(),
+        format!("--listen={}", network.port(PLATFORM_HOST, PLATFORM)),
+        format!("--control={}", network.port(PLATFORM_HOST, ADMIN)),
+    ]
+}
+
+pub(crate) fn fabric_arguments(network: Network) -> [String; 4] {
+    [
+        "fabric".to_owned(),
+        format!("--callers={}", network.port(FABRIC_HOST, TRAFFIC)),
+        format!("--answers={}", network.port(FABRIC_HOST, ANSWERS)),
+        format!("--admin={}", network.port(FABRIC_HOST, ADMIN)),
+    ]
+}
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -3,5 +3,7 @@
 //! Only this crate starts processes; none of the product's programs does.
 
 pub mod deployment;
+pub mod fault;
+mod layout;
 pub mod net;
 pub mod process;
--- a/crates/e2e/src/main.rs
+++ b/crates/e2e/src/main.rs
@@ -52,7 +52,7 @@
         )?,
     ];
     for caller in callers {
-        print!("{}", caller.wait(limit)?.1);
+        print!("{}", caller.wait(limit)?.output);
     }
     for line in deployment.end_servers()? {
         print!("{line}");
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -1,9 +1,11 @@
 //! One child process: started, signalled, and ended with its parent.
 
 use std::{
-    io::Write as _,
+    io::{BufRead as _, BufReader, Write as _},
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, ChildStderr, Command, Stdio},
+    sync::{Arc, Mutex, PoisonError},
+    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
@@ -21,32 +23,83 @@
 pub struct Process {
     name: String,
     child: Option<Child>,
+    log: Log,
+}
+
+/// How a process ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// Its exit status; -1 after a signal.
+    pub status: i32,
+    /// Its standard output.
+    pub output: String,
+    /// Its log.
+    pub log: String,
+}
+
+/// What a process has logged so far, and the thread that reads it.
+#[derive(Debug)]
+struct Log {
+    text: Arc<Mutex<String>>,
+    reader: Option<JoinHandle<()>>,
+}
+
+impl Log {
+    fn follow(from: ChildStderr) -> Self {
+        let text = Arc::new(Mutex::new(String::new()));
+        let (shown, sink) = (std::env::var_os("E2E_LOG").is_some(), Arc::clone(&text));
+        let reader = std::thread::spawn(move || {
+            for line in BufReader::new(from).lines().map_while(Result::ok) {
+                if shown {
+                    eprintln!("{line}");
+                }
+                let mut text = sink.lock().unwrap_or_else(PoisonError::into_inner);
+                text.push_str(&line);
+                text.push('\n');
+            }
+        });
+        Log {
+            text,
+            reader: Some(reader),
+        }
+    }
+
+    fn text(&self) -> String {
+        let text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+        text.clone()
+    }
+
+    /// Waits for the end of the log, which comes with the end of the process.
+    fn join(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            // It can't panic but for a closed standard error of ours; the text stays valid.
+            let _ = reader.join();
+        }
+    }
 }
 
 impl Process {
     /// Starts `program`, one of this workspace's, with `arguments`, and gives it `input`.
     ///
-    /// Its log goes to this process's standard error if the environment variable `E2E_LOG` is set.
+    /// Its log also goes to this process's standard error if the environment variable `E2E_LOG` is
+    /// set.
     pub fn start(program: &str, arguments: &[String], input: &str) -> anyhow::Result<Self> {
         let path = locate(program)?;
-        let log = if std::env::var_os("E2E_LOG").is_some() {
-            Stdio::inherit()
-        } else {
-            Stdio::null()
-        };
         let mut child = Command::new(&path)
             .args(arguments)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
-            .stderr(log)
+            .stderr(Stdio::piped())
             .spawn()
             .with_context(|| format!("starting {}", path.display()))?;
+        let log = Log::follow(child.stderr.take().context("standard error is piped")?);
         if let Some(mut stdin) = child.stdin.take() {
             stdin.write_all(input.as_bytes())?;
         }
         Ok(Process {
             name: program.to_owned(),
             child: Some(child),
+            log,
         })
     }
 
@@ -64,9 +117,14 @@
             .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
-    /// Waits for the process to end by itself; gives its exit status and standard output. Fails
-    /// if it takes longer than `limit`.
-    pub fn wait(mut self, limit: Duration) -> anyhow::Result<(i32, String)> {
+    /// What the process has logged so far.
+    #[must_use]
+    pub fn log(&self) -> String {
+        self.log.text()
+    }
+
+    /// Waits for the process to end by itself. Fails if it takes longer than `limit`.
+    pub fn wait(mut self, limit: Duration) -> anyhow::Result<Ended> {
         let deadline = Instant::now() + limit;
         while self.is_running() {
             anyhow::ensure!(
@@ -81,12 +139,16 @@
             .take()
             .context("waited for once")?
             .wait_with_output()?;
-        let status = output.status.code().unwrap_or(-1);
-        Ok((status, String::from_utf8_lossy(&output.stdout).into_owned()))
+        self.log.join();
+        Ok(Ended {
+            status: output.status.code().unwrap_or(-1),
+            output: String::from_utf8_lossy(&output.stdout).into_owned(),
+            log: self.log(),
+        })
     }
 
     /// Asks the process to end and waits for it.
-    pub fn end(self, limit: Duration) -> anyhow::Result<(i32, String)> {
+    pub fn end(self, limit: Duration) -> anyhow::Result<Ended> {
         self.signal(Signal::SIGTERM)?;
         self.wait(limit)
     }
@@ -99,6 +161,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        self.log.join();
     }
 }
 
--- a/crates/e2e/tests/it/change.rs
+++ b/crates/e2e/tests/it/change.rs
@@ -1,42 +1,9 @@
 use std::{thread::sleep, time::Duration};
 
-use acacia_config::State;
 use acacia_e2e::deployment::Deployment;
 use nix::sys::signal::Signal;
 
-use crate::fixture::{CALLER, Counts, counts, feeds, small, sum};
-
-/// Long enough for a drain to be known to every balancer and for new flows to move, several times
-/// over.
-const DRAINED: Duration = Duration::from_secs(6);
-
-/// Puts the server `name` into a drain without a deadline.
-fn drain(deployment: &mut Deployment, name: &str) {
-    let mut config = deployment.config().unwrap();
-    let found = config.update_server(name, |server| {
-        server.state = State::Drain { deadline: None }
-    });
-    assert!(found);
-    deployment.apply(&config).unwrap();
-}
-
-/// Check-ins for `seconds`, 30 a second.
-fn checkins(deployment: &Deployment, number: u8, seconds: u64) -> acacia_e2e::process::Process {
-    let arguments = [("rate", "30".to_owned()), ("seconds", seconds.to_string())];
-    deployment
-        .caller(number, "talkoo-live", &arguments)
-        .unwrap()
-}
-
-fn assert_whole(what: &str, line: &str) -> Counts {
-    let counts = counts(line);
-    assert_eq!(
-        (counts["broken"], counts["unanswered"], counts["refused"]),
-        (0, 0, 0),
-        "{what}: {line}"
-    );
-    counts
-}
+use crate::fixture::{CALLER, DRAINED, assert_whole, checkins, drain, feeds, small, sum};
 
 /// An operator drains a backend server while crew leaders hold live feeds open on it. The feeds
 /// must last, also those whose packets meet a balancer that has not seen them before, and the
@@ -47,15 +14,15 @@
     deployment.settle();
     let open = feeds(&deployment, 1, 24, 16);
     let before = checkins(&deployment, 2, 2);
-    assert_whole("before", &before.wait(CALLER).unwrap().1);
+    assert_whole("before", &before.wait(CALLER).unwrap().output);
 
     drain(&mut deployment, "talkoo-live-1");
     sleep(DRAINED);
     let served = deployment.opened("talkoo-live-1").unwrap();
     let after = checkins(&deployment, 3, 4);
-    let after = assert_whole("after", &after.wait(CALLER).unwrap().1);
+    let after = assert_whole("after", &after.wait(CALLER).unwrap().output);
 
-    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().1);
+    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().output);
     assert_eq!(feeds["lasted"], 24);
     assert!(after["done"] > 100);
     assert_eq!(
@@ -83,8 +50,8 @@
         deployment.replace_balancer(id).unwrap();
     }
 
-    assert_whole("requests", &requests.wait(CALLER).unwrap().1);
-    let feeds = assert_whole("feeds", &open.wait(CALLER * 2).unwrap().1);
+    assert_whole("requests", &requests.wait(CALLER).unwrap().output);
+    let feeds = assert_whole("feeds", &open.wait(CALLER * 2).unwrap().output);
     assert_eq!(feeds["lasted"], 24);
 }
 
@@ -103,7 +70,7 @@
     sleep(Duration::from_millis(500));
     deployment.spray_over(&[1, 3, 4]).unwrap();
 
-    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().1);
+    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().output);
     assert_eq!(feeds["lasted"], 32);
 }
 
@@ -125,6 +92,6 @@
     deployment.signal_balancer(2, Signal::SIGCONT).unwrap();
     deployment.spray_over(&[1, 2, 3, 4]).unwrap();
 
-    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().1);
+    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().output);
     assert_eq!(feeds["lasted"], 32);
 }
--- a/crates/e2e/tests/it/fixture.rs
+++ b/crates/e2e/tests/it/fixture.rs
@@ -1,5 +1,6 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, thread::sleep, time::Duration};
 
+use acacia_config::State;
 use acacia_e2e::{
     deployment::{Deployment, Plan, Service},
     process::Process,
@@ -59,3 +60,53 @@
         .filter_map(|(key, value)| Some((key.to_owned(), value.parse().ok()?)))
         .collect()
 }
+
+/// Long enough for a drain to be known to every balancer and for new flows to move, several times
+/// over.
+pub const DRAINED: Duration = Duration::from_secs(6);
+
+/// Puts the server `name` into a drain without a deadline, beside those that drain already; gives
+/// the revision.
+pub fn drain(deployment: &mut Deployment, name: &str) -> u64 {
+    let mut config = deployment.current().unwrap();
+    let found = config.update_server(name, |server| {
+        server.state = State::Drain { deadline: None }
+    });
+    assert!(found);
+    deployment.apply(&config).unwrap()
+}
+
+/// Balancers that have settled, with the first server of talkoo-live draining.
+pub fn drained(balancers: u16) -> Deployment {
+    let mut deployment = Deployment::start(small(balancers)).unwrap();
+    deployment.settle();
+    drain(&mut deployment, "talkoo-live-1");
+    sleep(DRAINED);
+    deployment
+}
+
+/// Check-ins for `seconds`, 30 a second.
+pub fn checkins(deployment: &Deployment, number: u8, seconds: u64) -> Process {
+    let arguments = [("rate", "30".to_owned()), ("seconds", seconds.to_string())];
+    deployment
+        .caller(number, "talkoo-live", &arguments)
+        .unwrap()
+}
+
+/// Makes check-ins for `seconds` and requires that all are answered whole.
+pub fn served(deployment: &Deployment, number: u8, seconds: u64) {
+    let ended = checkins(deployment, number, seconds).wait(CALLER).unwrap();
+    let counts = assert_whole("check-ins", &ended.output);
+    assert!(counts["done"] > 20 * seconds, "{}", ended.output);
+}
+
+/// Requires that nothing broke, went unanswered or was refused.
+pub fn assert_whole(what: &str, line: &str) -> Counts {
+    let counts = counts(line);
+    assert_eq!(
+        (counts["broken"], counts["unanswered"], counts["refused"]),
+        (0, 0, 0),
+        "{what}: {line}"
+    );
+    counts
+}
--- a/crates/e2e/tests/it/whole_path.rs
+++ b/crates/e2e/tests/it/whole_path.rs
@@ -27,8 +27,8 @@
         )
         .unwrap();
 
-    let (_, checkins) = checkins.wait(CALLER).unwrap();
-    let (_, downloads) = downloads.wait(CALLER).unwrap();
+    let checkins = checkins.wait(CALLER).unwrap().output;
+    let downloads = downloads.wait(CALLER).unwrap().output;
 
     let servers = deployment.end_servers().unwrap().join("");
     assert_eq!(counts(&checkins)["done"], 100, "{checkins}");
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -94,7 +94,7 @@
     pub fn new(settings: Arc<Settings>, incarnation: u64, now: Duration) -> Self {
         let contact = Contact {
             id: settings.id,
-            address: SocketAddr::V4(settings.control),
+            address: SocketAddr::new(settings.advertise.into(), settings.control.port()),
             data_centre: Arc::clone(&settings.data_centre),
         };
         let mut group = Group::new(MemberSettings::default(), contact, incarnation, now);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,6 +1,11 @@
 //! The daemon's settings, read from INI and checked as a whole before anything starts.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, str::FromStr, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddrV4},
+    str::FromStr,
+    sync::Arc,
+};
 
 use acacia_code::Code;
 use acacia_wire::control::Secret;
@@ -18,6 +23,9 @@
     pub id: u16,
     /// The data centre this balancer runs in.
     pub data_centre: Arc<str>,
+    /// The IP number at which other balancers reach this one, on the ports of `traffic` and
+    /// `control`: another than these listen at where an address is translated or relayed.
+    pub advertise: Ipv4Addr,
     /// Where encapsulated packets come in, from the fabric and from other balancers.
     pub traffic: SocketAddrV4,
     /// Traffic threads.
@@ -96,7 +104,7 @@
 
 /// Every key that may stand in a section, for the check on unknown ones.
 const KEYS: &[(&str, &[&str])] = &[
-    ("balancer", &["id", "data_centre"]),
+    ("balancer", &["id", "data_centre", "advertise"]),
     ("traffic", &["listen", "threads", "gateway"]),
     ("control", &["listen", "key", "previous_key"]),
     ("admin", &["listen"]),
@@ -147,6 +155,7 @@
 }
 
 const ADDRESS: &str = "an IPv4 address and port, such as 10.0.0.1:6080";
+const IP_NUMBER: &str = "an IPv4 address, such as 10.0.0.1";
 const HEX_KEY: &str = "64 hexadecimal digits";
 
 impl Reader<'_> {
@@ -154,6 +163,7 @@
         // Each value is read before any is missed, so that all problems are listed at once.
         let id = self.required("balancer", "id", "a number from 0 to 65534");
         let data_centre = self.required::<String>("balancer", "data_centre", "a name");
+        let advertise = self.optional("balancer", "advertise", IP_NUMBER);
         let traffic = self.required("traffic", "listen", ADDRESS);
         let threads = self
             .optional("traffic", "threads", "a number from 1 to 64")
@@ -172,13 +182,15 @@
             .optional("log", "level", "off, error, warn, info, debug or trace")
             .unwrap_or(log::LevelFilter::Info);
         let peers = self.peers();
+        let control: SocketAddrV4 = control?;
         Some(Settings {
             id: id.filter(|id| *id != u16::MAX)?,
             data_centre: data_centre?.into(),
+            advertise: advertise.unwrap_or(*control.ip()),
             traffic: traffic?,
             threads,
             gateway: gateway?,
-            control: control?,
+            control,
             admin: admin?,
             platform: platform?,
             metrics,
--- a/crates/node/tests/it/settings.rs
+++ b/crates/node/tests/it/settings.rs
@@ -25,6 +25,17 @@
     assert_eq!(settings.metrics, None);
 }
 
+#[test]
+fn peers_are_told_to_use_the_advertised_address_or_else_the_control_socket_s() {
+    let translated = valid().replace("id = 3", "id = 3\nadvertise = 127.0.0.9");
+
+    let plain = Settings::parse(&valid()).unwrap();
+    let translated = Settings::parse(&translated).unwrap();
+
+    assert_eq!(plain.advertise.to_string(), "127.0.0.1");
+    assert_eq!(translated.advertise.to_string(), "127.0.0.9");
+}
+
 /// An operator mends one mistake, starts again, meets the next: a roll-out by night takes an hour.
 /// All are listed at once.
 #[test]
--- a/crates/stand/src/admin.rs
+++ b/crates/stand/src/admin.rs
@@ -25,6 +25,11 @@
     Work(u64),
     /// The fabric stops or starts to lose this share of packets, in thousandths.
     Loss(u32),
+    /// The relay passes nothing in these directions from now on, and everything in others. Each
+    /// is a sender's and a receiver's number.
+    Cut(Vec<(u16, u16)>),
+    /// In these directions the connections that are open now go silent for good; new ones work.
+    Silence(Vec<(u16, u16)>),
     /// The backend server answers how many connections it has taken.
     Opened,
 }
--- a/crates/stand/src/backend.rs
+++ b/crates/stand/src/backend.rs
@@ -145,7 +145,7 @@
         match command {
             Command::Work(millis) => self.work = Duration::from_millis(*millis),
             Command::Opened => return self.outcome.opened.to_string(),
-            Command::Balancers(_) | Command::Loss(_) => return "not for a backend server".into(),
+            _ => return "not for a backend server".into(),
         }
         DONE.to_owned()
     }
--- a/crates/stand/src/fabric.rs
+++ b/crates/stand/src/fabric.rs
@@ -117,7 +117,7 @@
     match command {
         Command::Balancers(balancers) => state.balancers = balancers,
         Command::Loss(loss) => state.loss = loss,
-        Command::Work(_) | Command::Opened => return "not for the fabric".to_owned(),
+        _ => return "not for the fabric".to_owned(),
     }
     DONE.to_owned()
 }
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod dialog;
 pub mod fabric;
 pub mod platform;
+pub mod relay;
 pub mod stack;
 pub mod stop;
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use acacia_stand::{
-    admin, backend, caller, fabric, platform,
+    admin, backend, caller, fabric, platform, relay,
     stop::{Flag, POLL},
 };
 use clap::Parser;
@@ -30,6 +30,8 @@
         #[arg(long)]
         control: SocketAddr,
     },
+    /// Passes on what balancers say to each other and to the platform, and cuts it on command.
+    Relay(relay::Options),
     /// Sends a command to a running stand-in, as JSON.
     Admin {
         /// The stand-in's administration socket.
@@ -67,6 +69,7 @@
             Ok(())
         }
         Command::Platform { listen, control } => serve_platform(listen, control, &stop),
+        Command::Relay(options) => relay::run(&options, &stop),
         Command::Admin { to, command } => admin::send(to, &serde_json::from_str(&command)?),
     }
 }
