--- a/crates/ctl/tests/it/verb.rs
+++ b/crates/ctl/tests/it/verb.rs
@@ -104,6 +104,10 @@
     site.ctl(&format!("apply {file}")).await;
     site.roll_out([0, 2]).await;
     let lagging = site.ctl(&format!("apply {file} --wait 0")).await;
+    let gone = site.gone();
+    let silent = site
+        .ctl(&format!("apply {file} --wait 0 --balancer {gone}"))
+        .await;
     site.roll_out([1]).await;
     let done = site.ctl(&format!("apply {file} --wait 0")).await;
     assert_eq!(lagging.code, Code::WaitTimeout);
@@ -111,6 +115,8 @@
         lagging.data["balancers"]["lagging"],
         json!(["entry-1 (revision 0)"])
     );
+    assert_eq!(silent.code, Code::WaitTimeout);
+    assert_eq!(silent.data["balancers"]["silent"], json!([gone]));
     assert_eq!(done.code, Code::Success, "{}", done.text);
     assert_eq!(
         done.data["balancers"]["in_force"].as_array().map(Vec::len),
@@ -159,6 +165,39 @@
     site.end().await;
 }
 
+/// The platform was restored from a backup and has forgotten the last change, which the balancers
+/// have in force. A drain made upon the backup would revert that change everywhere.
+#[tokio::test]
+async fn a_drain_over_a_restored_store_reverts_nothing() {
+    let site = Site::new(2).await;
+    for share in [60, 70] {
+        let file = site.file("some", &config(share)).display().to_string();
+        site.ctl(&format!("apply {file}")).await;
+    }
+    site.roll_out([0, 1]).await;
+    site.stand.restore();
+    let behind = site.stored().await.revision;
+    let drained = site.ctl("drain live-1").await;
+    let stored = site.stored().await;
+    let config = stored.config().expect("a configuration");
+    assert_eq!((behind, stored.revision), (1, 3));
+    assert_eq!(drained.code, Code::Success, "{}", drained.text);
+    assert_eq!(config.services()[0].share, 70);
+    assert_eq!(config.servers()[0].state, State::Drain { deadline: None });
+    site.end().await;
+}
+
+#[tokio::test]
+async fn with_nobody_to_ask_the_reason_is_the_platform() {
+    let site = Site::new(0).await;
+    let empty = site.ctl("print").await;
+    site.stand.steer(|faults| faults.silent = true);
+    let silent = site.ctl("print").await;
+    assert_eq!(empty.code, Code::NothingInForce);
+    assert_eq!(silent.code, Code::PlatformTimeout);
+    site.end().await;
+}
+
 #[tokio::test]
 async fn a_file_with_problems_is_checked_and_never_applied() {
     let site = Site::new(0).await;
--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -109,6 +109,7 @@
 pub struct Control {
     me: Node,
     stage: Stage,
+    departed: bool,
     settings: Settings,
     agreed: Tables,
     down: Set<(Address, u16)>,
@@ -140,6 +141,7 @@
         Control {
             me,
             stage: Stage::Joining,
+            departed: false,
             settings,
             agreed: Tables::default(),
             down: Set::default(),
@@ -165,7 +167,8 @@
         self.stage
     }
 
-    /// Starts handing over; the balancer may stop once [`Control::may_leave`].
+    /// Starts handing over. Once [`Control::may_leave`], [`Control::depart`], say goodbye, and go on
+    /// passing packets on for as long as others may not have heard it.
     pub fn leave(&mut self) {
         self.stage = Stage::Leaving;
         self.news = true;
@@ -177,6 +180,12 @@
         self.stage == Stage::Leaving && self.is_handed_over(digest(&self.target()))
     }
 
+    /// Stops to own flows, right before the goodbye to the others. From then on they no longer tell
+    /// this balancer of new flows; it must not answer for them, but can still pass packets on.
+    pub fn depart(&mut self) {
+        self.departed = true;
+    }
+
     /// Whether a peer should hear from this balancer before its next heartbeat is due.
     pub fn has_news(&mut self) -> bool {
         std::mem::take(&mut self.news)
@@ -255,6 +264,11 @@
         others.chain([self.me]).collect()
     }
 
+    fn missing(&self) -> Vec<Node> {
+        let dead = self.peers.values().filter(|peer| peer.member.dead);
+        dead.map(|peer| peer.member.node).collect()
+    }
+
     /// Those of them that can be reached.
     fn heard(&self, now: u64) -> Vec<u16> {
         let reach = self.settings.reach;
@@ -276,7 +290,7 @@
     }
 
     fn collect(&self, is_in: impl Fn(Stage) -> bool) -> Arc<[Node]> {
-        let mine = is_in(self.stage).then_some(self.me);
+        let mine = (is_in(self.stage) && !self.departed).then_some(self.me);
         let theirs = self.alive().filter(|peer| is_in(peer.member.stage));
         let mut nodes: Vec<Node> = theirs.map(|peer| peer.member.node).chain(mine).collect();
         nodes.sort_unstable();
@@ -351,13 +365,12 @@
         let latest = self.alive().map(|peer| peer.echoed).max().unwrap_or(now);
         let informed = self.alive().filter(grown).all(|peer| peer.has_flags) && self.seen_members;
         let (ready, target) = (self.ready(), self.target());
-        let dead = self.peers.values().filter(|peer| peer.member.dead);
         let dead_or_unheard = |peer: &Peer| {
             let joining = peer.member.stage == Stage::Joining;
             peer.member.dead || (!joining && !peer.is_heard(now, self.settings.free))
         };
         let free = !self.peers.values().any(dead_or_unheard);
-        let owns = self.stage != Stage::Joining;
+        let owns = self.stage != Stage::Joining && !self.departed;
         let steady = self.settled == ready && ready == target && self.previous == self.settled;
         Snapshot {
             me: self.me,
@@ -366,7 +379,7 @@
             owner: owns,
             free: free && owns,
             strangers: self.strangers(),
-            missing: dead.map(|peer| peer.member.node).collect(),
+            missing: self.missing().into(),
             alive: self.living().into(),
             heard: self.heard(now).into(),
             settled: Arc::clone(&self.settled),
@@ -432,7 +445,7 @@
     /// lists those to be handed over. Call for every shard in turn.
     pub fn sweep(&mut self, shard: &mut Shard, index: usize, count: usize, now: u64) {
         let (target, ready) = (self.target(), self.ready());
-        let alive = self.living();
+        let (alive, missing) = (self.living(), self.missing());
         let view = handover::View {
             me: self.me,
             settled: &self.settled,
@@ -440,6 +453,7 @@
             target: &target,
             ready: &ready,
             alive: &alive,
+            missing: &missing,
         };
         let services: Map<Address, &Arc<Service>> = self
             .tables
--- a/crates/tables/tests/it/main.rs
+++ b/crates/tables/tests/it/main.rs
@@ -2,6 +2,8 @@
 
 mod document;
 mod fixture;
+mod fleet;
 mod follow;
-mod sequence;
+mod invariant;
+mod wish;
 mod writer;
