Show a deployment through changes and a cut, and test shutdown, noise and the platform's faults

Callers that are told to end finish their requests, so that the demo's table counts no request in flight as unanswered. Backend servers count the packets that they had to reset, the relay counts control bytes by sender.

--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -8,7 +8,7 @@
 };
 
 use acacia_config::{
-    Config,
+    Config, Mark,
     document::{Document, Draft, Id, KEY},
 };
 use acacia_platform::{Client, Options, store};
@@ -31,6 +31,8 @@
 /// How long a change may take to be in force everywhere: several times what is promised, for
 /// machines that are busy with other tests.
 const IN_FORCE: Duration = Duration::from_secs(20);
+/// Connections that each backend server takes.
+const CONNECTIONS: u32 = 2_000;
 /// Between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -44,12 +46,24 @@
     pub name: &'static str,
     /// Address and port that callers use.
     pub address: SocketAddrV4,
+    /// The mark of its callers.
+    pub mark: Mark,
     /// Number of backend servers.
     pub servers: u8,
     /// Pieces of work that each runs at once.
     pub slots: usize,
     /// How long a piece of work takes, in milliseconds, by server: the list is repeated.
     pub work: Vec<u64>,
+    /// Whether it is in the configuration from the start; its backend servers run anyway.
+    pub at_start: bool,
+}
+
+impl Service {
+    /// How long a piece of work takes at backend server `number`, counted from 1, in milliseconds.
+    #[must_use]
+    pub fn work_of(&self, number: u8) -> u64 {
+        self.work[usize::from(number - 1) % self.work.len()]
+    }
 }
 
 /// What to start.
@@ -127,32 +141,37 @@
         self.network
     }
 
-    /// The configuration that the plan describes, every backend server active.
+    /// The configuration that the plan describes for the start, every backend server active.
     pub fn config(&self) -> anyhow::Result<Config> {
+        self.config_of(|service| service.at_start)
+    }
+
+    /// The configuration of those services of the plan that `choose` picks.
+    pub fn config_of(&self, choose: impl Fn(&Service) -> bool) -> anyhow::Result<Config> {
         let mut config = Config::default();
-        for service in &self.plan.services {
-            let (address, port) = (*service.address.ip(), service.address.port());
-            let share = 100 / self.plan.services.len() as u8;
-            config.add_service(acacia_config::Service::new(
-                service.name,
-                address,
-                port,
-                share,
-            ));
-        }
+        let count = self.plan.services.iter().filter(|s| choose(s)).count();
         let mut host = SERVERS;
         for service in &self.plan.services {
-            for number in 1..=service.servers {
+            let hosts = host..host + service.servers;
+            host = hosts.end;
+            if !choose(service) {
+                continue;
+            }
+            let (address, port) = (*service.address.ip(), service.address.port());
+            let share = 100 / count as u8;
+            let new = acacia_config::Service::new(service.name, address, port, share);
+            let slots = service.slots as u16;
+            config.add_service(new.callers(service.mark).limit(slots, CONNECTIONS));
+            for (number, host) in (1..).zip(hosts) {
                 let name = format!("{}-{number}", service.name);
                 let address = SocketAddr::V4(self.network.port(host, TRAFFIC));
-                let centre = self.data_centre(u16::from(number));
+                let centre = self.data_centre(number);
                 config.add_server(acacia_config::Server::new(
                     &name,
                     service.name,
                     address,
                     centre,
                 ));
-                host += 1;
             }
         }
         Ok(config)
@@ -366,12 +385,27 @@
             .collect()
     }
 
+    /// Ends all balancers and backend servers gracefully.
+    pub fn end_all(&mut self) -> anyhow::Result<()> {
+        let balancers = std::mem::take(&mut self.balancers);
+        // All are asked before the first is waited for.
+        let asked = balancers
+            .values()
+            .try_for_each(|b| b.signal(Signal::SIGTERM));
+        asked?;
+        for (id, process) in balancers {
+            let status = process.wait(ENDING)?.status;
+            anyhow::ensure!(status == 0, "balancer {id} ended with status {status}");
+        }
+        self.end_servers().map(|_| ())
+    }
+
     fn start_servers(&mut self) -> anyhow::Result<()> {
         let mut host = SERVERS;
         for service in self.plan.services.clone() {
             for number in 1..=service.servers {
                 let name = format!("{}-{number}", service.name);
-                let work = service.work[usize::from(number - 1) % service.work.len()];
+                let work = service.work_of(number);
                 let arguments = [
                     "backend".to_owned(),
                     format!("--name={name}"),
--- a/crates/e2e/src/fault.rs
+++ b/crates/e2e/src/fault.rs
@@ -1,10 +1,10 @@
 //! Faults of a deployment: cuts, silence, and what its platform does wrong.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use acacia_platform::machine::{Machine, State};
 use acacia_stand::{
-    admin::Command,
+    admin::{self, Command},
     platform::{
         control::ControlClient,
         fault::{Counts, Faults},
@@ -95,6 +95,12 @@
         self.steer(async |control| control.counts(context::current()).await)
     }
 
+    /// Bytes of control traffic that each balancer has sent to others.
+    pub fn control_bytes(&self) -> anyhow::Result<BTreeMap<u16, u64>> {
+        let relay = SocketAddr::V4(self.network().port(RELAY_HOST, ADMIN));
+        Ok(serde_json::from_str(&admin::ask(relay, &Command::Sent)?)?)
+    }
+
     /// Balancers in the data centre `name`, and those elsewhere.
     #[must_use]
     pub fn sides(&self, name: &str) -> (Vec<u16>, Vec<u16>) {
--- a/crates/e2e/src/layout.rs
+++ b/crates/e2e/src/layout.rs
@@ -1,5 +1,9 @@
 //! Where each process of a deployment lives, and what it is started with.
 
+use std::net::SocketAddrV4;
+
+use acacia_wire::control::Secret;
+
 use crate::{
     deployment::{Deployment, Plan},
     net::{ADMIN, ANSWERS, CONTROL, Network, PLATFORM, TRAFFIC},
@@ -17,25 +21,46 @@
 pub(crate) const RELAY_HOST: u8 = 4;
 /// Host number of the first backend server.
 pub(crate) const SERVERS: u8 = 100;
-/// Key of the traffic between balancers, in hexadecimal.
-pub(crate) const SECRET: &str = "4d2f1a9b8c7d6e5f00112233445566778899aabbccddeeff0123456789abcdef";
+/// Every byte of the key of the traffic between balancers.
+const KEY: u8 = 0x4d;
+/// Length of the key, in bytes.
+const KEY_LENGTH: usize = 32;
 /// Balancers that may be started beyond those of the plan.
 pub(crate) const SPARE: u16 = 2;
 
 impl Deployment {
+    /// The keys of the traffic between balancers.
+    #[must_use]
+    pub fn secret(&self) -> Secret {
+        Secret::new(&[KEY; KEY_LENGTH], None)
+    }
+
+    /// Where balancer `id` takes encapsulated packets.
+    #[must_use]
+    pub fn traffic(&self, id: u16) -> SocketAddrV4 {
+        self.network.port(host(id), TRAFFIC)
+    }
+
+    /// Where balancer `id` takes control messages.
+    #[must_use]
+    pub fn control(&self, id: u16) -> SocketAddrV4 {
+        self.network.port(host(id), CONTROL)
+    }
+
     /// The settings of balancer `id`.
     pub(crate) fn settings(&self, id: u16) -> String {
         let at = |port| self.network.port(host(id), port);
         let mut text = format!(
             "[balancer]\nid = {id}\ndata_centre = {}\nadvertise = {}\n\
              [traffic]\nlisten = {}\nthreads = 1\ngateway = {}\n\
-             [control]\nlisten = {}\nkey = {SECRET}\n\
+             [control]\nlisten = {}\nkey = {}\n\
              [admin]\nlisten = {}\n[platform]\naddress = {}\n",
             self.data_centre(id),
             self.network.host(advertised(id)),
             at(TRAFFIC),
             self.network.port(FABRIC_HOST, ANSWERS),
             at(CONTROL),
+            format!("{KEY:02x}").repeat(KEY_LENGTH),
             at(ADMIN),
             self.network.port(advertised(id), PLATFORM),
         );
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Only this crate starts processes; none of the product's programs does.
 
+pub mod demo;
 pub mod deployment;
 pub mod fault;
 mod layout;
--- /dev/null
+++ b/crates/e2e/tests/it/bad_input.rs
@@ -0,0 +1,162 @@
+use std::{
+    io::Write as _,
+    net::{SocketAddr, TcpStream, UdpSocket},
+};
+
+use acacia_e2e::deployment::Deployment;
+use acacia_wire::{
+    control::Secret,
+    encap::{MAX_HOPS, NO_SERVER, PORT, Purpose, Redirect, Told, encode},
+};
+use etherparse::PacketBuilder;
+use nix::sys::signal::Signal;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use crate::fixture::{CALLER, assert_whole, drained, feeds, served};
+
+/// Datagrams of each kind.
+const EACH: usize = 400;
+/// What nng's PUSH sockets send first.
+const GREETING: [u8; 8] = [0, b'S', b'P', 0, 0, 0x50, 0, 0];
+/// Service that the packets claim to be for, as in the fixture's plan.
+const SERVICE: [u8; 4] = [198, 51, 100, 1];
+/// A caller that no test uses.
+const CLIENT: [u8; 4] = [192, 0, 2, 99];
+
+fn random(random: &mut Pcg64Mcg, longest: usize) -> Vec<u8> {
+    let len = random.random_range(0..longest);
+    (0..len).map(|_| random.random()).collect()
+}
+
+fn opening() -> Vec<u8> {
+    let mut bytes = Vec::new();
+    PacketBuilder::ipv4(CLIENT, SERVICE, 64)
+        .tcp(40_000, 443, 1, 4096)
+        .syn()
+        .write(&mut bytes, b"")
+        .unwrap();
+    bytes
+}
+
+/// A redirect that pins a flow to a server, by somebody who doesn't know the key.
+fn forged() -> Vec<u8> {
+    let redirect = Redirect {
+        purpose: Purpose::Replicate,
+        hops: 1,
+        sender: 2,
+        server: 1,
+        passed_on: false,
+        told: Told::default(),
+    };
+    let mut bytes = Vec::new();
+    encode(
+        &redirect,
+        &opening(),
+        &Secret::new(&[1; 32], None),
+        &mut bytes,
+    );
+    bytes
+}
+
+/// A redirect by somebody who knows the key, that has passed more balancers than there may be.
+fn worn(deployment: &Deployment) -> Vec<u8> {
+    let redirect = Redirect {
+        purpose: Purpose::Resolve,
+        hops: MAX_HOPS + 1,
+        sender: 2,
+        server: NO_SERVER,
+        passed_on: false,
+        told: Told::default(),
+    };
+    let mut bytes = Vec::new();
+    encode(&redirect, &opening(), &deployment.secret(), &mut bytes);
+    bytes
+}
+
+/// The encapsulation in itself: sent on, it would come back for ever.
+fn looping() -> Vec<u8> {
+    let mut bytes = Vec::new();
+    PacketBuilder::ipv4(CLIENT, SERVICE, 64)
+        .udp(40_000, PORT)
+        .write(&mut bytes, &opening())
+        .unwrap();
+    bytes
+}
+
+/// What a stranger may send to the control port, each on a connection of its own.
+fn strange_frames(source: &mut Pcg64Mcg) -> Vec<Vec<u8>> {
+    let with_length = |length: u64, body: &[u8]| {
+        let mut bytes = GREETING.to_vec();
+        bytes.extend(length.to_be_bytes());
+        bytes.extend(body);
+        bytes
+    };
+    let mut frames = vec![with_length(u64::MAX, b"x"), with_length(0, b"")];
+    for _ in 0..EACH / 20 {
+        let body = random(source, 300);
+        frames.push(with_length(body.len() as u64, &body));
+        frames.push(random(source, 300));
+        frames.push(GREETING[..source.random_range(0..8)].to_vec());
+    }
+    frames
+}
+
+/// Somebody who reaches a balancer's ports sends it noise: random bytes, packets cut short, forged
+/// redirects that would pin a flow to a server of his choice, packets that would go in circles,
+/// and nonsense on control connections that he then leaves open. Each is counted and dropped; feeds
+/// and new check-ins don't notice, and the balancer goes on.
+#[test]
+fn noise_on_a_balancers_ports_is_counted_and_breaks_nothing() {
+    let mut deployment = drained(3);
+    let open = feeds(&deployment, 1, 24, 14);
+    served(&deployment, 2, 1);
+    let mut source = Pcg64Mcg::seed_from_u64(5);
+    let traffic = SocketAddr::V4(deployment.traffic(2));
+    let control = SocketAddr::V4(deployment.control(2));
+
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let kinds = [
+        forged(),
+        worn(&deployment),
+        looping(),
+        opening()[..30].to_vec(),
+    ];
+    for _ in 0..EACH {
+        socket
+            .send_to(&random(&mut source, 1_500), traffic)
+            .unwrap();
+        for bytes in &kinds {
+            socket.send_to(bytes, traffic).unwrap();
+        }
+    }
+    let connections: Vec<TcpStream> = strange_frames(&mut source)
+        .iter()
+        .map(|frame| {
+            let mut stream = TcpStream::connect(control).unwrap();
+            // The other end may close as soon as it has seen enough.
+            let _ = stream.write_all(frame);
+            stream
+        })
+        .collect();
+
+    served(&deployment, 3, 4);
+    drop(connections);
+    let line = open.wait(CALLER).unwrap().output;
+    assert_eq!(assert_whole("feeds", &line)["lasted"], 24);
+    deployment.spray_over(&[1, 3]).unwrap();
+    deployment.signal_balancer(2, Signal::SIGTERM).unwrap();
+    let ended = deployment.wait_balancer(2).unwrap();
+    assert_eq!(ended.status, 0, "{}", ended.log);
+    let counts = ended.log.lines().rfind(|line| line.contains("event=ended"));
+    let counts = crate::fixture::counts(counts.unwrap());
+    for label in [
+        "redirect-forged",
+        "redirect-hops",
+        "packet-looping",
+        "packet-truncated",
+    ] {
+        assert!(counts[label] >= EACH as u64, "{label} in {counts:?}");
+    }
+    assert!(counts["encap-unknown"] > 0, "{counts:?}");
+}
--- a/crates/e2e/tests/it/fixture.rs
+++ b/crates/e2e/tests/it/fixture.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, thread::sleep, time::Duration};
 
-use acacia_config::State;
+use acacia_config::{Mark, State};
 use acacia_e2e::{
     deployment::{Deployment, Plan, Service},
     process::Process,
@@ -16,16 +16,20 @@
             Service {
                 name: "talkoo-live",
                 address: "198.51.100.1:443".parse().unwrap(),
+                mark: Mark::Paying,
                 servers: 4,
                 slots: 2,
                 work: vec![1],
+                at_start: true,
             },
             Service {
                 name: "karttapalvelu",
                 address: "198.51.100.2:443".parse().unwrap(),
+                mark: Mark::Trial,
                 servers: 2,
                 slots: 2,
                 work: vec![1],
+                at_start: true,
             },
         ],
         balancers,
@@ -95,9 +99,17 @@
 
 /// Makes check-ins for `seconds` and requires that all are answered whole.
 pub fn served(deployment: &Deployment, number: u8, seconds: u64) {
-    let ended = checkins(deployment, number, seconds).wait(CALLER).unwrap();
+    served_by(deployment, number, "talkoo-live", seconds);
+}
+
+/// The same of any service; gives how many there were.
+pub fn served_by(deployment: &Deployment, number: u8, service: &str, seconds: u64) -> u64 {
+    let arguments = [("rate", "30".to_owned()), ("seconds", seconds.to_string())];
+    let caller = deployment.caller(number, service, &arguments).unwrap();
+    let ended = caller.wait(CALLER).unwrap();
     let counts = assert_whole("check-ins", &ended.output);
     assert!(counts["done"] > 20 * seconds, "{}", ended.output);
+    counts["done"]
 }
 
 /// Requires that nothing broke, went unanswered or was refused.
@@ -110,3 +122,14 @@
     );
     counts
 }
+
+/// Does `work` and requires that none of `servers` gets a new connection meanwhile.
+pub fn idle(deployment: &Deployment, servers: &[&str], work: impl FnOnce()) {
+    let opened = || -> Vec<u64> {
+        let counts = servers.iter().map(|name| deployment.opened(name).unwrap());
+        counts.collect()
+    };
+    let before = opened();
+    work();
+    assert_eq!(opened(), before, "new work on drained servers {servers:?}");
+}
--- a/crates/e2e/tests/it/main.rs
+++ b/crates/e2e/tests/it/main.rs
@@ -1,6 +1,10 @@
 //! Tests with real processes: each opens with what goes wrong and what a user notices.
 
+mod bad_input;
 mod change;
 mod cut;
 mod fixture;
+mod platform;
+mod shutdown;
+mod takeover;
 mod whole_path;
--- a/crates/stand/src/admin.rs
+++ b/crates/stand/src/admin.rs
@@ -12,7 +12,7 @@
 const ANSWER: Duration = Duration::from_millis(500);
 /// How often a command is sent: every command is idempotent.
 const TRIES: usize = 6;
-/// Largest command, in bytes.
+/// Largest command or answer, in bytes.
 const LARGEST: usize = 8192;
 
 /// What a stand-in can be told to do.
@@ -30,6 +30,8 @@
     Cut(Vec<(u16, u16)>),
     /// In these directions the connections that are open now go silent for good; new ones work.
     Silence(Vec<(u16, u16)>),
+    /// The relay answers how many bytes of control traffic it has passed on, by sender.
+    Sent,
     /// The backend server answers how many connections it has taken.
     Opened,
 }
@@ -51,7 +53,7 @@
     let bytes = serde_json::to_vec(command)?;
     for _ in 0..TRIES {
         socket.send_to(&bytes, to)?;
-        let mut answer = [0; 64];
+        let mut answer = [0; LARGEST];
         if let Ok((len, _)) = socket.recv_from(&mut answer) {
             return Ok(String::from_utf8_lossy(&answer[..len]).into_owned());
         }
--- a/crates/stand/src/backend.rs
+++ b/crates/stand/src/backend.rs
@@ -65,6 +65,8 @@
     pub feeds: u64,
     /// Requests that could not be read.
     pub unreadable: u64,
+    /// Packets that belong to no connection here, answered by a reset.
+    pub resets: u64,
 }
 
 #[derive(Debug)]
@@ -137,7 +139,10 @@
             admin::receive(commands, |command| server.obey(&command))?;
         }
     }
-    Ok(server.outcome)
+    Ok(Outcome {
+        resets: server.stack.resets(),
+        ..server.outcome
+    })
 }
 
 impl Server<'_> {
--- a/crates/stand/src/caller.rs
+++ b/crates/stand/src/caller.rs
@@ -133,7 +133,7 @@
     Unanswered,
 }
 
-/// Runs until the time is over and every request has ended, or `stop` is raised.
+/// Runs until the time is over or `stop` is raised, and every request has ended.
 pub fn run(options: &Options, stop: &Flag) -> anyhow::Result<Outcome> {
     let link = UdpSocket::bind(options.listen)?;
     let seed = u64::from(options.address.to_bits());
@@ -152,9 +152,9 @@
         })?;
     }
     let length = Duration::from_secs_f64(options.seconds);
-    while !stop.is_raised() {
+    loop {
         let now = Instant::now();
-        let over = now - start >= length;
+        let over = now - start >= length || stop.is_raised();
         if !over {
             caller.begin_due(now - start)?;
         }
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -53,14 +53,15 @@
         Command::Backend(options) => {
             let outcome = backend::run(&options, &stop)?;
             println!(
-                "name={} opened={} checkins={} duplicates={} maps={} feeds={} unreadable={}",
+                "name={} opened={} checkins={} duplicates={} maps={} feeds={} unreadable={} resets={}",
                 options.name,
                 outcome.opened,
                 outcome.checkins,
                 outcome.duplicates,
                 outcome.maps,
                 outcome.feeds,
-                outcome.unreadable
+                outcome.unreadable,
+                outcome.resets
             );
             Ok(())
         }
--- a/crates/stand/src/relay.rs
+++ b/crates/stand/src/relay.rs
@@ -5,11 +5,12 @@
 //! source address, that of a control connection by its first frame.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     str::FromStr,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     thread,
@@ -108,6 +109,14 @@
     faults: watch::Sender<Faults>,
     opened: AtomicU64,
     senders: Map<Ipv4Addr, u16>,
+    /// Bytes of control traffic passed on, by sender.
+    sent: Mutex<BTreeMap<u16, u64>>,
+}
+
+impl Shared {
+    fn sent(&self) -> MutexGuard<'_, BTreeMap<u16, u64>> {
+        self.sent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Runs until `stop` is raised.
@@ -121,6 +130,7 @@
         faults: watch::Sender::default(),
         opened: AtomicU64::new(0),
         senders: options.balancers.iter().map(|b| (b.real, b.id)).collect(),
+        sent: Mutex::default(),
     });
     let mut tasks = runtime.block_on(start(options, &shared))?;
     log::info!("event=relay-up balancers={}", options.balancers.len());
@@ -178,6 +188,7 @@
                 faults.silent_below.extend(silent);
             });
         }
+        Command::Sent => return serde_json::json!(*shared.sent()).to_string(),
         _ => return "not for the relay".to_owned(),
     }
     DONE.to_owned()
@@ -317,6 +328,10 @@
         if silent {
             return Ok(());
         }
+        let (from, to_id) = self.direction;
+        if from != PLATFORM && to_id != PLATFORM {
+            *self.shared.sent().entry(from).or_default() += bytes.len() as u64;
+        }
         to.write_all(bytes).await
     }
 }
--- a/crates/stand/src/stack.rs
+++ b/crates/stand/src/stack.rs
@@ -17,6 +17,9 @@
 const MTU: usize = 1450;
 /// Buffer of each TCP socket, each way, in bytes.
 const BUFFER: usize = 16 * 1024;
+/// Where the TCP flags stand in a packet without IP options, and the one of a reset.
+const FLAGS: usize = 33;
+const RESET: u8 = 4;
 /// Packets taken in per turn, so that a flood can't keep timers from running.
 const BATCH: usize = 256;
 
@@ -28,6 +31,7 @@
     link: UdpSocket,
     towards: SocketAddr,
     started: Instant,
+    resets: u64,
 }
 
 impl Stack {
@@ -55,6 +59,7 @@
             link,
             towards,
             started: Instant::now(),
+            resets: 0,
         })
     }
 
@@ -82,12 +87,20 @@
         self.interface
             .poll(self.now(), &mut self.device, &mut self.sockets);
         while let Some(packet) = self.device.to_send.pop_front() {
+            let reset = packet.get(FLAGS).is_some_and(|flags| flags & RESET != 0);
+            self.resets += u64::from(reset);
             // A full socket buffer loses the packet as a network would; TCP sends it again.
             let _ = self.link.send_to(&packet, self.towards);
         }
         Ok(())
     }
 
+    /// Resets sent: answers to packets that belong to no connection here.
+    #[must_use]
+    pub fn resets(&self) -> u64 {
+        self.resets
+    }
+
     /// Adds a closed TCP socket.
     pub fn add(&mut self) -> SocketHandle {
         let buffer = || tcp::SocketBuffer::new(vec![0; BUFFER]);
