Keep feeds whole when a balancer wakes after some seconds' pause

A balancer that joins anew after a freeze emptied its pins while the view of its life before was still published, for one tick: traffic threads went on as owner, found no pin and sent pinned flows to their base, whose server reset them. Now the view that says joining is published first, and what was to be said in that tick is dropped, as it was of the life before.

What remains: a traffic thread that is within a batch when the pins go still has the old view.

Also: the platform's stand-in lists the deployment's balancers.

--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -216,24 +216,32 @@
         })
     }
 
-    /// Starts balancer `id`; the fabric doesn't know it yet.
+    /// Starts balancer `id`; the platform lists it, the fabric doesn't know it yet.
     pub fn start_balancer(&mut self, id: u16) -> anyhow::Result<()> {
         let arguments = ["--settings".to_owned(), "-".to_owned()];
         let process = Process::start("acaciad", &arguments, &self.settings(id))?;
         self.balancers.insert(id, process);
-        Ok(())
+        self.list(&self.balancers())
     }
 
     /// Asks balancer `id` to end and waits for it; gives its exit status.
     pub fn end_balancer(&mut self, id: u16) -> anyhow::Result<i32> {
-        let process = self.balancers.remove(&id).context("no such balancer")?;
-        Ok(process.end(ENDING)?.status)
+        self.signal_balancer(id, Signal::SIGTERM)?;
+        Ok(self.wait_balancer(id)?.status)
+    }
+
+    /// Kills balancer `id`; the platform's list of VMs no longer has it.
+    pub fn kill_balancer(&mut self, id: u16) -> anyhow::Result<()> {
+        self.signal_balancer(id, Signal::SIGKILL)?;
+        self.wait_balancer(id).map(|_| ())
     }
 
     /// Waits until balancer `id`, which was told to end, has ended.
     pub fn wait_balancer(&mut self, id: u16) -> anyhow::Result<Ended> {
         let process = self.balancers.remove(&id).context("no such balancer")?;
-        process.wait(ENDING)
+        let ended = process.wait(ENDING)?;
+        self.list(&self.balancers())?;
+        Ok(ended)
     }
 
     /// Whether balancer `id` runs.
--- a/crates/e2e/tests/it/change.rs
+++ b/crates/e2e/tests/it/change.rs
@@ -3,7 +3,7 @@
 use acacia_e2e::deployment::Deployment;
 use nix::sys::signal::Signal;
 
-use crate::fixture::{CALLER, DRAINED, assert_whole, checkins, drain, feeds, small, sum};
+use crate::fixture::{CALLER, DRAINED, assert_whole, checkins, drain, drained, feeds, small, sum};
 
 /// An operator drains a backend server while crew leaders hold live feeds open on it. The feeds
 /// must last, also those whose packets meet a balancer that has not seen them before, and the
@@ -95,3 +95,24 @@
     let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().output);
     assert_eq!(feeds["lasted"], 32);
 }
+
+/// A VM is paused for about as long as its peers wait for it, while the fabric goes on sending to
+/// it. On waking it has a backlog of packets of feeds, and it must join anew, for others may own
+/// these feeds by now. A packet that it resolved meanwhile without the pins that it has just
+/// forgotten would go to the wrong server, which would reset the feed.
+#[test]
+fn a_balancer_paused_for_seconds_resolves_nothing_by_what_it_has_forgotten() {
+    let mut deployment = drained(4);
+    let open = feeds(&deployment, 1, 96, 26);
+    sleep(Duration::from_secs(1));
+
+    for id in [2, 3] {
+        deployment.signal_balancer(id, Signal::SIGSTOP).unwrap();
+        sleep(Duration::from_secs(3));
+        deployment.signal_balancer(id, Signal::SIGCONT).unwrap();
+        sleep(DRAINED);
+    }
+
+    let line = open.wait(CALLER).unwrap().output;
+    assert_eq!(assert_whole("feeds", &line)["lasted"], 96);
+}
--- a/crates/e2e/tests/it/fixture.rs
+++ b/crates/e2e/tests/it/fixture.rs
@@ -107,7 +107,7 @@
     let arguments = [("rate", "30".to_owned()), ("seconds", seconds.to_string())];
     let caller = deployment.caller(number, service, &arguments).unwrap();
     let ended = caller.wait(CALLER).unwrap();
-    let counts = assert_whole("check-ins", &ended.output);
+    let counts = assert_whole(&format!("check-ins {}", ended.log), &ended.output);
     assert!(counts["done"] > 20 * seconds, "{}", ended.output);
     counts["done"]
 }
--- a/crates/e2e/tests/it/shutdown.rs
+++ b/crates/e2e/tests/it/shutdown.rs
@@ -45,7 +45,11 @@
     deployment.spray_over(&[1, 3]).unwrap();
 
     assert_eq!(ended.status, 52, "{}", ended.log);
-    assert!(ended.log.contains("event=forced code=52"), "{}", ended.log);
+    assert!(
+        ended.log.contains("event=forced code=forced(52)"),
+        "{}",
+        ended.log
+    );
     assert_whole("check-ins", &requests.wait(CALLER).unwrap().output);
 }
 
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -67,6 +67,8 @@
     pub view: Option<View>,
     /// Calls to the platform.
     pub orders: Vec<Order>,
+    /// Whether all pins and caches are to be forgotten, once the view is published.
+    pub forget: bool,
 }
 
 /// The state of one balancer's control.
@@ -270,7 +272,7 @@
         let time = millis(now);
         self.refresh_members(now);
         self.sweep(time, shards);
-        let snapshot = self.flow.snapshot(time);
+        let mut snapshot = self.flow.snapshot(time);
         if !self.leaving {
             self.group.set_phase(phase(self.flow.stage()));
         }
@@ -279,7 +281,12 @@
         }
         self.agree(now, unix);
         self.speak(now);
-        self.take_events(now, shards);
+        let forget = self.take_events(now);
+        if forget {
+            // What was to be said and published is of the life before.
+            self.outgoing.clear();
+            snapshot = self.flow.snapshot(time);
+        }
         let peers = self.peers(now);
         let traffic = peers
             .iter()
@@ -295,6 +302,7 @@
             incarnation: self.group.incarnation(),
             view: self.agreement.is_ready().then_some(view),
             peers,
+            forget,
         }
     }
 
@@ -342,24 +350,27 @@
         }
     }
 
-    fn take_events(&mut self, now: Duration, shards: &Shards) {
+    /// Logs what the membership saw; true if this balancer joins anew.
+    fn take_events(&mut self, now: Duration) -> bool {
+        let mut rejoined = false;
         for event in self.group.take_events() {
             match event.code() {
                 Some(code) => log::warn!("event=membership change=\"{event:?}\" code={code}"),
                 None => log::info!("event=membership change=\"{event:?}\""),
             }
             if let Event::Rejoined { incarnation, .. } = event {
-                self.rejoin(incarnation, now, shards);
+                self.rejoin(incarnation, now);
+                rejoined = true;
             }
         }
+        rejoined
     }
 
     /// After a freeze others own the flows, and pins held here may be wrong by now: a flow sent by
     /// one of them would break. So everything is forgotten, and taken over anew from the peers.
-    fn rejoin(&mut self, incarnation: u64, now: Duration, shards: &Shards) {
-        for index in 0..shards.count() {
-            *shards.at(index) = Shard::new(Limits::default());
-        }
+    /// The view that says so is published first: a traffic thread that still took this balancer
+    /// for an owner would take a forgotten pin for none, and send its flow to the base.
+    fn rejoin(&mut self, incarnation: u64, now: Duration) {
         let node = Node {
             id: self.settings.id,
             incarnation,
@@ -435,6 +446,13 @@
     }
 }
 
+/// Forgets all pins and caches.
+pub fn forget(shards: &Shards) {
+    for index in 0..shards.count() {
+        *shards.at(index) = Shard::new(Limits::default());
+    }
+}
+
 fn take_notice(notice: Notice, shards: &Shards, time: u64) {
     match notice {
         Notice::Correct { key, server } => shards.of(key.hash()).correct(&key, server),
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -16,7 +16,7 @@
 
 use super::{
     agreement::Order,
-    core::{Core, Outgoing},
+    core::{self, Core, Outgoing},
     platform::News,
 };
 use crate::{
@@ -138,6 +138,9 @@
             self.peers = outcome.peers;
         }
         self.context.published.store(outcome.view.map(Arc::new));
+        if outcome.forget {
+            core::forget(&self.context.shards);
+        }
         for order in outcome.orders {
             // A full queue means a stuck platform thread; what it can't take is asked again.
             let _ = self.context.orders.try_send(order);
