--- a/crates/flow/tests/it/fleet.rs
+++ b/crates/flow/tests/it/fleet.rs
@@ -23,8 +23,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-/// Milliseconds between two turns of a control thread.
+/// Milliseconds between two turns of a control thread, unless a test has to go on for hours.
 const TURN: u64 = 100;
+/// Milliseconds of traffic that fit the sockets of a balancer that is frozen.
+const BUFFERED: u64 = 2_000;
 /// Number of the first flow that a fleet opens on its own.
 const CHATS: u32 = 1 << 20;
 /// Milliseconds of silence after which a member is taken for dead.
@@ -38,6 +40,7 @@
     pub shards: Shards,
     pub snapshot: Snapshot,
     pub running: bool,
+    pub frozen_at: u64,
     pub frozen_until: u64,
     pub group: u8,
     heard: BTreeMap<Node, (u64, Stage)>,
@@ -104,7 +107,13 @@
     pub flows: BTreeMap<Key, Truth>,
     pub failures: Vec<String>,
     pub drops: BTreeMap<Code, u32>,
+    /// Flows that were ended towards both ends, and when.
+    pub ends: BTreeMap<Key, u64>,
     pub limits: Limits,
+    /// Used by balancers that start from now on.
+    pub settings: Settings,
+    /// Milliseconds between two turns of a control thread.
+    pub pace: u64,
     pub refusing: bool,
     /// Latest opening of a flow on each server.
     pub last_new: Map<u16, u64>,
@@ -118,6 +127,14 @@
 
 impl Fleet {
     pub fn new(count: u16, seed: u64, tables: Tables) -> Self {
+        Fleet::with_limits(count, seed, tables, Limits::default())
+    }
+
+    pub fn with_limits(count: u16, seed: u64, tables: Tables, limits: Limits) -> Self {
+        Fleet::with(count, seed, tables, limits, Settings::default())
+    }
+
+    pub fn with(count: u16, seed: u64, tables: Tables, limits: Limits, settings: Settings) -> Self {
         let mut fleet = Fleet {
             now: 1_000_000,
             balancers: Vec::new(),
@@ -132,7 +149,10 @@
             flows: BTreeMap::new(),
             failures: Vec::new(),
             drops: BTreeMap::new(),
-            limits: Limits::default(),
+            ends: BTreeMap::new(),
+            limits,
+            settings,
+            pace: TURN,
             refusing: false,
             last_new: Map::default(),
             chats: CHATS,
@@ -158,7 +178,7 @@
     /// Starts a process that knows the other balancers from the platform's list, and the latest
     /// tables from one of them.
     pub fn start(&mut self, node: Node) {
-        let mut control = Control::new(node, Settings::default(), self.now);
+        let mut control = Control::new(node, self.settings, self.now);
         control.set_tables(self.tables.clone(), self.now);
         let others = self.balancers.iter().filter(|other| other.running);
         let heard = others
@@ -171,6 +191,7 @@
             shards: Shards::new(2, self.limits),
             snapshot,
             running: true,
+            frozen_at: 0,
             frozen_until: 0,
             group: 0,
             heard,
@@ -288,7 +309,7 @@
     pub fn run(&mut self, duration: u64) {
         let end = self.now + duration;
         while self.now < end {
-            let turn = (self.now / TURN + 1) * TURN;
+            let turn = (self.now / self.pace + 1) * self.pace;
             let until = turn.min(end);
             while let Some((&(at, sequence), _)) = self.events.first_key_value() {
                 if at > until {
@@ -375,8 +396,12 @@
             return;
         }
         if now < balancer.frozen_until {
+            // What came first waits in its sockets; the rest finds their buffers full.
             let until = balancer.frozen_until;
-            return self.schedule(until, event);
+            if now < balancer.frozen_at + BUFFERED {
+                self.schedule(until, event);
+            }
+            return;
         }
         match event.message {
             Message::Packet(header, packet) => {
@@ -485,7 +510,9 @@
             Action::Forward { server } => self.deliver(server, packet),
             Action::Refuse { .. } => self.refuse(packet),
             Action::Drop { code } => *self.drops.entry(code).or_default() += 1,
-            Action::End { .. } => {}
+            Action::End { .. } => {
+                self.ends.insert(packet.key, self.now);
+            }
         }
     }
 
