--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::{SocketAddr, SocketAddrV4},
+    net::{SocketAddr, SocketAddrV4, TcpListener},
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -100,6 +100,7 @@
     _fabric: Process,
     _platform: Process,
     _relay: Process,
+    _claim: TcpListener,
     changes: u128,
     applied: Option<Config>,
 }
@@ -107,7 +108,7 @@
 impl Deployment {
     /// Starts everything and puts `config` in the platform's store.
     pub fn start(plan: Plan) -> anyhow::Result<Self> {
-        let network = Network::unused();
+        let (network, claim) = Network::claim()?;
         let platform = Process::start("acacia-stand", &platform_arguments(network), "")?;
         let fabric = Process::start("acacia-stand", &fabric_arguments(network), "")?;
         let relay = Process::start("acacia-stand", &relay_arguments(network, &plan), "")?;
@@ -123,6 +124,7 @@
             _fabric: fabric,
             _platform: platform,
             _relay: relay,
+            _claim: claim,
             changes: 0,
             applied: None,
         };
--- a/crates/e2e/src/net.rs
+++ b/crates/e2e/src/net.rs
@@ -2,7 +2,7 @@
 //! other.
 
 use std::{
-    net::{Ipv4Addr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddrV4, TcpListener},
     sync::atomic::{AtomicU8, Ordering},
 };
 
@@ -27,17 +27,32 @@
     second: u8,
 }
 
+/// Host number whose control port is bound for as long as a network is in use.
+const CLAIM_HOST: u8 = 1;
+/// Networks tried before giving up.
+const TRIES: usize = 256;
+
 impl Network {
-    /// A network that no other deployment of this process uses, and that another process uses
-    /// only if its number is the same in the lower bits.
-    #[must_use]
-    pub fn unused() -> Self {
+    /// A network that no other deployment on this machine uses for as long as the listener lives.
+    ///
+    /// Without the claim, tests of two processes whose numbers agree in their lower bits would
+    /// send each other's packets, as traffic sockets may share an address; one would see flows
+    /// broken that no balancer broke.
+    pub fn claim() -> std::io::Result<(Self, TcpListener)> {
         const FIRST: u8 = 16;
         let process = std::process::id();
-        Network {
-            first: FIRST + (process % 200) as u8,
-            second: USED.fetch_add(1, Ordering::Relaxed),
+        let mut last = std::io::Error::from(std::io::ErrorKind::AddrInUse);
+        for _ in 0..TRIES {
+            let network = Network {
+                first: FIRST + (process % 200) as u8,
+                second: USED.fetch_add(1, Ordering::Relaxed),
+            };
+            match TcpListener::bind(network.port(CLAIM_HOST, CONTROL)) {
+                Ok(claim) => return Ok((network, claim)),
+                Err(error) => last = error,
+            }
         }
+        Err(last)
     }
 
     /// The address of host `number`.
