--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fault;
 mod layout;
 pub mod net;
+pub mod operator;
 pub mod process;
