--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -1,39 +1,28 @@
 //! A whole deployment: platform, fabric, backend servers and balancers, each a process.
 
 use std::{
-    collections::BTreeMap,
-    net::{SocketAddr, SocketAddrV4},
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    collections::{BTreeMap, BTreeSet},
+    net::{SocketAddr, SocketAddrV4, TcpListener},
+    time::{Duration, Instant},
 };
 
-use acacia_config::{
-    Config,
-    document::{Document, Draft, Id, KEY},
-};
-use acacia_platform::{Client, Options, store};
+use acacia_config::{Config, Mark};
 use acacia_stand::admin::{self, Command};
 use anyhow::Context as _;
 use nix::sys::signal::Signal;
 
 use crate::{
-    net::{ADMIN, ANSWERS, CONTROL, Network, PLATFORM, TRAFFIC},
-    process::Process,
+    layout::{FABRIC_HOST, SERVERS, fabric_arguments, host, platform_arguments, relay_arguments},
+    net::{ADMIN, ANSWERS, Network, TRAFFIC},
+    process::{Ended, Process},
 };
 
-/// Host number of the platform.
-const PLATFORM_HOST: u8 = 2;
-/// Host number of the fabric.
-const FABRIC_HOST: u8 = 3;
-/// Host number of the first balancer, which is number 1.
-const BALANCERS: u8 = 10;
-/// Host number of the first backend server.
-const SERVERS: u8 = 100;
-/// Key of the traffic between balancers, in hexadecimal.
-const SECRET: &str = "4d2f1a9b8c7d6e5f00112233445566778899aabbccddeeff0123456789abcdef";
 /// How long a process may take to end when asked to.
 const ENDING: Duration = Duration::from_secs(20);
 
+/// Between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// Balancers that start together own flows after this long, several times over.
 const SETTLED: Duration = Duration::from_secs(4);
 
@@ -44,12 +33,24 @@
     pub name: &'static str,
     /// Address and port that callers use.
     pub address: SocketAddrV4,
+    /// The mark of its callers.
+    pub mark: Mark,
     /// Number of backend servers.
     pub servers: u8,
     /// Pieces of work that each runs at once.
     pub slots: usize,
     /// How long a piece of work takes, in milliseconds, by server: the list is repeated.
     pub work: Vec<u64>,
+    /// Whether it is in the configuration from the start; its backend servers run anyway.
+    pub at_start: bool,
+}
+
+impl Service {
+    /// How long a piece of work takes at backend server `number`, counted from 1, in milliseconds.
+    #[must_use]
+    pub fn work_of(&self, number: u8) -> u64 {
+        self.work[usize::from(number - 1) % self.work.len()]
+    }
 }
 
 /// What to start.
@@ -63,6 +64,9 @@
     pub data_centres: Vec<&'static str>,
 }
 
+/// A sender and a receiver: balancers' numbers, or [`PLATFORM_ID`](crate::fault::PLATFORM_ID).
+pub type Direction = (u16, u16);
+
 /// A backend server that runs.
 #[derive(Debug)]
 struct Server {
@@ -74,22 +78,27 @@
 /// The running processes. Dropping it ends them all.
 #[derive(Debug)]
 pub struct Deployment {
-    network: Network,
-    plan: Plan,
-    runtime: tokio::runtime::Runtime,
+    pub(crate) network: Network,
+    pub(crate) plan: Plan,
+    pub(crate) runtime: tokio::runtime::Runtime,
     servers: Vec<Server>,
-    balancers: BTreeMap<u16, Process>,
+    pub(crate) balancers: BTreeMap<u16, Process>,
+    pub(crate) cut: BTreeSet<Direction>,
     _fabric: Process,
     _platform: Process,
-    changes: u128,
+    _relay: Process,
+    _claim: TcpListener,
+    pub(crate) changes: u128,
+    pub(crate) applied: Option<Config>,
 }
 
 impl Deployment {
     /// Starts everything and puts `config` in the platform's store.
     pub fn start(plan: Plan) -> anyhow::Result<Self> {
-        let network = Network::unused();
+        let (network, claim) = Network::claim()?;
         let platform = Process::start("acacia-stand", &platform_arguments(network), "")?;
         let fabric = Process::start("acacia-stand", &fabric_arguments(network), "")?;
+        let relay = Process::start("acacia-stand", &relay_arguments(network, &plan), "")?;
         let mut deployment = Deployment {
             network,
             plan,
@@ -98,9 +107,13 @@
                 .build()?,
             servers: Vec::new(),
             balancers: BTreeMap::new(),
+            cut: BTreeSet::new(),
             _fabric: fabric,
             _platform: platform,
+            _relay: relay,
+            _claim: claim,
             changes: 0,
+            applied: None,
         };
         deployment.start_servers()?;
         deployment.apply(&deployment.config()?)?;
@@ -117,79 +130,37 @@
         self.network
     }
 
-    /// The configuration that the plan describes, every backend server active.
-    pub fn config(&self) -> anyhow::Result<Config> {
-        let mut config = Config::default();
-        for service in &self.plan.services {
-            let (address, port) = (*service.address.ip(), service.address.port());
-            let share = 100 / self.plan.services.len() as u8;
-            config.add_service(acacia_config::Service::new(
-                service.name,
-                address,
-                port,
-                share,
-            ));
-        }
-        let mut host = SERVERS;
-        for service in &self.plan.services {
-            for number in 1..=service.servers {
-                let name = format!("{}-{number}", service.name);
-                let address = SocketAddr::V4(self.network.port(host, TRAFFIC));
-                let centre = self.data_centre(u16::from(number));
-                config.add_server(acacia_config::Server::new(
-                    &name,
-                    service.name,
-                    address,
-                    centre,
-                ));
-                host += 1;
-            }
-        }
-        Ok(config)
-    }
-
-    /// Swaps `config` into the platform's store, as an operator's `apply` does.
-    pub fn apply(&mut self, config: &Config) -> anyhow::Result<u64> {
-        self.changes += 1;
-        let draft = Draft {
-            change: Id::new(self.changes),
-            author: "e2e".into(),
-            time: SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
-            config: config.clone(),
-            in_force: None,
-        };
-        let address = SocketAddr::V4(self.network.port(PLATFORM_HOST, PLATFORM));
-        self.runtime.block_on(async {
-            let client = Client::new(address, Options::default());
-            let key: Arc<str> = KEY.into();
-            let before = client.get(&key).await?;
-            let document = before.value.as_deref().map(Document::decode).transpose()?;
-            let after = Document::follow(document.as_ref(), &draft)?;
-            let swap = store::Swap {
-                key,
-                expected: before.revision,
-                value: Some(after.encode().into()),
-                lease: None,
-            };
-            match client.swap(swap).await? {
-                store::Outcome::Written { .. } => Ok(after.revision),
-                store::Outcome::Conflict { .. } => anyhow::bail!("another write came between"),
-            }
-        })
-    }
-
-    /// Starts balancer `id`; the fabric doesn't know it yet.
+    /// Starts balancer `id`; the platform lists it, the fabric doesn't know it yet.
     pub fn start_balancer(&mut self, id: u16) -> anyhow::Result<()> {
         let arguments = ["--settings".to_owned(), "-".to_owned()];
         let process = Process::start("acaciad", &arguments, &self.settings(id))?;
         self.balancers.insert(id, process);
-        Ok(())
+        self.list(&self.balancers())
     }
 
     /// Asks balancer `id` to end and waits for it; gives its exit status.
     pub fn end_balancer(&mut self, id: u16) -> anyhow::Result<i32> {
+        self.signal_balancer(id, Signal::SIGTERM)?;
+        Ok(self.wait_balancer(id)?.status)
+    }
+
+    /// Kills balancer `id`; the platform's list of VMs no longer has it.
+    pub fn kill_balancer(&mut self, id: u16) -> anyhow::Result<()> {
+        self.signal_balancer(id, Signal::SIGKILL)?;
+        self.wait_balancer(id).map(|_| ())
+    }
+
+    /// Waits until balancer `id`, which was told to end, has ended.
+    pub fn wait_balancer(&mut self, id: u16) -> anyhow::Result<Ended> {
         let process = self.balancers.remove(&id).context("no such balancer")?;
-        Ok(process.end(ENDING)?.0)
+        let ended = process.wait(ENDING)?;
+        self.list(&self.balancers())?;
+        Ok(ended)
+    }
+
+    /// Whether balancer `id` runs.
+    pub fn is_running(&mut self, id: u16) -> bool {
+        self.balancers.get_mut(&id).is_some_and(Process::is_running)
     }
 
     /// Sends a signal to balancer `id`.
@@ -303,16 +274,31 @@
         let servers = std::mem::take(&mut self.servers);
         servers
             .into_iter()
-            .map(|server| Ok(server.process.end(ENDING)?.1))
+            .map(|server| Ok(server.process.end(ENDING)?.output))
             .collect()
     }
 
+    /// Ends all balancers and backend servers gracefully.
+    pub fn end_all(&mut self) -> anyhow::Result<()> {
+        let balancers = std::mem::take(&mut self.balancers);
+        // All are asked before the first is waited for.
+        let asked = balancers
+            .values()
+            .try_for_each(|b| b.signal(Signal::SIGTERM));
+        asked?;
+        for (id, process) in balancers {
+            let status = process.wait(ENDING)?.status;
+            anyhow::ensure!(status == 0, "balancer {id} ended with status {status}");
+        }
+        self.end_servers().map(|_| ())
+    }
+
     fn start_servers(&mut self) -> anyhow::Result<()> {
         let mut host = SERVERS;
         for service in self.plan.services.clone() {
             for number in 1..=service.servers {
                 let name = format!("{}-{number}", service.name);
-                let work = service.work[usize::from(number - 1) % service.work.len()];
+                let work = service.work_of(number);
                 let arguments = [
                     "backend".to_owned(),
                     format!("--name={name}"),
@@ -335,54 +321,24 @@
         Ok(())
     }
 
-    fn data_centre(&self, number: u16) -> &'static str {
+    /// The data centre of the balancer or backend server with this number.
+    pub(crate) fn data_centre(&self, number: u16) -> &'static str {
         let count = self.plan.data_centres.len();
         self.plan.data_centres[usize::from(number) % count]
     }
+}
 
-    fn settings(&self, id: u16) -> String {
-        let at = |port| self.network.port(host(id), port);
-        let mut text = format!(
-            "[balancer]\nid = {id}\ndata_centre = {}\n\
-             [traffic]\nlisten = {}\nthreads = 1\ngateway = {}\n\
-             [control]\nlisten = {}\nkey = {SECRET}\n\
-             [admin]\nlisten = {}\n[platform]\naddress = {}\n",
-            self.data_centre(id),
-            at(TRAFFIC),
-            self.network.port(FABRIC_HOST, ANSWERS),
-            at(CONTROL),
-            at(ADMIN),
-            self.network.port(PLATFORM_HOST, PLATFORM),
-        );
-        for peer in (1..=self.plan.balancers).filter(|peer| *peer != id) {
-            text += &format!(
-                "[peer.{peer}]\ncontrol = {}\ndata_centre = {}\n",
-                self.network.port(host(peer), CONTROL),
-                self.data_centre(peer)
-            );
+/// Looks until `look` finds nothing amiss; after `limit` fails with what it finds then.
+pub fn wait_until(
+    limit: Duration,
+    mut look: impl FnMut() -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
+    let deadline = Instant::now() + limit;
+    loop {
+        match look() {
+            Err(error) if Instant::now() >= deadline => return Err(error),
+            Err(_) => std::thread::sleep(LOOK),
+            Ok(()) => return Ok(()),
         }
-        text
     }
 }
-
-/// Host number of balancer `id`.
-fn host(id: u16) -> u8 {
-    BALANCERS + id as u8
-}
-
-fn platform_arguments(network: Network) -> [String; 3] {
-    [
-        "platform".to_owned(),
-        format!("--listen={}", network.port(PLATFORM_HOST, PLATFORM)),
-        format!("--control={}", network.port(PLATFORM_HOST, ADMIN)),
-    ]
-}
-
-fn fabric_arguments(network: Network) -> [String; 4] {
-    [
-        "fabric".to_owned(),
-        format!("--callers={}", network.port(FABRIC_HOST, TRAFFIC)),
-        format!("--answers={}", network.port(FABRIC_HOST, ANSWERS)),
-        format!("--admin={}", network.port(FABRIC_HOST, ADMIN)),
-    ]
-}
--- a/crates/e2e/tests/it/fixture.rs
+++ b/crates/e2e/tests/it/fixture.rs
@@ -1,5 +1,6 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, thread::sleep, time::Duration};
 
+use acacia_config::{Mark, State};
 use acacia_e2e::{
     deployment::{Deployment, Plan, Service},
     process::Process,
@@ -15,16 +16,20 @@
             Service {
                 name: "talkoo-live",
                 address: "198.51.100.1:443".parse().unwrap(),
+                mark: Mark::Paying,
                 servers: 4,
                 slots: 2,
                 work: vec![1],
+                at_start: true,
             },
             Service {
                 name: "karttapalvelu",
                 address: "198.51.100.2:443".parse().unwrap(),
+                mark: Mark::Trial,
                 servers: 2,
                 slots: 2,
                 work: vec![1],
+                at_start: true,
             },
         ],
         balancers,
@@ -59,3 +64,72 @@
         .filter_map(|(key, value)| Some((key.to_owned(), value.parse().ok()?)))
         .collect()
 }
+
+/// Long enough for a drain to be known to every balancer and for new flows to move, several times
+/// over.
+pub const DRAINED: Duration = Duration::from_secs(6);
+
+/// Puts the server `name` into a drain without a deadline, beside those that drain already; gives
+/// the revision.
+pub fn drain(deployment: &mut Deployment, name: &str) -> u64 {
+    let mut config = deployment.current().unwrap();
+    let found = config.update_server(name, |server| {
+        server.state = State::Drain { deadline: None }
+    });
+    assert!(found);
+    deployment.apply(&config).unwrap()
+}
+
+/// Balancers that have settled, with the first server of talkoo-live draining.
+pub fn drained(balancers: u16) -> Deployment {
+    let mut deployment = Deployment::start(small(balancers)).unwrap();
+    deployment.settle();
+    drain(&mut deployment, "talkoo-live-1");
+    sleep(DRAINED);
+    deployment
+}
+
+/// Check-ins for `seconds`, 30 a second.
+pub fn checkins(deployment: &Deployment, number: u8, seconds: u64) -> Process {
+    let arguments = [("rate", "30".to_owned()), ("seconds", seconds.to_string())];
+    deployment
+        .caller(number, "talkoo-live", &arguments)
+        .unwrap()
+}
+
+/// Makes check-ins for `seconds` and requires that all are answered whole.
+pub fn served(deployment: &Deployment, number: u8, seconds: u64) {
+    served_by(deployment, number, "talkoo-live", seconds);
+}
+
+/// The same of any service; gives how many there were.
+pub fn served_by(deployment: &Deployment, number: u8, service: &str, seconds: u64) -> u64 {
+    let arguments = [("rate", "30".to_owned()), ("seconds", seconds.to_string())];
+    let caller = deployment.caller(number, service, &arguments).unwrap();
+    let ended = caller.wait(CALLER).unwrap();
+    let counts = assert_whole(&format!("check-ins {}", ended.log), &ended.output);
+    assert!(counts["done"] > 20 * seconds, "{}", ended.output);
+    counts["done"]
+}
+
+/// Requires that nothing broke, went unanswered or was refused.
+pub fn assert_whole(what: &str, line: &str) -> Counts {
+    let counts = counts(line);
+    assert_eq!(
+        (counts["broken"], counts["unanswered"], counts["refused"]),
+        (0, 0, 0),
+        "{what}: {line}"
+    );
+    counts
+}
+
+/// Does `work` and requires that none of `servers` gets a new connection meanwhile.
+pub fn idle(deployment: &Deployment, servers: &[&str], work: impl FnOnce()) {
+    let opened = || -> Vec<u64> {
+        let counts = servers.iter().map(|name| deployment.opened(name).unwrap());
+        counts.collect()
+    };
+    let before = opened();
+    work();
+    assert_eq!(opened(), before, "new work on drained servers {servers:?}");
+}
