--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the daemon's library.
 
 mod settings;
+mod status;
 mod traffic;
