End the demo's requests after the cut is healed, so that it keeps to its time

Callers that waited for an answer from the far side held the cut up by 15 s; one demo counted 6 of them as broken. Now they open nothing more, the line comes back, and then they are waited for.

--- a/crates/e2e/src/demo.rs
+++ b/crates/e2e/src/demo.rs
@@ -45,7 +45,7 @@
     #[arg(long, default_value_t = 7)]
     pub balancers: u16,
     /// How long each step lasts at least, in seconds.
-    #[arg(long, default_value_t = 9)]
+    #[arg(long, default_value_t = 8)]
     pub seconds: u64,
 }
 
@@ -88,7 +88,7 @@
         self.end(planned)?;
         let cut = self.feeds("feeds through the cut", false)?;
         self.cut()?;
-        self.heal()?;
+        self.healed()?;
         self.end(cut)?;
 
         let elapsed = since.elapsed();
@@ -153,13 +153,14 @@
         self.deployment.cut_data_centre(CUT)?;
         self.deployment.cut_platform_from(CUT)?;
         self.pause(self.seconds.max(APART))?;
+        step.stop()?;
+        say("the line is back");
+        self.deployment.heal()?;
         self.end(step)
     }
 
-    fn heal(&mut self) -> anyhow::Result<()> {
-        say("the line is back");
+    fn healed(&mut self) -> anyhow::Result<()> {
         let step = self.begin("the data centre is back", false)?;
-        self.deployment.heal()?;
         self.pause(self.seconds)?;
         self.end(step)
     }
--- a/crates/e2e/src/demo/step.rs
+++ b/crates/e2e/src/demo/step.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use acacia_config::Mark;
+use nix::sys::signal::Signal;
 
 use crate::{deployment::Deployment, process::Process};
 
@@ -98,11 +99,19 @@
         })
     }
 
-    /// Tells the callers to end and counts.
+    /// Tells the callers to open nothing more.
+    pub fn stop(&self) -> anyhow::Result<()> {
+        let mut processes = self.groups.iter().filter_map(|g| g.process.as_ref());
+        processes.try_for_each(|process| process.signal(Signal::SIGTERM))
+    }
+
+    /// Stops the callers, waits for their answers and counts.
     pub fn end(mut self) -> anyhow::Result<Self> {
+        // All are told before the first is waited for: one may wait long for a last answer.
+        self.stop()?;
         for group in &mut self.groups {
             if let Some(process) = group.process.take() {
-                group.flows = Flows::parse(&process.end(ENDING)?.output);
+                group.flows = Flows::parse(&process.wait(ENDING)?.output);
             }
         }
         Ok(self)
