--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -23,7 +23,11 @@
     admin,
     clock::{self, time_of_day},
     counter::{Counter, Kind},
+<<<<<<< HEAD
     load::Counts,
+=======
+    ledger::Ledger,
+>>>>>>> admin
     message::Message,
     settings::Settings,
     view::Published,
@@ -52,6 +56,8 @@
     pub counts: Receiver<Counts>,
     /// For the admin and metrics threads.
     pub account: admin::Published,
+    /// How flows ended, for operators.
+    pub ledger: Arc<Ledger>,
     /// For the traffic threads.
     pub published: Published,
     /// Pins and caches.
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -174,6 +174,7 @@
             notices,
             counts,
             account: Arc::clone(&shared.account),
+            ledger: Arc::clone(&shared.ledger),
             published: Arc::clone(&shared.published),
             shards: Arc::clone(&shared.shards),
             counter: Arc::clone(&shared.counter),
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the daemon's library.
 
+mod admin;
+mod metrics;
 mod settings;
 mod status;
 mod traffic;
