--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -23,11 +23,8 @@
     admin,
     clock::{self, time_of_day},
     counter::{Counter, Kind},
-<<<<<<< HEAD
-    load::Counts,
-=======
     ledger::Ledger,
->>>>>>> admin
+    load::Counts,
     message::Message,
     settings::Settings,
     view::Published,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -102,15 +102,9 @@
 
 impl std::error::Error for Error {}
 
-<<<<<<< HEAD
-/// Every key that may stand in a section, for the check on unknown ones.
-const KEYS: &[(&str, &[&str])] = &[
-    ("balancer", &["id", "data_centre", "advertise"]),
-=======
 /// Every key that may stand in a section, for the check on unknown ones and for docs/SETTINGS.md.
 pub const KEYS: &[(&str, &[&str])] = &[
-    ("balancer", &["id", "data_centre"]),
->>>>>>> admin
+    ("balancer", &["id", "data_centre", "advertise"]),
     ("traffic", &["listen", "threads", "gateway"]),
     ("control", &["listen", "key", "previous_key"]),
     ("admin", &["listen"]),
