--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! Only this crate starts processes; none of the product's programs does.
 
+pub mod demo;
 pub mod deployment;
+pub mod fault;
+mod layout;
 pub mod net;
+pub mod operator;
 pub mod process;
--- a/crates/e2e/tests/it/change.rs
+++ b/crates/e2e/tests/it/change.rs
@@ -1,42 +1,12 @@
 use std::{thread::sleep, time::Duration};
 
-use acacia_config::State;
 use acacia_e2e::deployment::Deployment;
 use nix::sys::signal::Signal;
+use rstest::rstest;
 
-use crate::fixture::{CALLER, Counts, counts, feeds, small, sum};
-
-/// Long enough for a drain to be known to every balancer and for new flows to move, several times
-/// over.
-const DRAINED: Duration = Duration::from_secs(6);
-
-/// Puts the server `name` into a drain without a deadline.
-fn drain(deployment: &mut Deployment, name: &str) {
-    let mut config = deployment.config().unwrap();
-    let found = config.update_server(name, |server| {
-        server.state = State::Drain { deadline: None }
-    });
-    assert!(found);
-    deployment.apply(&config).unwrap();
-}
-
-/// Check-ins for `seconds`, 30 a second.
-fn checkins(deployment: &Deployment, number: u8, seconds: u64) -> acacia_e2e::process::Process {
-    let arguments = [("rate", "30".to_owned()), ("seconds", seconds.to_string())];
-    deployment
-        .caller(number, "talkoo-live", &arguments)
-        .unwrap()
-}
-
-fn assert_whole(what: &str, line: &str) -> Counts {
-    let counts = counts(line);
-    assert_eq!(
-        (counts["broken"], counts["unanswered"], counts["refused"]),
-        (0, 0, 0),
-        "{what}: {line}"
-    );
-    counts
-}
+use crate::fixture::{
+    CALLER, DRAINED, assert_whole, checkins, drain, drained, feeds, idle, served, small, sum,
+};
 
 /// An operator drains a backend server while crew leaders hold live feeds open on it. The feeds
 /// must last, also those whose packets meet a balancer that has not seen them before, and the
@@ -47,15 +17,15 @@
     deployment.settle();
     let open = feeds(&deployment, 1, 24, 16);
     let before = checkins(&deployment, 2, 2);
-    assert_whole("before", &before.wait(CALLER).unwrap().1);
+    assert_whole("before", &before.wait(CALLER).unwrap().output);
 
     drain(&mut deployment, "talkoo-live-1");
     sleep(DRAINED);
     let served = deployment.opened("talkoo-live-1").unwrap();
     let after = checkins(&deployment, 3, 4);
-    let after = assert_whole("after", &after.wait(CALLER).unwrap().1);
+    let after = assert_whole("after", &after.wait(CALLER).unwrap().output);
 
-    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().1);
+    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().output);
     assert_eq!(feeds["lasted"], 24);
     assert!(after["done"] > 100);
     assert_eq!(
@@ -83,8 +53,8 @@
         deployment.replace_balancer(id).unwrap();
     }
 
-    assert_whole("requests", &requests.wait(CALLER).unwrap().1);
-    let feeds = assert_whole("feeds", &open.wait(CALLER * 2).unwrap().1);
+    assert_whole("requests", &requests.wait(CALLER).unwrap().output);
+    let feeds = assert_whole("feeds", &open.wait(CALLER * 2).unwrap().output);
     assert_eq!(feeds["lasted"], 24);
 }
 
@@ -103,7 +73,7 @@
     sleep(Duration::from_millis(500));
     deployment.spray_over(&[1, 3, 4]).unwrap();
 
-    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().1);
+    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().output);
     assert_eq!(feeds["lasted"], 32);
 }
 
@@ -125,6 +95,119 @@
     deployment.signal_balancer(2, Signal::SIGCONT).unwrap();
     deployment.spray_over(&[1, 2, 3, 4]).unwrap();
 
-    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().1);
+    let feeds = assert_whole("feeds", &open.wait(CALLER).unwrap().output);
     assert_eq!(feeds["lasted"], 32);
 }
+
+/// A balancer joins while a backend server drains, and the fabric sends to it sooner or later. The
+/// drained server, which operators wait for to become empty, must get no new work through it, nor
+/// through the others while they take it in.
+#[rstest]
+#[case::once_it_has_settled(false)]
+#[case::at_once(true)]
+fn a_balancer_that_joins_brings_no_new_work_to_a_drained_server(#[case] at_once: bool) {
+    let mut deployment = drained(3);
+    let revision = deployment.in_force(1).0;
+
+    deployment.start_balancer(4).unwrap();
+    if at_once {
+        deployment.wait_in_force(&[4], revision).unwrap();
+        deployment.spray_over_all().unwrap();
+    }
+
+    idle(&deployment, &["talkoo-live-1"], || {
+        served(&deployment, 1, 6)
+    });
+    deployment.spray_over_all().unwrap();
+    idle(&deployment, &["talkoo-live-1"], || {
+        served(&deployment, 2, 3)
+    });
+}
+
+/// Two changes come one right after the other while a balancer is frozen. It wakes with neither.
+/// Every balancer must end up with the second, which holds the first too, and never go back:
+/// otherwise a server that its operators take for empty gets new work.
+#[test]
+fn a_balancer_frozen_during_two_changes_wakes_to_the_latest() {
+    let mut deployment = Deployment::start(small(4)).unwrap();
+    deployment.settle();
+    let open = feeds(&deployment, 1, 24, 26);
+    served(&deployment, 2, 1);
+
+    deployment.signal_balancer(2, Signal::SIGSTOP).unwrap();
+    deployment.spray_over(&[1, 3, 4]).unwrap();
+    drain(&mut deployment, "talkoo-live-1");
+    let latest = drain(&mut deployment, "talkoo-live-2");
+    deployment.wait_in_force(&[1, 3, 4], latest).unwrap();
+    sleep(DRAINED);
+    deployment.signal_balancer(2, Signal::SIGCONT).unwrap();
+    deployment.spray_over_all().unwrap();
+    deployment.wait_in_force(&[2], latest).unwrap();
+    sleep(DRAINED);
+
+    let both = ["talkoo-live-1", "talkoo-live-2"];
+    idle(&deployment, &both, || served(&deployment, 3, 4));
+    for id in deployment.balancers() {
+        assert!(deployment.in_force(id).1, "balancer {id} went back");
+    }
+    let line = open.wait(CALLER).unwrap().output;
+    assert_eq!(assert_whole("feeds", &line)["lasted"], 24);
+}
+
+/// One balancer dies and another is paused at the same moment, while a backend server drains. A
+/// feed whose two owners are these has nobody to ask until the paused one wakes; its packets are
+/// lost and sent again, and it lasts. New work is served by those that are left.
+#[rstest]
+#[case::for_a_second(1_000)]
+#[case::until_it_must_join_anew(3_000)]
+fn a_balancer_killed_and_another_frozen_at_once_break_no_feed(#[case] millis: u64) {
+    let mut deployment = drained(5);
+    let open = feeds(&deployment, 1, 64, 18);
+    served(&deployment, 2, 2);
+
+    deployment.signal_balancer(3, Signal::SIGSTOP).unwrap();
+    deployment.kill_balancer(2).unwrap();
+    deployment.spray_over(&[1, 4, 5]).unwrap();
+    sleep(Duration::from_millis(millis));
+    deployment.signal_balancer(3, Signal::SIGCONT).unwrap();
+    deployment.spray_over(&[1, 3, 4, 5]).unwrap();
+    sleep(DRAINED);
+
+    served(&deployment, 3, 4);
+    let line = open.wait(CALLER).unwrap().output;
+    assert_eq!(assert_whole("feeds", &line)["lasted"], 64);
+}
+
+/// A VM is paused for about as long as its peers wait for it, while the fabric goes on sending to
+/// it. On waking it has a backlog of packets of feeds, and it must join anew, for others may own
+/// these feeds by now. A packet that it resolved meanwhile without the pins that it has just
+/// forgotten would go to the wrong server, which would reset the feed.
+#[test]
+fn a_balancer_paused_for_seconds_resolves_nothing_by_what_it_has_forgotten() {
+    let mut deployment = drained(4);
+    let open = feeds(&deployment, 1, 96, 14);
+    sleep(Duration::from_secs(1));
+
+    deployment.signal_balancer(2, Signal::SIGSTOP).unwrap();
+    sleep(Duration::from_secs(3));
+    deployment.signal_balancer(2, Signal::SIGCONT).unwrap();
+
+    let line = open.wait(CALLER).unwrap().output;
+    assert_eq!(assert_whole("feeds", &line)["lasted"], 96);
+}
+
+/// A balancer is asked to leave, as in every upgrade. Callers that open a flow in the seconds
+/// after it has ended must get their answers: a request that was taken and is not answered leaves
+/// a volunteer without knowing whether it counts.
+#[test]
+fn requests_right_after_a_balancer_has_left_are_answered() {
+    let mut deployment = drained(4);
+    deployment.spray_over(&[1, 3, 4]).unwrap();
+
+    assert_eq!(deployment.end_balancer(2).unwrap(), 0);
+
+    served(&deployment, 1, 5);
+    deployment.spray_over(&[3, 4]).unwrap();
+    assert_eq!(deployment.end_balancer(1).unwrap(), 0);
+    served(&deployment, 2, 5);
+}
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -23,6 +23,7 @@
 use acacia_peer::Class;
 use acacia_platform::machine;
 use acacia_rollout::Version;
+use acacia_tables::closing;
 use acacia_wire::{
     collections::{Map, Set},
     control::Envelope,
@@ -31,9 +32,11 @@
 
 use super::{
     agreement::{self, Agreement, Ask, Order},
+    load::Pools,
     platform::News,
 };
 use crate::{
+    load::{Counts, Policies},
     message::{Message, Payload},
     settings::Settings,
     view::View,
@@ -71,6 +74,8 @@
     pub view: Option<View>,
     /// Calls to the platform.
     pub orders: Vec<Order>,
+    /// Whether all pins and caches are to be forgotten, once the view is published.
+    pub forget: bool,
 }
 
 /// The state of one balancer's control.
@@ -83,6 +88,9 @@
     listed: Set<u16>,
     gone: Set<u16>,
     agreement: Agreement,
+    pools: Pools,
+    policies: Arc<Policies>,
+    closing: Vec<(Address, u16)>,
     tables: Tables,
     servers: Arc<Map<(Address, u16), SocketAddrV4>>,
     orders: Vec<Order>,
@@ -99,7 +107,7 @@
     pub fn new(settings: Arc<Settings>, incarnation: u64, now: Duration) -> Self {
         let contact = Contact {
             id: settings.id,
-            address: SocketAddr::V4(settings.control),
+            address: SocketAddr::new(settings.advertise.into(), settings.control.port()),
             data_centre: Arc::clone(&settings.data_centre),
         };
         let mut group = Group::new(MemberSettings::default(), contact, incarnation, now);
@@ -120,6 +128,9 @@
             listed: Set::default(),
             gone: Set::default(),
             agreement: Agreement::new(&settings, incarnation, now),
+            pools: Pools::default(),
+            policies: Arc::default(),
+            closing: Vec::new(),
             tables: Tables::default(),
             servers: Arc::default(),
             orders: Vec::new(),
@@ -152,7 +163,7 @@
             Message::Notice(notice) => take_notice(notice, shards, millis(now)),
             Message::AskConfig => {
                 let document = self.agreement.config().cloned();
-                self.send(from, Class::Bulk, Message::Config(document));
+                self.send(from, Class::Urgent, Message::Config(document));
             }
             Message::Config(document) => {
                 let outcome = self.agreement.fetched_config(now, from, document);
@@ -163,7 +174,7 @@
                     .agreement
                     .document()
                     .and_then(|tables| tables.encode().ok());
-                self.send(from, Class::Bulk, Message::Tables(text.map(Into::into)));
+                self.send(from, Class::Urgent, Message::Tables(text.map(Into::into)));
             }
             Message::Tables(text) => {
                 let outcome = self.agreement.fetched_tables(now, from, text.as_deref())?;
@@ -187,6 +198,7 @@
         self.refresh_members(now);
         let payload = Payload::decode(&heartbeat.payload).ok_or(Code::ControlUndecodable)?;
         self.flow.receive(from, incarnation, payload.flow);
+        self.pools.merge(from, &payload.load, now);
         let version = payload
             .config
             .map(|(revision, change)| Version { revision, change });
@@ -281,7 +293,7 @@
         let time = millis(now);
         self.refresh_members(now);
         self.sweep(time, shards);
-        let snapshot = self.flow.snapshot(time);
+        let mut snapshot = self.flow.snapshot(time);
         if !self.leaving {
             self.group.set_phase(phase(self.flow.stage()));
         }
@@ -289,8 +301,14 @@
             self.group.hasten();
         }
         self.agree(now, unix);
+        self.weigh(now);
         self.speak(now);
-        self.take_events(now, shards);
+        let forget = self.take_events(now);
+        if forget {
+            // What was to be said and published is of the life before.
+            self.outgoing.clear();
+            snapshot = self.flow.snapshot(time);
+        }
         let peers = self.peers(now);
         let traffic = peers
             .iter()
@@ -298,6 +316,7 @@
         let view = View {
             snapshot,
             servers: Arc::clone(&self.servers),
+            policies: Arc::clone(&self.policies),
             peers: traffic.collect(),
         };
         Outcome {
@@ -306,6 +325,7 @@
             incarnation: self.group.incarnation(),
             view: self.agreement.is_ready().then_some(view),
             peers,
+            forget,
         }
     }
 
@@ -320,6 +340,69 @@
         self.follow(now, outcome);
     }
 
+    /// Takes in a traffic thread's counts.
+    pub fn counts(&mut self, counts: &Counts) {
+        self.pools.counts(counts);
+    }
+
+    /// Decisions under load, once a second and with each change of configuration or tables.
+    fn weigh(&mut self, now: Duration) {
+        let (Some(held), Some(document)) = (self.agreement.held(), self.agreement.document())
+        else {
+            return;
+        };
+        let revision = held.document.revision;
+        let renewed = self
+            .pools
+            .renew(&held.config, revision, document, self.settings.threads);
+        if renewed {
+            let closing = closing(document, &held.config);
+            self.close(closing, millis(now));
+        }
+        let view = self.group.view(now);
+        let heard = view
+            .members
+            .iter()
+            .filter(|member| member.state.is_heard())
+            .count();
+        let writes = view.ready().next() == Some(self.settings.id);
+        let outcome = self.pools.tick(now, heard + 1, writes);
+        if renewed || outcome.is_some() {
+            self.policies = Arc::new(self.pools.policies());
+        }
+        let Some(outcome) = outcome else { return };
+        for (address, guarded) in outcome.guard {
+            self.flow.guard(address, guarded);
+        }
+        for (address, loose) in outcome.loosen {
+            self.flow.loosen(address, loose, millis(now));
+        }
+        for (address, server, down) in outcome.down {
+            let code = Code::ServerSilent;
+            log::warn!(
+                "event=server-left-alone address={address:?} server={server} down={down} code={code}"
+            );
+            let down = down || self.closing.contains(&(address, server));
+            self.flow.set_down(address, server, down, millis(now));
+        }
+        if !outcome.weights.is_empty() {
+            self.agreement.set_weights(outcome.weights);
+        }
+    }
+
+    /// Keeps new flows away from servers that a configuration drains or removes before the tables
+    /// follow it, which they can't while the store is down.
+    fn close(&mut self, closing: Vec<(Address, u16)>, time: u64) {
+        for (address, server) in std::mem::replace(&mut self.closing, closing) {
+            if !self.closing.contains(&(address, server)) {
+                self.flow.set_down(address, server, false, time);
+            }
+        }
+        for (address, server) in &self.closing {
+            self.flow.set_down(*address, *server, true, time);
+        }
+    }
+
     /// Heartbeats and copies of pins that are due.
     fn speak(&mut self, now: Duration) {
         let time = millis(now);
@@ -327,11 +410,12 @@
             .agreement
             .version()
             .map(|version| (version.revision, version.change));
-        let flow = &mut self.flow;
+        let (flow, pools) = (&mut self.flow, &mut self.pools);
         let payload = |to| {
             Payload {
                 flow: flow.report(to, time),
                 config,
+                load: pools.reports(to),
             }
             .encode()
         };
@@ -353,24 +437,36 @@
         }
     }
 
-    fn take_events(&mut self, now: Duration, shards: &Shards) {
+    /// Logs what the membership saw; true if this balancer joins anew.
+    fn take_events(&mut self, now: Duration) -> bool {
+        let mut rejoined = false;
         for event in self.group.take_events() {
             match event.code() {
                 Some(code) => log::warn!("event=membership change=\"{event:?}\" code={code}"),
                 None => log::info!("event=membership change=\"{event:?}\""),
             }
+            if let Event::Restarted { id, .. }
+            | Event::Changed {
+                id,
+                to: State::Dead,
+                ..
+            } = event
+            {
+                self.pools.forget(id);
+            }
             if let Event::Rejoined { incarnation, .. } = event {
-                self.rejoin(incarnation, now, shards);
+                self.rejoin(incarnation, now);
+                rejoined = true;
             }
         }
+        rejoined
     }
 
     /// After a freeze others own the flows, and pins held here may be wrong by now: a flow sent by
     /// one of them would break. So everything is forgotten, and taken over anew from the peers.
-    fn rejoin(&mut self, incarnation: u64, now: Duration, shards: &Shards) {
-        for index in 0..shards.count() {
-            *shards.at(index) = Shard::new(Limits::default());
-        }
+    /// The view that says so is published first: a traffic thread that still took this balancer
+    /// for an owner would take a forgotten pin for none, and send its flow to the base.
+    fn rejoin(&mut self, incarnation: u64, now: Duration) {
         let node = Node {
             id: self.settings.id,
             incarnation,
@@ -446,6 +542,13 @@
     }
 }
 
+/// Forgets all pins and caches.
+pub fn forget(shards: &Shards) {
+    for index in 0..shards.count() {
+        *shards.at(index) = Shard::new(Limits::default());
+    }
+}
+
 fn take_notice(notice: Notice, shards: &Shards, time: u64) {
     match notice {
         Notice::Correct { key, server } => shards.of(key.hash()).correct(&key, server),
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -16,7 +16,7 @@
 
 use super::{
     agreement::Order,
-    core::{Core, Outgoing},
+    core::{self, Core, Outgoing},
     platform::News,
 };
 use crate::{
@@ -24,6 +24,7 @@
     clock::{self, time_of_day},
     counter::{Counter, Kind},
     ledger::Ledger,
+    load::Counts,
     message::Message,
     settings::Settings,
     view::Published,
@@ -48,6 +49,8 @@
     pub orders: mpsc::Sender<Order>,
     /// From the traffic threads.
     pub notices: Receiver<(u16, Notice)>,
+    /// From the traffic threads.
+    pub counts: Receiver<Counts>,
     /// For the admin and metrics threads.
     pub account: admin::Published,
     /// How flows ended, for operators.
@@ -115,6 +118,7 @@
                 let (to, notice) = notice?;
                 state.send(Core::notice(to, notice));
             }
+            recv(context.counts) -> counts => state.core.counts(&counts?),
             recv(ticks) -> _ => state.tick(),
         }
     }
@@ -146,6 +150,9 @@
             self.peers = outcome.peers;
         }
         self.context.published.store(outcome.view.map(Arc::new));
+        if outcome.forget {
+            core::forget(&self.context.shards);
+        }
         for order in outcome.orders {
             // A full queue means a stuck platform thread; what it can't take is asked again.
             let _ = self.context.orders.try_send(order);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod journal;
 pub mod ledger;
+pub mod load;
 pub mod message;
 pub mod metrics;
 pub mod settings;
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -4,3 +4,4 @@
 mod metrics;
 mod settings;
 mod status;
+mod traffic;
--- a/crates/stand/src/backend.rs
+++ b/crates/stand/src/backend.rs
@@ -65,6 +65,8 @@
     pub feeds: u64,
     /// Requests that could not be read.
     pub unreadable: u64,
+    /// Packets that belong to no connection here, answered by a reset.
+    pub resets: u64,
 }
 
 #[derive(Debug)]
@@ -137,7 +139,10 @@
             admin::receive(commands, |command| server.obey(&command))?;
         }
     }
-    Ok(server.outcome)
+    Ok(Outcome {
+        resets: server.stack.resets(),
+        ..server.outcome
+    })
 }
 
 impl Server<'_> {
@@ -145,7 +150,7 @@
         match command {
             Command::Work(millis) => self.work = Duration::from_millis(*millis),
             Command::Opened => return self.outcome.opened.to_string(),
-            Command::Balancers(_) | Command::Loss(_) => return "not for a backend server".into(),
+            _ => return "not for a backend server".into(),
         }
         DONE.to_owned()
     }
