Let a joining balancer own flows only once it may place them

Cause: a newborn turned ready before its flags had been known everywhere for the settle time, so as an owner it sent new flows to their base, a draining server: 3 or 4 of 180 new flows after each join. Ruled out: late tables (in force before), the fabric's timing (both cases of the test fail alike). Now it turns ready once every bucket that needs it is open, or after 10 s. A join during a drain takes some 5 s in place of 1.5 s.

--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -24,7 +24,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Balancers that start together own flows after this long, several times over.
-const SETTLED: Duration = Duration::from_secs(4);
+const SETTLED: Duration = Duration::from_secs(8);
 
 /// A service of the deployment, and how its backend servers behave.
 #[derive(Debug, Clone)]
--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -50,6 +50,7 @@
     previous: Arc<[Node]>,
     previous_until: u64,
     settled_at: u64,
+    joining_since: u64,
     /// Owners that are lost, and when the last of them was noticed to be.
     lost: Vec<Node>,
     lost_at: u64,
@@ -95,6 +96,7 @@
             previous: Arc::default(),
             previous_until: 0,
             settled_at: now,
+            joining_since: now,
             lost: Vec::new(),
             lost_at: now,
             disagree_since: None,
--- a/crates/flow/src/control/flags.rs
+++ b/crates/flow/src/control/flags.rs
@@ -82,6 +82,15 @@
         open
     }
 
+    /// Whether every bucket that needs flows off its base is open for them, see [`Flags::open`].
+    pub(super) fn all_open(&self, now: u64, settle: u64) -> bool {
+        self.services.values().all(|buckets| {
+            let since = |bucket: usize| buckets.since.get(bucket).copied().unwrap_or(0);
+            let mut needs = buckets.needs.iter();
+            needs.all(|bucket| since(bucket) > 0 && now >= since(bucket) + settle)
+        })
+    }
+
     pub(super) fn is_guarded(&self, address: &Address) -> bool {
         self.guarded.contains_key(address)
     }
--- a/crates/flow/src/control/publish.rs
+++ b/crates/flow/src/control/publish.rs
@@ -18,6 +18,7 @@
         self.turned = now;
         if lapsed && self.stage == Stage::Ready {
             self.stage = Stage::Joining;
+            self.joining_since = now;
             self.settled = self.ready();
             self.previous = Arc::clone(&self.settled);
             self.peers.values_mut().for_each(Peer::forget_flags);
@@ -58,7 +59,11 @@
         let heard = self
             .alive()
             .all(|peer| peer.has_flags && peer.is_heard(now, self.settings.sure));
-        if self.stage == Stage::Joining && complete && heard && self.seen_members {
+        // An owner that may not yet place flows off their base sends new ones to a draining server.
+        // A change of flags that never settles must not keep it from owning flows for ever.
+        let patient = now < self.joining_since + self.settings.patience;
+        let open = self.flags.all_open(now, self.settings.settle) || !patient;
+        if self.stage == Stage::Joining && complete && heard && open && self.seen_members {
             self.stage = Stage::Ready;
             self.news = true;
         }
--- a/crates/flow/src/control/settings.rs
+++ b/crates/flow/src/control/settings.rs
@@ -28,6 +28,9 @@
     /// Shorter than the time after which the membership takes a silent balancer for gone: from
     /// then on others place flows that this one has not heard of.
     pub lapse: u64,
+    /// Milliseconds for which one that joins waits until it may place flows off their base. Three
+    /// times `settle`: flags that change again and again start it anew.
+    pub patience: u64,
     /// Bytes a second for copies of pins, to all peers together.
     pub budget: u32,
 }
@@ -41,6 +44,7 @@
             settle: 3_200,
             grace: 10_000,
             lapse: 15_000,
+            patience: 10_000,
             budget: 2_000,
         }
     }
