Serve new callers on each side of a cut, and refuse only while servers are busy

Two causes, found in the process tests. Openings whose owners were cut off were dropped for as long as the cut lasted (owner-incomplete): 4 to 21 of 59 check-ins unanswered between three data centres, 1 in a data centre cut from everything. Once the owners have been missing for the settle time, such an opening goes to its base with a lasting pin; both sides place on base while any owner is missing, so both choose the same server.

--- a/crates/flow/src/control/publish.rs
+++ b/crates/flow/src/control/publish.rs
@@ -144,6 +144,7 @@
             free: free && owns,
             strangers: self.strangers(),
             missing: self.missing().into(),
+            parted_from: self.lost_at + self.settings.settle,
             alive: self.living().into(),
             heard: self.heard(now).into(),
             settled: Arc::clone(&self.settled),
--- a/crates/flow/src/resolve/owner.rs
+++ b/crates/flow/src/resolve/owner.rs
@@ -33,7 +33,9 @@
         if let Some(pin) = self.known_pin() {
             return self.follow(pin, chain);
         }
-        if !self.snapshot.is_complete(self.hash) {
+        let opens = matches!(self.packet.kind, Kind::Opening { .. });
+        let may_open = opens && self.snapshot.is_parted(self.now);
+        if !may_open && !self.snapshot.is_complete(self.hash) {
             return drop(Code::OwnerIncomplete);
         }
         match self.packet.kind {
--- a/crates/node/src/control/load.rs
+++ b/crates/node/src/control/load.rs
@@ -20,6 +20,11 @@
 /// guard takes three seconds to be known everywhere, in which nothing can be refused. Half leaves
 /// time for demand to double; a guard costs a redirect or two for each opening.
 const GUARD: f64 = 0.5;
+/// Work in progress a slot from which flows may be refused. Load: a few callers a second, by whom
+/// capacity can't be measured well. Harm: it is taken for less than it is, and callers are refused
+/// by servers that stand idle. Work in progress tells idle from busy also with few samples; at a
+/// true saturation it is 1 and more.
+const BUSY: f64 = 0.6;
 /// Part of a server's flows that should take their second choice from which its service's buckets
 /// are opened for that. Below it the weights alone put it right, and open buckets cost a redirect
 /// for packets of flows that a balancer doesn't know.
@@ -237,6 +242,7 @@
         let (report, plan) = self.controller.tick(members, now);
         self.report = report;
         self.policy.plan = Arc::new(plan);
+        self.policy.refuses = self.is_busy();
     }
 
     /// What this balancer's threads may let in together by the plan, in flows a second.
@@ -247,16 +253,22 @@
     }
 
     fn needs_guard(&mut self, now: Duration) -> bool {
-        if self
+        let nears = self
             .capacity()
-            .is_some_and(|capacity| self.demand > GUARD * capacity)
-        {
+            .is_some_and(|capacity| self.demand > GUARD * capacity);
+        if nears && self.is_busy() {
             self.guarded = Some(now);
         }
         self.guarded
             .is_some_and(|since| now.saturating_sub(since) < LINGER)
     }
 
+    fn is_busy(&self) -> bool {
+        self.controller
+            .progress()
+            .is_some_and(|progress| progress > BUSY)
+    }
+
     fn needs_opening(&mut self, now: Duration) -> bool {
         let standings = &self.policy.plan.standings;
         if standings
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -41,6 +41,8 @@
     pub pool: Arc<Pool>,
     /// The plan in force.
     pub plan: Arc<Plan>,
+    /// Whether flows may be refused now: the pool is under pressure by what is measured in it.
+    pub refuses: bool,
     /// Index in the pool by number in the tables.
     pub index: Arc<Map<u16, pool::Server>>,
     /// Finds the customer of a caller; its class has the next higher index, and class 0 is for
@@ -79,6 +81,7 @@
         });
         let policy = Policy {
             plan: Arc::new(Plan::blind(&pool)),
+            refuses: false,
             pool,
             index: Arc::new(index.collect()),
             callers: Arc::clone(&callers),
@@ -169,7 +172,7 @@
         let Desk { locals, random, .. } = self;
         let local = local(locals, request.service.address, policy);
         let admitted = local.gate.admit(class, &policy.plan, now, random);
-        if let (Err(refusal), true) = (admitted, request.refusable) {
+        if let (Err(refusal), true) = (admitted, request.refusable && policy.refuses) {
             let retry_after = u32::try_from(refusal.after.as_millis()).unwrap_or(u32::MAX);
             return Placement::Refuse { retry_after };
         }
