Serve new callers where an owner is out of one balancer's hearing alone

That owner misses this balancer's echoes in turn and has stopped placing flows off their base after 3 s; from then, and after the settle time, such openings go to their base, which whoever does not know of them answers too. Ruled out: counting the silent owner as dead, which the other balancers' views contradict.

--- a/crates/bench/src/speed/scene.rs
+++ b/crates/bench/src/speed/scene.rs
@@ -93,7 +93,7 @@
         heard: (0..BALANCERS).collect(),
         settled: Arc::clone(&set),
         missing: Arc::default(),
-        parted_from: 0,
+        parted_from: u64::MAX,
         strangers: false,
         ready: Arc::clone(&set),
         target: Arc::clone(&set),
--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -54,6 +54,9 @@
     /// Owners that are lost, and when the last of them was noticed to be.
     lost: Vec<Node>,
     lost_at: u64,
+    /// Owners out of hearing, and when the last of them fell silent.
+    silent: Vec<Node>,
+    silent_at: u64,
     /// Since when some peer has gone by another settled set.
     disagree_since: Option<u64>,
     /// When copies of pins last came in.
@@ -99,6 +102,8 @@
             joining_since: now,
             lost: Vec::new(),
             lost_at: now,
+            silent: Vec::new(),
+            silent_at: now,
             disagree_since: None,
             copied_at: 0,
             seen_members: false,
--- a/crates/flow/src/control/publish.rs
+++ b/crates/flow/src/control/publish.rs
@@ -49,6 +49,24 @@
             self.lost_at = now;
         }
         self.lost = lost;
+        let heard = self.heard(now);
+        let silent = self.settled.iter().filter(|node| !heard.contains(&node.id));
+        let silent: Vec<Node> = silent.copied().collect();
+        if silent.iter().any(|node| !self.silent.contains(node)) {
+            self.silent_at = now;
+        }
+        self.silent = silent;
+    }
+
+    /// From when on flows whose owners are out of hearing may be opened on their base: those owners
+    /// have stopped placing flows elsewhere, as they miss this balancer's echoes, and what they
+    /// placed before has been resent.
+    fn parted_from(&self) -> u64 {
+        let apart = !self.silent.is_empty() || self.peers.values().any(|peer| peer.member.dead);
+        match apart {
+            true => self.silent_at + self.settings.free + self.settings.settle,
+            false => u64::MAX,
+        }
     }
 
     /// Brings ownership up to date: becomes ready, and lets a complete handover take effect.
@@ -144,7 +162,7 @@
             free: free && owns,
             strangers: self.strangers(),
             missing: self.missing().into(),
-            parted_from: self.lost_at + self.settings.settle,
+            parted_from: self.parted_from(),
             alive: self.living().into(),
             heard: self.heard(now).into(),
             settled: Arc::clone(&self.settled),
--- a/crates/flow/src/resolve/owner.rs
+++ b/crates/flow/src/resolve/owner.rs
@@ -126,7 +126,8 @@
             return drop(Code::FlowUnsettled);
         }
         // An owner before this one may be placing flows still, unheard by this balancer alone.
-        if chain.ids().first() != Some(&self.snapshot.me.id) {
+        let is_first = chain.ids().first() == Some(&self.snapshot.me.id);
+        if !is_first && !self.snapshot.is_parted(self.now) {
             return drop(Code::OwnersUnreachable);
         }
         let room = self.shard.has_room();
@@ -219,7 +220,10 @@
     pub(super) fn pass_on(&self, pin: &Pin, chain: &Chain, told: Told) -> Verdict {
         let me = self.snapshot.me.id;
         let is_told = |id: u16| id == me || told.contains(id);
-        let waits = pin.phase == Phase::Opening && !pin.light;
+        // Who does not know of a flow on its base answers base, which is right.
+        let sticky = self.service.strict || self.entry.moved.contains(self.bucket);
+        let based = pin.server == self.base() && !sticky;
+        let waits = pin.phase == Phase::Opening && !pin.light && !based;
         // The last in the chain first: it may be one that joins, of which the others have not all
         // heard. Told by somebody who has, it knows of the flow whatever the rest does.
         let rest = || chain.ids().iter().rev().copied().filter(|&id| !is_told(id));
--- a/crates/flow/src/snapshot.rs
+++ b/crates/flow/src/snapshot.rs
@@ -170,7 +170,7 @@
     pub missing: Arc<[Node]>,
     /// Whether balancers have come back that owned flows on their own meanwhile.
     pub strangers: bool,
-    /// From when on flows whose owners are missing may be opened, on their base.
+    /// From when on flows whose owners are out of hearing may be opened, on their base.
     pub parted_from: u64,
     /// Balancers that own flows now.
     pub ready: Arc<[Node]>,
@@ -248,14 +248,14 @@
             .all(is_heard)
     }
 
-    /// Whether owners have been missing for so long that a flow opened now is none that they know.
+    /// Whether owners have been out of hearing for so long that a flow opened now is none of theirs.
     ///
     /// A data centre that is cut off must go on serving new callers. An opening that the missing
     /// owners pinned before the cut has been resent by then, and while any owner is missing new
     /// flows go to their base on both sides of a cut, so that both choose the same server.
     #[must_use]
     pub fn is_parted(&self, now: u64) -> bool {
-        !self.missing.is_empty() && !self.free && now >= self.parted_from
+        !self.free && now >= self.parted_from
     }
 
     /// Whether this balancer, having no pin of the flow, knows that there is none.
