--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use acacia_burn::{Count, Mark};
 use acacia_code::Code;
 use acacia_flow::{
     Control, Shards,
@@ -340,9 +341,9 @@
         self.follow(now, outcome);
     }
 
-    /// Takes in a traffic thread's counts.
-    pub fn counts(&mut self, counts: &Counts) {
-        self.pools.counts(counts);
+    /// Takes in a traffic thread's counts; gives what they mean for the burn report.
+    pub fn counts(&mut self, counts: &Counts) -> Vec<(Arc<str>, Mark, Count)> {
+        self.pools.counts(counts)
     }
 
     /// Decisions under load, once a second and with each change of configuration or tables.
--- a/crates/node/src/control/load.rs
+++ b/crates/node/src/control/load.rs
@@ -3,15 +3,20 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use acacia_burn as burn;
 use acacia_config::Config;
 use acacia_flow::snapshot::Address;
 use acacia_load::{
-    controller::Controller, limits::Limits, plan::Plan, pool::Server, report::Report,
+    controller::Controller,
+    limits::Limits,
+    plan::Plan,
+    pool::{self, Server},
+    report::Report,
 };
 use acacia_tables::{Document, State, UNIT};
 use acacia_wire::collections::Map;
 
-use crate::load::{Counts, Policies, Policy, policies};
+use crate::load::{Counts, Flows, Policies, Policy, policies};
 
 /// Between two turns: the period that the load crate's figures are made for.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -61,6 +66,7 @@
 
 #[derive(Debug)]
 struct Entry {
+    name: Arc<str>,
     policy: Policy,
     controller: Controller,
     names: Vec<Arc<str>>,
@@ -100,18 +106,35 @@
         true
     }
 
-    /// Takes in a traffic thread's counts.
-    pub fn counts(&mut self, counts: &Counts) {
+    /// Takes in a traffic thread's counts; gives what they mean for the burn report, by service
+    /// and mark.
+    pub fn counts(&mut self, counts: &Counts) -> Vec<(Arc<str>, burn::Mark, burn::Count)> {
         let entry = self.entries.get_mut(&counts.address);
         let Some(entry) = entry.filter(|entry| entry.policy.pool.revision == counts.revision)
         else {
-            return;
+            return Vec::new();
         };
         let classes = counts.tally.classes.iter();
         entry.counted += classes
             .map(|class| f64::from(class.admitted + class.refused))
             .sum::<f64>();
         entry.controller.absorb(&counts.tally);
+        let classes = entry.policy.pool.classes.iter().zip(&counts.flows);
+        let counted = classes.filter(|(_, flows)| **flows != Flows::default());
+        counted
+            .map(|(class, flows)| {
+                let mark = match class.mark {
+                    pool::Mark::Paying => burn::Mark::Paying,
+                    pool::Mark::Trial => burn::Mark::Trial,
+                };
+                let count = burn::Count {
+                    good: flows.placed,
+                    refused: flows.refused,
+                    ..burn::Count::default()
+                };
+                (Arc::clone(&entry.name), mark, count)
+            })
+            .collect()
     }
 
     /// Takes in what a peer reported.
@@ -223,6 +246,7 @@
             .collect();
         controller.in_force(&weights);
         Entry {
+            name: Arc::clone(&service.name),
             down: vec![false; numbers.len()],
             policy,
             controller,
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -118,7 +118,7 @@
                 let (to, notice) = notice?;
                 state.send(Core::notice(to, notice));
             }
-            recv(context.counts) -> counts => state.core.counts(&counts?),
+            recv(context.counts) -> counts => state.counts(&counts?),
             recv(ticks) -> _ => state.tick(),
         }
     }
@@ -127,6 +127,12 @@
 }
 
 impl Loop<'_> {
+    fn counts(&mut self, counts: &Counts) {
+        for (service, mark, count) in self.core.counts(counts) {
+            self.context.ledger.add(&service, mark, count);
+        }
+    }
+
     fn receive(&mut self, received: Received<Message>) {
         let (now, shards) = (clock::now(), &self.context.shards);
         match self
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -129,6 +129,17 @@
     pub revision: u64,
     /// The counts.
     pub tally: Tally,
+    /// What became of new flows, by index of class.
+    pub flows: Vec<Flows>,
+}
+
+/// What became of the new flows of one class.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Flows {
+    /// Let in.
+    pub placed: u64,
+    /// Answered as not run.
+    pub refused: u64,
 }
 
 /// One traffic thread's part for one service.
@@ -137,6 +148,7 @@
     revision: u64,
     gate: Gate,
     tracker: Tracker,
+    flows: Vec<Flows>,
 }
 
 /// One traffic thread's part for all services.
@@ -173,6 +185,7 @@
         let local = local(locals, request.service.address, policy);
         let admitted = local.gate.admit(class, &policy.plan, now, random);
         if let (Err(refusal), true) = (admitted, request.refusable && policy.refuses) {
+            local.flows[class].refused += 1;
             let retry_after = u32::try_from(refusal.after.as_millis()).unwrap_or(u32::MAX);
             return Placement::Refuse { retry_after };
         }
@@ -180,6 +193,7 @@
         if choices.is_empty() {
             return Placement::Nowhere;
         }
+        local.flows[class].placed += 1;
         let known = |number: &u16| policy.index.get(number).copied();
         let ranked: Vec<pool::Server> = choices.iter().filter_map(known).collect();
         if ranked.len() < choices.len() {
@@ -223,6 +237,7 @@
                 address: *address,
                 revision: local.revision,
                 tally: local.gate.drain(),
+                flows: local.flows.iter_mut().map(std::mem::take).collect(),
             })
             .collect()
     }
@@ -239,6 +254,7 @@
             revision: policy.pool.revision,
             tracker: Tracker::new(SAMPLES, limits.slow),
             gate: Gate::new(&policy.pool, limits),
+            flows: vec![Flows::default(); policy.pool.classes.len()],
         }
     };
     let local = locals.entry(address).or_insert_with(fresh);
