--- a/crates/node/src/traffic/worker.rs
+++ b/crates/node/src/traffic/worker.rs
@@ -162,8 +162,11 @@
                 self.to_send
                     .build(to, |out| encap::encode(&header, bytes, secret, out));
             }
-            Action::Refuse { retry_after: _ } => {
+            Action::Refuse { retry_after } => {
                 counter.kind(Kind::Refused, 1);
+                // The time to come back goes first: the reset ends the caller's socket.
+                let told = reply::come_back(&packet.key, bytes, retry_after);
+                self.to_send.build(self.context.gateway, |out| *out = told);
                 self.reset(packet);
             }
             Action::End { server } => {
--- a/crates/wire/tests/it/reply.rs
+++ b/crates/wire/tests/it/reply.rs
@@ -1,5 +1,9 @@
-use acacia_wire::{packet::parse, reply::reset};
+use acacia_wire::{
+    packet::parse,
+    reply::{come_back, read_come_back, reset, reset_server},
+};
 use etherparse::{Ipv4HeaderSlice, TcpHeaderSlice};
+use proptest::prelude::*;
 
 use crate::fixture::{CLIENT, ENCAP, SERVICE, tcp, udp};
 
@@ -27,3 +31,42 @@
     assert_eq!(reset(&answered_reset), None);
     assert_eq!(reset(&datagram), None);
 }
+
+/// A service is full and a caller is refused. Told only that, it asks again at once, and so do all
+/// the others: the service stays full of openings.
+#[test]
+fn a_refusal_says_when_to_come_back_and_quotes_the_opening() {
+    let opening = tcp(b"", |h| h.syn = true);
+    let packet = parse(&opening, ENCAP).unwrap();
+
+    let bytes = come_back(&packet.key, &opening, 2_500);
+
+    assert_eq!(read_come_back(&bytes), Some(2_500));
+    let ip = Ipv4HeaderSlice::from_slice(&bytes).unwrap();
+    assert_eq!((ip.source(), ip.destination()), (SERVICE, CLIENT));
+    assert_eq!(&bytes[28..28 + opening.len()], &opening[..]);
+    assert!(etherparse::Icmpv4Slice::from_slice(&bytes[20..]).is_ok());
+}
+
+#[test]
+fn the_server_is_reset_as_if_by_its_caller() {
+    let packet = parse(&tcp(b"again", |h| h.ack = true), ENCAP).unwrap();
+
+    let bytes = reset_server(&packet).unwrap();
+
+    let reset = parse(&bytes, ENCAP).unwrap();
+    assert_eq!(
+        (reset.key, reset.kind),
+        (packet.key, acacia_wire::packet::Kind::Reset)
+    );
+    assert_eq!(reset.sequence, packet.sequence);
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_are_no_refusal_and_never_panic(
+        bytes in prop::collection::vec(any::<u8>(), 0..220),
+    ) {
+        prop_assert_eq!(read_come_back(&bytes), None);
+    }
+}
