--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -1,6 +1,8 @@
 //! The control thread's state: time and messages in, messages and views out. No sockets.
 
+mod member;
 mod status;
+mod weigh;
 
 use std::{
     net::{SocketAddr, SocketAddrV4},
@@ -8,11 +10,10 @@
     time::Duration,
 };
 
-use acacia_burn::{Count, Mark};
 use acacia_code::Code;
 use acacia_flow::{
     Control, Shards,
-    control::{Member, Settings as FlowSettings, Stage, Tables},
+    control::{Settings as FlowSettings, Stage, Tables},
     rank::Node,
     shard::{Limits, Shard},
     snapshot::Address,
@@ -22,9 +23,7 @@
     Contact, Event, Group, Heartbeat, Hint, Phase, Settings as MemberSettings, State,
 };
 use acacia_peer::Class;
-use acacia_platform::machine;
 use acacia_rollout::Version;
-use acacia_tables::closing;
 use acacia_wire::{
     collections::{Map, Set},
     control::Envelope,
@@ -37,7 +36,7 @@
     platform::News,
 };
 use crate::{
-    load::{Counts, Policies},
+    load::Policies,
     message::{Message, Payload},
     settings::Settings,
     view::View,
@@ -45,8 +44,6 @@
 
 pub use status::Standing;
 
-/// VMs of balancers carry this name and their number in the platform's list.
-const MACHINE: &str = "balancer-";
 /// Shards looked through in one tick. With 16 shards and 20 ticks a second a whole pass takes
 /// 0.8 s, and no traffic thread waits for more than one shard.
 const SWEPT: usize = 1;
@@ -252,17 +249,6 @@
         self.outgoing.push(Outgoing { to, class, message });
     }
 
-    /// Takes in the platform's list of VMs.
-    fn set_machines(&mut self, now: Duration, machines: &[machine::Machine]) {
-        let hints: Vec<Hint> = machines.iter().filter_map(|vm| self.hint(vm)).collect();
-        let listed: Set<u16> = hints.iter().map(|hint| hint.contact.id).collect();
-        // Who was listed and no longer is has been stopped: its pins can't be in use any more.
-        self.gone.extend(self.listed.difference(&listed));
-        self.gone.retain(|id| !listed.contains(id));
-        self.listed = listed;
-        self.group.hint(now, &hints);
-    }
-
     /// Starts the handover; see [`Core::may_leave`].
     pub fn leave(&mut self) {
         if !self.leaving {
@@ -341,69 +327,6 @@
         self.follow(now, outcome);
     }
 
-    /// Takes in a traffic thread's counts; gives what they mean for the burn report.
-    pub fn counts(&mut self, counts: &Counts) -> Vec<(Arc<str>, Mark, Count)> {
-        self.pools.counts(counts)
-    }
-
-    /// Decisions under load, once a second and with each change of configuration or tables.
-    fn weigh(&mut self, now: Duration) {
-        let (Some(held), Some(document)) = (self.agreement.held(), self.agreement.document())
-        else {
-            return;
-        };
-        let revision = held.document.revision;
-        let renewed = self
-            .pools
-            .renew(&held.config, revision, document, self.settings.threads);
-        if renewed {
-            let closing = closing(document, &held.config);
-            self.close(closing, millis(now));
-        }
-        let view = self.group.view(now);
-        let heard = view
-            .members
-            .iter()
-            .filter(|member| member.state.is_heard())
-            .count();
-        let writes = view.ready().next() == Some(self.settings.id);
-        let outcome = self.pools.tick(now, heard + 1, writes);
-        if renewed || outcome.is_some() {
-            self.policies = Arc::new(self.pools.policies());
-        }
-        let Some(outcome) = outcome else { return };
-        for (address, guarded) in outcome.guard {
-            self.flow.guard(address, guarded);
-        }
-        for (address, loose) in outcome.loosen {
-            self.flow.loosen(address, loose, millis(now));
-        }
-        for (address, server, down) in outcome.down {
-            let code = Code::ServerSilent;
-            log::warn!(
-                "event=server-left-alone address={address:?} server={server} down={down} code={code}"
-            );
-            let down = down || self.closing.contains(&(address, server));
-            self.flow.set_down(address, server, down, millis(now));
-        }
-        if !outcome.weights.is_empty() {
-            self.agreement.set_weights(outcome.weights);
-        }
-    }
-
-    /// Keeps new flows away from servers that a configuration drains or removes before the tables
-    /// follow it, which they can't while the store is down.
-    fn close(&mut self, closing: Vec<(Address, u16)>, time: u64) {
-        for (address, server) in std::mem::replace(&mut self.closing, closing) {
-            if !self.closing.contains(&(address, server)) {
-                self.flow.set_down(address, server, false, time);
-            }
-        }
-        for (address, server) in &self.closing {
-            self.flow.set_down(*address, *server, true, time);
-        }
-    }
-
     /// Heartbeats and copies of pins that are due.
     fn speak(&mut self, now: Duration) {
         let time = millis(now);
@@ -480,34 +403,6 @@
         }
     }
 
-    fn refresh_members(&mut self, now: Duration) {
-        let view = self.group.view(now);
-        let mut members = Vec::new();
-        for member in &view.members {
-            let Some(incarnation) = member.incarnation else {
-                continue;
-            };
-            let last = stage(member.state).or(self.stages.get(&member.id).copied());
-            let Some(last) = last else { continue };
-            self.stages.insert(member.id, last);
-            let dead = member.state == State::Dead;
-            let left = last == Stage::Leaving && !member.state.is_heard();
-            if left || (dead && self.gone.contains(&member.id)) {
-                continue;
-            }
-            let node = Node {
-                id: member.id,
-                incarnation,
-            };
-            members.push(Member {
-                node,
-                stage: last,
-                dead,
-            });
-        }
-        self.flow.set_members(&members);
-    }
-
     fn peers(&self, now: Duration) -> Vec<(u16, SocketAddr)> {
         let members = self.group.view(now).members;
         members
@@ -526,21 +421,6 @@
             SocketAddr::V6(_) => None,
         }
     }
-
-    /// All balancers take control messages on the port that this one does.
-    fn hint(&self, vm: &machine::Machine) -> Option<Hint> {
-        let id: u16 = vm.name.strip_prefix(MACHINE)?.parse().ok()?;
-        let contact = Contact {
-            id,
-            address: SocketAddr::new(vm.address, self.settings.control.port()),
-            data_centre: Arc::clone(&vm.data_centre),
-        };
-        let known = id != self.settings.id;
-        known.then_some(Hint {
-            contact,
-            leaving: vm.state == machine::State::Leaving,
-        })
-    }
 }
 
 /// Forgets all pins and caches.
