--- a/crates/flow/tests/it/handover.rs
+++ b/crates/flow/tests/it/handover.rs
@@ -60,6 +60,12 @@
     }
 }
 
+/// A packet in mid-flow of each of the first `count` flows that are open.
+fn talk_on(fleet: &mut Fleet, count: u32) {
+    let open: Vec<u32> = (0..count).filter(|&n| is_open(fleet, n)).collect();
+    open.into_iter().for_each(|n| fleet.spray(&data(n)));
+}
+
 /// A balancer is paused for so long that the platform lists it as ended, and the others go on
 /// without it. On waking it believes that it still knows all pins, and would send the flows opened
 /// meanwhile to their base.
@@ -77,13 +83,7 @@
 
     for _ in 0..50 {
         fleet.run(100);
-        (0..150)
-            .filter(|&n| is_open(&fleet, n))
-            .collect::<Vec<_>>()
-            .into_iter()
-            .for_each(|n| {
-                fleet.spray(&data(n));
-            });
+        talk_on(&mut fleet, 150);
     }
     fleet.run(20_000);
     let lost = talk(&mut fleet, 0, 150);
@@ -118,13 +118,7 @@
 
     for _ in 0..20 {
         fleet.run(500);
-        (0..300)
-            .filter(|&n| is_open(&fleet, n))
-            .collect::<Vec<_>>()
-            .into_iter()
-            .for_each(|n| {
-                fleet.spray(&data(n));
-            });
+        talk_on(&mut fleet, 300);
     }
     fleet.run(20_000);
     let lost = talk(&mut fleet, 0, 300);
