--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -31,3 +31,14 @@
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
 }
+
+/// Whole milliseconds of a time, as the flow crate counts them.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(acacia_node::clock::millis(Duration::from_micros(1_500)), 1);
+/// ```
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
--- a/crates/node/src/control/agreement.rs
+++ b/crates/node/src/control/agreement.rs
@@ -17,7 +17,7 @@
 use rand_pcg::Pcg64;
 
 use super::spread::Spread;
-use crate::settings::Settings;
+use crate::{clock::millis, settings::Settings};
 
 /// Longest pause after a watch of the tables failed. Load: all watchers lose the store at the same
 /// moment. Harm: they come back together and keep it down. Hence a pause drawn at random.
@@ -382,7 +382,3 @@
         before.count() < WATCHERS
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    time.as_millis() as u64
-}
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -36,6 +36,7 @@
     platform::News,
 };
 use crate::{
+    clock::millis,
     load::Policies,
     message::{Message, Payload},
     settings::Settings,
@@ -465,7 +466,3 @@
         State::Unheard | State::Dead => None,
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    time.as_millis() as u64
-}
--- a/crates/node/src/control/core/status.rs
+++ b/crates/node/src/control/core/status.rs
@@ -12,7 +12,8 @@
 use acacia_tables::{Situation, follow};
 use acacia_wire::collections::Map;
 
-use super::{Core, member::MACHINE, millis};
+use super::{Core, member::MACHINE};
+use crate::clock::millis;
 
 /// When things were last seen, for the ages that operators are shown.
 #[derive(Debug, Default)]
--- a/crates/node/src/control/core/weigh.rs
+++ b/crates/node/src/control/core/weigh.rs
@@ -7,8 +7,8 @@
 use acacia_flow::snapshot::Address;
 use acacia_tables::closing;
 
-use super::{Core, millis};
-use crate::load::Counts;
+use super::Core;
+use crate::{clock::millis, load::Counts};
 
 impl Core {
     /// Takes in a traffic thread's counts; gives what they mean for the burn report.
--- a/crates/node/src/control/spread.rs
+++ b/crates/node/src/control/spread.rs
@@ -5,7 +5,7 @@
 use acacia_member::View;
 
 /// How long a peer may take to answer before another one is asked. Tables of a few services take
-/// some 20 KB, which the byte budget lets pass at once after a quiet time.
+/// some 20 KB and don't wait for the byte budget.
 const PATIENCE: Duration = Duration::from_secs(1);
 
 /// Which tables the peers say they have, and the question that is open.
--- a/crates/node/src/traffic/worker.rs
+++ b/crates/node/src/traffic/worker.rs
@@ -113,7 +113,7 @@
             Frame::Redirected(redirect, bytes) => (Arrival::Redirected(redirect), bytes),
         };
         let packet = packet::parse(bytes, encap::PORT).map_err(packet_code)?;
-        let time = self.now.as_millis() as u64;
+        let time = clock::millis(self.now);
         let verdict = {
             let mut shard = self.context.shards.of(packet.key.hash());
             let (desk, policies, now) = (&mut *self.desk, &self.view.policies, self.now);
