--- /dev/null
+++ b/crates/catalog/src/catalog.rs
@@ -0,0 +1,202 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{route::Config, server::Server};
+
+/// Something at a revision of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item<T> {
+    /// The store's revision of its last change.
+    pub revision: u64,
+    /// What it is since.
+    pub value: T,
+}
+
+/// News of one thing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// The operators' configuration.
+    Config {
+        /// The store's revision that made it.
+        revision: u64,
+        /// The whole configuration.
+        config: Arc<Config>,
+    },
+    /// A backend server's entry.
+    Server {
+        /// The server's name.
+        id: Arc<str>,
+        /// The store's revision that made the change.
+        revision: u64,
+        /// What it says; nothing if the entry was removed or names no server.
+        server: Option<Arc<Server>>,
+    },
+}
+
+impl Change {
+    /// The store's revision that made the change.
+    ///
+    /// ```
+    /// use acacia_catalog::Change;
+    /// let change = Change::Server { id: "a".into(), revision: 7, server: None };
+    /// assert_eq!(change.revision(), 7);
+    /// ```
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        match self {
+            Change::Config { revision, .. } | Change::Server { revision, .. } => *revision,
+        }
+    }
+}
+
+/// The routes and servers as one balancer knows them.
+///
+/// Load: answers of the store and messages of peers overtake each other, repeat, and come from
+/// replicas that lag. Harm: a configuration that was in force would revert, a server that is
+/// draining would get new flows again. Hence each item keeps its revision, and an older one
+/// changes nothing, wherever it comes from.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Catalog {
+    revision: u64,
+    config: Option<Item<Arc<Config>>>,
+    servers: BTreeMap<Arc<str>, Item<Option<Arc<Server>>>>,
+}
+
+impl Catalog {
+    /// The store's revision up to which everything is known; 0 before the first whole reading.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The operators' configuration, if one is known.
+    #[must_use]
+    pub const fn config(&self) -> Option<&Item<Arc<Config>>> {
+        self.config.as_ref()
+    }
+
+    /// Each backend server by name; an entry without a value was removed.
+    pub fn servers(&self) -> impl Iterator<Item = (&Arc<str>, &Item<Option<Arc<Server>>>)> {
+        self.servers.iter()
+    }
+
+    /// Takes a change in; false if nothing changes by it, because something as new is known.
+    ///
+    /// ```
+    /// use acacia_catalog::{Catalog, Change};
+    /// let mut catalog = Catalog::default();
+    /// let change = |revision| Change::Server { id: "a".into(), revision, server: None };
+    /// assert!(catalog.apply(change(7)));
+    /// assert!(!catalog.apply(change(6)), "older");
+    /// ```
+    pub fn apply(&mut self, change: Change) -> bool {
+        match change {
+            Change::Config { revision, config } => {
+                if self
+                    .config
+                    .as_ref()
+                    .is_some_and(|item| item.revision >= revision)
+                {
+                    return false;
+                }
+                self.config = Some(Item {
+                    revision,
+                    value: config,
+                });
+            }
+            Change::Server {
+                id,
+                revision,
+                server,
+            } => {
+                if self
+                    .servers
+                    .get(&id)
+                    .is_some_and(|item| item.revision >= revision)
+                {
+                    return false;
+                }
+                self.servers.insert(
+                    id,
+                    Item {
+                        revision,
+                        value: server,
+                    },
+                );
+            }
+        }
+        true
+    }
+
+    /// Takes note that all changes up to `revision` have been taken in.
+    pub fn complete(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes in a whole reading as of `revision`: servers that it doesn't hold are removed, unless
+    /// they are known from a later revision. Gives whether anything changed.
+    ///
+    /// Without it, a server that left while the history was unavailable would get flows for good.
+    ///
+    /// ```
+    /// use acacia_catalog::{Catalog, Change};
+    /// let mut catalog = Catalog::default();
+    /// catalog.apply(Change::Server { id: "old".into(), revision: 3, server: None });
+    /// catalog.replace(Vec::new(), 9);
+    /// assert_eq!(catalog.revision(), 9);
+    /// ```
+    pub fn replace(&mut self, reading: Vec<Change>, revision: u64) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let mut held = Vec::with_capacity(reading.len());
+        let mut changed = false;
+        for change in reading {
+            if let Change::Server { id, .. } = &change {
+                held.push(Arc::clone(id));
+            }
+            changed |= self.apply(change);
+        }
+        held.sort_unstable();
+        for (id, item) in &mut self.servers {
+            let gone = item.value.is_some() && item.revision <= revision;
+            if gone && held.binary_search(id).is_err() {
+                *item = Item {
+                    revision,
+                    value: None,
+                };
+                changed = true;
+            }
+        }
+        self.complete(revision);
+        changed
+    }
+
+    /// All changes after `revision`, the oldest first.
+    #[must_use]
+    pub fn since(&self, revision: u64) -> Vec<Change> {
+        let config = self.config.iter().map(|item| Change::Config {
+            revision: item.revision,
+            config: Arc::clone(&item.value),
+        });
+        let servers = self.servers.iter().map(|(id, item)| Change::Server {
+            id: Arc::clone(id),
+            revision: item.revision,
+            server: item.value.clone(),
+        });
+        let mut changes: Vec<Change> = config
+            .chain(servers)
+            .filter(|change| change.revision() > revision)
+            .collect();
+        changes.sort_by_key(Change::revision);
+        changes
+    }
+
+    /// Forgets removed servers whose removal is at or before `revision`: by then no flow of theirs
+    /// is open and every peer knows of it.
+    pub fn forget(&mut self, revision: u64) {
+        self.servers
+            .retain(|_, item| item.value.is_some() || item.revision > revision);
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/spread.rs
@@ -0,0 +1,219 @@
+//! Who reads the store, and whom a balancer tells.
+//!
+//! Load: the store counts each call, and its rates grow more slowly than the fleet. Harm: where
+//! every balancer watches, each change costs a call a balancer, and a recovering store is run over.
+//! So one balancer of the fleet, the *reader*, watches; it tells one balancer of each data centre,
+//! the *relay*, which tells its own data centre. Nobody is elected and nothing is leased: readers
+//! and relays follow from the list of members, and a balancer whose word from the reader has grown
+//! old reads for itself, so a wrong list costs calls and never freshness.
+
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use crate::member::{List, Member, rank};
+
+/// The times that govern reading, all derived from the bound on a change being in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// How long the reader's watch waits at the store: its heartbeat. A watch that is silent for
+    /// longer has lost its connection.
+    pub watch: Duration,
+    /// How old a balancer's knowledge may be before it reads for itself.
+    pub patience: Duration,
+    /// Spread of that age over the balancers, so that they don't all read in one moment.
+    pub spread: Duration,
+    /// Longest wait between two failed calls.
+    pub backoff: Duration,
+}
+
+impl Pace {
+    /// The pace that keeps a change in force within `bound` of the store's answer, also when the
+    /// reader is lost at the worst moment: half of it may pass before anybody notices, a fifth
+    /// spreads the readings, the rest is for the reading itself.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let pace = acacia_catalog::spread::Pace::within(Duration::from_secs(3));
+    /// assert_eq!(pace.watch, Duration::from_millis(1200));
+    /// assert_eq!(pace.patience, Duration::from_millis(1500));
+    /// ```
+    #[must_use]
+    pub fn within(bound: Duration) -> Self {
+        Pace {
+            watch: bound * 2 / 5,
+            patience: bound / 2,
+            spread: bound / 5,
+            backoff: bound / 3,
+        }
+    }
+}
+
+/// What a balancer does next about the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// Call and let the store hold the answer until something changes.
+    Watch,
+    /// Call for an answer at once.
+    Poll,
+    /// Nothing, for so long.
+    Wait(Duration),
+}
+
+/// A balancer's own part in reading.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reading {
+    pace: Pace,
+    /// Until when everything is known; none before the first whole reading.
+    fresh: Option<Duration>,
+    /// Calls failed in a row, and when the last did.
+    failures: u32,
+    failed: Duration,
+}
+
+impl Reading {
+    /// Nothing is known yet.
+    #[must_use]
+    pub const fn new(pace: Pace) -> Self {
+        Reading {
+            pace,
+            fresh: None,
+            failures: 0,
+            failed: Duration::ZERO,
+        }
+    }
+
+    /// The pace in force.
+    #[must_use]
+    pub const fn pace(&self) -> Pace {
+        self.pace
+    }
+
+    /// Takes another pace.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
+    /// Until when everything is known.
+    #[must_use]
+    pub const fn fresh(&self) -> Option<Duration> {
+        self.fresh
+    }
+
+    /// Whether the latest call to the store was answered.
+    #[must_use]
+    pub const fn is_sighted(&self) -> bool {
+        self.failures == 0
+    }
+
+    /// The store has answered a call that left at `sent`.
+    pub fn answered(&mut self, sent: Duration) {
+        self.failures = 0;
+        self.confirmed(sent);
+    }
+
+    /// A peer has vouched that everything is known until `at`.
+    pub fn confirmed(&mut self, at: Duration) {
+        self.fresh = Some(self.fresh.map_or(at, |fresh| fresh.max(at)));
+    }
+
+    /// A call to the store has failed.
+    pub fn failed(&mut self, now: Duration) {
+        self.failures += 1;
+        self.failed = now;
+    }
+
+    /// What to do now. `reads` tells whether this balancer is the reader; `share` in 0..1 is its
+    /// own place in the spread.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_catalog::spread::{Pace, Reading, Turn};
+    /// let mut reading = Reading::new(Pace::within(Duration::from_secs(3)));
+    /// assert_eq!(reading.turn(Duration::ZERO, false, 0.0), Turn::Poll);
+    /// reading.answered(Duration::ZERO);
+    /// assert_eq!(reading.turn(Duration::ZERO, true, 0.0), Turn::Watch);
+    /// assert!(matches!(reading.turn(Duration::ZERO, false, 0.0), Turn::Wait(_)));
+    /// assert_eq!(reading.turn(Duration::from_secs(2), false, 0.0), Turn::Poll);
+    /// ```
+    #[must_use]
+    pub fn turn(&self, now: Duration, reads: bool, share: f64) -> Turn {
+        let wait = self.pause(now, share);
+        if !wait.is_zero() {
+            return Turn::Wait(wait);
+        }
+        let Some(fresh) = self.fresh else {
+            return Turn::Poll;
+        };
+        if reads {
+            return Turn::Watch;
+        }
+        let due = fresh + self.pace.patience + self.pace.spread.mul_f64(share);
+        match due.checked_sub(now) {
+            Some(wait) if !wait.is_zero() => Turn::Wait(wait),
+            _ => Turn::Poll,
+        }
+    }
+
+    /// How long to leave the store alone after failures. It doubles from an eighth of the longest
+    /// wait: a store that is down is asked by the whole fleet, and what it refuses counts too.
+    fn pause(&self, now: Duration, share: f64) -> Duration {
+        if self.failures == 0 {
+            return Duration::ZERO;
+        }
+        let doubled = (self.pace.backoff / 8) * (1 << (self.failures - 1).min(3));
+        let pause = doubled.mul_f64(0.75 + share / 2.0);
+        (self.failed + pause).saturating_sub(now)
+    }
+}
+
+/// Whether `own` is the first in rank among those that can see the store.
+#[must_use]
+pub fn is_reader(own: &Member, list: &List) -> bool {
+    let able = |member: &Member| member.sighted && !member.leaving;
+    able(own)
+        && list
+            .iter()
+            .filter(|member| able(member))
+            .all(|member| rank(member.address) < rank(own.address))
+}
+
+/// Whom a balancer tells news that came to it from `source`: the store itself, when none.
+///
+/// From the store: all of its own data centre, and one relay of each other. From another data
+/// centre: all of its own. From its own data centre: nobody, they were all told.
+#[must_use]
+pub fn audience(own: &Member, list: &List, source: Option<&Arc<str>>) -> Vec<SocketAddrV4> {
+    let near = |member: &&Member| member.data_centre == own.data_centre;
+    let mut audience: Vec<SocketAddrV4> = Vec::new();
+    if source.is_some_and(|centre| *centre == own.data_centre) {
+        return audience;
+    }
+    audience.extend(list.iter().filter(near).map(|member| member.address));
+    if source.is_none() {
+        audience.extend(relays(own, list));
+    }
+    audience
+}
+
+/// The first in rank of each other data centre.
+fn relays(own: &Member, list: &List) -> Vec<SocketAddrV4> {
+    let mut first: Vec<&Member> = Vec::new();
+    for member in list
+        .iter()
+        .filter(|member| member.data_centre != own.data_centre)
+    {
+        match first
+            .iter_mut()
+            .find(|other| other.data_centre == member.data_centre)
+        {
+            Some(other) if precedes(member, other) => *other = member,
+            Some(_) => {}
+            None => first.push(member),
+        }
+    }
+    first.into_iter().map(|member| member.address).collect()
+}
+
+/// One that leaves comes last: it may be gone before it has passed anything on.
+fn precedes(one: &Member, other: &Member) -> bool {
+    (!one.leaving, rank(one.address)) > (!other.leaving, rank(other.address))
+}
--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -55,6 +55,11 @@
     34 PlatformTooLarge "platform-too-large": "The platform's store refuses a value as too large."; "Make the value smaller".
     35 PlatformLeaseGone "platform-lease-gone": "A lease has lapsed or was revoked."; "Nothing, unless its rate rises".
     36 PlatformLimited "platform-limited": "The limit on calls to the platform is reached; the call was not made."; "Try again after the time named".
+    37 PlatformBusy "platform-busy": "The platform is too busy for a call, and has not made it."; "Wait; compare the calls made with the platform's rates".
+    38 PlatformHistoryGone "platform-history-gone": "The store no longer holds the history that was asked for; everything is read again."; "Nothing, unless its rate rises".
+    39 PlatformMalformed "platform-malformed": "An answer of the platform can't be understood."; "Check what answers at the platform's address".
+    40 PlatformUnsupported "platform-unsupported": "The platform does not offer a call."; "Check that the settings name the right kind of platform".
+    41 EntryMalformed "entry-malformed": "An entry in the store can't be understood; it names no server, and the others hold."; "Look for who wrote the entry named in the log line".
     44 TablesUndecodable "tables-undecodable": "The bucket tables in the platform's store can't be decoded."; "Remove the key acaciatrack/tables; the balancers write again what they have in force".
     45 TablesLater "tables-later": "A later version of the balancer wrote the bucket tables."; "Finish the update of the balancers, or remove the key acaciatrack/tables after going back".
     46 TablesInconsistent "tables-inconsistent": "The bucket tables in the platform's store contradict themselves."; "Remove the key acaciatrack/tables; the balancers write again what they have in force".
@@ -96,6 +101,7 @@
     238 FlowUnsettled "flow-unsettled": "A new flow must wait until every balancer has heard of a change."; "Nothing, unless it lasts for seconds".
     239 PortsReused "ports-reused": "A new flow on the ports of one that has just ended waits until no balancer remembers the old one."; "Nothing".
     240 PinsFull "pins-full": "The table of pins is full."; "Look for a flood; otherwise add balancers".
+    241 FlowServerGone "flow-server-gone": "The flow's server has left or is lost; the caller is told so."; "Nothing, unless the server should be there".
     260 LoadShareUsed "load-share-used": "A new flow was refused: its class is beyond its share and nothing is left to borrow."; "Compare the class's demand with its share; add backend servers if paying callers are refused".
     261 LoadConnectionsUsed "load-connections-used": "A new flow was refused: its class's part of the connections is in use."; "Raise the class's share, or add backend servers".
     262 LoadNoServer "load-no-server": "A new flow was refused: its service has no backend server."; "Add a backend server to the service".
--- /dev/null
+++ b/crates/cookie/src/lib.rs
@@ -0,0 +1,17 @@
+//! Flow resolution where the transport carries 32 bits of the balancer's with every packet.
+//!
+//! The cookie names the flow's server, so any balancer resolves any packet from the packet and the
+//! list of servers alone: no pins, owners or handovers. What a [`Resolver`] remembers of flows
+//! makes it faster to notice a silent server; losing it breaks nothing.
+//!
+//! Nothing here opens a socket or reads a clock.
+
+pub mod cookie;
+pub mod place;
+pub mod resolver;
+pub mod roster;
+pub mod snapshot;
+
+pub use resolver::{Action, Resolver};
+pub use roster::Roster;
+pub use snapshot::Snapshot;
--- /dev/null
+++ b/crates/cookie/src/place.rs
@@ -0,0 +1,67 @@
+//! Which server takes a new flow.
+
+use acacia_wire::flow::mix;
+
+/// A server that may take the flow.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Its position in the snapshot.
+    pub position: u32,
+    /// A number that names it on every balancer.
+    pub name: u64,
+    /// Its part of new flows, in proportion to the others.
+    pub weight: f64,
+    /// What it has to do at present, seen from here, in proportion to its weight.
+    pub load: f64,
+}
+
+/// How many candidates of the flow's own order are compared. Two choices take the worst of the
+/// imbalance of random placement, three nearly all of it, and two balancers that get the same
+/// opening still agree in most cases.
+const CHOICES: usize = 3;
+
+/// Picks the server for the flow with that hash.
+///
+/// Load: flows that stay for many requests, so that one placed badly is felt for a minute, and
+/// servers of unequal speed. Harm: by chance alone some servers get twice the flows of others, and
+/// their callers wait while others idle. Hence the least loaded of the first [`CHOICES`] in the
+/// flow's own order (weighted rendezvous hashing), which is the same on every balancer.
+///
+/// ```
+/// use acacia_cookie::place::{Candidate, choose};
+/// let server = |position, load| Candidate { position, name: position.into(), weight: 1.0, load };
+/// assert_eq!(choose(7, &[server(0, 5.0), server(1, 1.0)]), Some(1));
+/// assert_eq!(choose(7, &[]), None);
+/// ```
+#[must_use]
+pub fn choose(flow: u64, candidates: &[Candidate]) -> Option<u32> {
+    let mut first: [Option<(f64, &Candidate)>; CHOICES] = [None; CHOICES];
+    for candidate in candidates {
+        let mut entry = Some((cost(flow, candidate), candidate));
+        for place in &mut first {
+            if precedes(&entry, place) {
+                std::mem::swap(place, &mut entry);
+            }
+        }
+    }
+    first
+        .into_iter()
+        .flatten()
+        .min_by(|(_, one), (_, other)| one.load.total_cmp(&other.load))
+        .map(|(_, candidate)| candidate.position)
+}
+
+fn precedes(one: &Option<(f64, &Candidate)>, other: &Option<(f64, &Candidate)>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => one.0 < other.0,
+        (one, other) => one.is_some() && other.is_none(),
+    }
+}
+
+/// The candidate's number in the flow's order, exponentially distributed with its weight as rate:
+/// the smallest is each one's with the probability of its part.
+fn cost(flow: u64, candidate: &Candidate) -> f64 {
+    let hash = mix(flow ^ mix(candidate.name));
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -uniform.ln() / candidate.weight.max(f64::MIN_POSITIVE)
+}
--- /dev/null
+++ b/crates/cookie/src/roster.rs
@@ -0,0 +1,254 @@
+//! Every backend server that may still have flows, and what it is good for.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use acacia_catalog::{
+    Catalog,
+    route::Config,
+    server::{self, State},
+};
+use acacia_wire::collections::Map;
+
+use crate::{
+    cookie::{Cookie, VARIANTS},
+    snapshot::{Pool, Route, Server, Snapshot, Standing},
+};
+
+/// The times by which a server whose entry is missing is judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// How long a missing entry may come back before the server is taken as gone. 2 s: within that
+    /// time the store has them back after an outage.
+    pub missing: Duration,
+    /// How long a server that is gone stays known by its cookie: the longest life of a flow.
+    pub known: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            missing: Duration::from_secs(2),
+            known: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Weight of a server that has just started against one that is warm: its first requests take
+/// about 1.6 times as long.
+const COLD: f64 = 0.6;
+
+#[derive(Debug, Clone)]
+struct Known {
+    server: Arc<server::Server>,
+    /// Position in the order in which balancers came to know servers, the same on all that follow
+    /// one store: its revision.
+    since: u64,
+    /// When its entry went missing.
+    missing: Option<Duration>,
+    /// Until when it is slow after its start.
+    warm: Duration,
+}
+
+/// The servers known to a balancer, those that left within the life of a flow included.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    limits: Limits,
+    servers: BTreeMap<Arc<str>, Known>,
+    config: Option<Arc<Config>>,
+    revision: u64,
+}
+
+impl Roster {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Roster {
+            limits,
+            ..Roster::default()
+        }
+    }
+
+    /// Takes in what the catalog holds now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_catalog::Catalog;
+    /// use acacia_cookie::Roster;
+    /// let mut roster = Roster::default();
+    /// roster.update(&Catalog::default(), Duration::ZERO);
+    /// assert!(roster.snapshot(Duration::ZERO).servers.is_empty());
+    /// ```
+    pub fn update(&mut self, catalog: &Catalog, now: Duration) {
+        self.revision = catalog.revision();
+        self.config = catalog.config().map(|item| Arc::clone(&item.value));
+        for (id, item) in catalog.servers() {
+            match &item.value {
+                Some(server) => self.present(id, server, item.revision, now),
+                None => {
+                    if let Some(known) = self.servers.get_mut(id) {
+                        known.missing.get_or_insert(now);
+                    }
+                }
+            }
+        }
+        let known = self.limits.known;
+        self.servers.retain(|_, server| {
+            server
+                .missing
+                .is_none_or(|at| now.saturating_sub(at) < known)
+        });
+    }
+
+    fn present(
+        &mut self,
+        id: &Arc<str>,
+        server: &Arc<server::Server>,
+        revision: u64,
+        now: Duration,
+    ) {
+        let warm = now + Duration::from_millis(server.warmup_ms.into());
+        match self.servers.get_mut(id) {
+            Some(known) if Arc::ptr_eq(&known.server, server) => known.missing = None,
+            Some(known) => {
+                known.server = Arc::clone(server);
+                known.missing = None;
+                known.warm = warm;
+            }
+            None => {
+                let known = Known {
+                    server: Arc::clone(server),
+                    since: revision,
+                    missing: None,
+                    warm,
+                };
+                self.servers.insert(Arc::clone(id), known);
+            }
+        }
+    }
+
+    /// When the standing of some server changes by time alone, if nothing else happens before.
+    #[must_use]
+    pub fn next_change(&self, now: Duration) -> Option<Duration> {
+        let missing = self.limits.missing;
+        let ends = |known: &Known| [known.missing.map(|at| at + missing), Some(known.warm)];
+        self.servers
+            .values()
+            .flat_map(ends)
+            .flatten()
+            .filter(|at| *at > now)
+            .min()
+    }
+
+    /// Routes and servers as traffic threads need them.
+    #[must_use]
+    pub fn snapshot(&self, now: Duration) -> Snapshot {
+        let mut snapshot = Snapshot {
+            revision: self.revision,
+            ..Snapshot::default()
+        };
+        // Older ones first: they keep the cookies that younger ones turn out to share.
+        let mut known: Vec<&Known> = self.servers.values().collect();
+        known.sort_by(|one, other| {
+            (one.since, &one.server.id).cmp(&(other.since, &other.server.id))
+        });
+        let shared = shared_cookies(&known);
+        for (position, known) in known.iter().enumerate() {
+            for variant in 0..VARIANTS {
+                let cookie = Cookie::of(&known.server.id, variant);
+                snapshot.cookies.entry(cookie).or_insert(position as u32);
+            }
+            snapshot.servers.push(self.server(known, &shared, now));
+        }
+        if let Some(config) = &self.config {
+            fill_routes(&mut snapshot, config, &known);
+        }
+        snapshot
+    }
+
+    fn server(&self, known: &Known, shared: &[Cookie], now: Duration) -> Server {
+        let server = &known.server;
+        let own = (0..VARIANTS).map(|variant| Cookie::of(&server.id, variant));
+        let alone = own
+            .clone()
+            .find(|cookie| shared.binary_search(cookie).is_err());
+        let warmth = if known.warm > now { COLD } else { 1.0 };
+        Server {
+            id: Arc::clone(&server.id),
+            // With all variants shared, which no fleet will see, the older server gets the flow.
+            cookie: alone.unwrap_or_else(|| Cookie::of(&server.id, 0)),
+            tag: server.tag,
+            address: server.address,
+            data_centre: Arc::clone(&server.data_centre),
+            standing: self.standing(known, now),
+            weight: f64::from(server.slots.max(1)) * warmth,
+        }
+    }
+
+    fn standing(&self, known: &Known, now: Duration) -> Standing {
+        let draining = known.server.state == State::Draining;
+        match known.missing {
+            None if draining => Standing::Draining,
+            None => Standing::Ready,
+            Some(_) if draining => Standing::Gone,
+            Some(at) if now.saturating_sub(at) < self.limits.missing => Standing::Missing,
+            Some(_) => Standing::Gone,
+        }
+    }
+}
+
+/// Cookies that two servers have, in order.
+fn shared_cookies(known: &[&Known]) -> Vec<Cookie> {
+    let all = known
+        .iter()
+        .flat_map(|known| (0..VARIANTS).map(|variant| Cookie::of(&known.server.id, variant)));
+    let mut all: Vec<Cookie> = all.collect();
+    all.sort_unstable();
+    let mut shared: Vec<Cookie> = all
+        .windows(2)
+        .filter(|pair| pair[0] == pair[1])
+        .map(|pair| pair[0])
+        .collect();
+    shared.dedup();
+    shared
+}
+
+fn fill_routes(snapshot: &mut Snapshot, config: &Config, known: &[&Known]) {
+    snapshot.version = config.version;
+    let mut positions: Map<Arc<str>, u32> = Map::default();
+    for route in &config.routes {
+        let mut pools = Vec::with_capacity(route.targets.len());
+        for target in &route.targets {
+            let next = positions.len() as u32;
+            let position = *positions.entry(Arc::clone(&target.service)).or_insert(next);
+            pools.push((position, target.weight));
+        }
+        let name = Arc::clone(&route.name);
+        snapshot.routes.insert(route.front, Route { name, pools });
+    }
+    let mut pools = vec![Pool::default(); positions.len()];
+    for (service, position) in positions {
+        let pool = &mut pools[position as usize];
+        pool.open = open(snapshot, known, &service);
+        pool.service = service;
+    }
+    snapshot.pools = pools;
+}
+
+/// The servers of a service that take new flows: the ready ones, or where there is none, those whose
+/// entries have just gone missing.
+fn open(snapshot: &Snapshot, known: &[&Known], service: &Arc<str>) -> Vec<u32> {
+    let with = |standing: Standing| {
+        let fits = move |position: &usize| {
+            known[*position].server.service == *service
+                && snapshot.servers[*position].standing == standing
+        };
+        (0..known.len())
+            .filter(fits)
+            .map(|position| position as u32)
+    };
+    let ready: Vec<u32> = with(Standing::Ready).collect();
+    if ready.is_empty() {
+        return with(Standing::Missing).collect();
+    }
+    ready
+}
--- /dev/null
+++ b/crates/cookie/src/snapshot.rs
@@ -0,0 +1,91 @@
+//! The routes and servers as traffic threads see them: immutable, replaced as a whole.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use acacia_catalog::route::Front;
+use acacia_wire::collections::Map;
+
+use crate::cookie::Cookie;
+
+/// What a balancer does with a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It takes new flows.
+    Ready,
+    /// Its entry went missing a moment ago without an announced departure. Entries lapse while the
+    /// store is away and come back after it, so such a server takes new flows where no other is
+    /// ready.
+    Missing,
+    /// It announced that it leaves: it keeps its flows.
+    Draining,
+    /// Its entry is gone for good: flows that it no longer answers are ended.
+    Gone,
+}
+
+/// A backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Server {
+    /// Its name.
+    pub id: Arc<str>,
+    /// The cookie of its new flows.
+    pub cookie: Cookie,
+    /// The number by which it knows that a datagram is meant for it.
+    pub tag: u64,
+    /// Where it takes datagrams.
+    pub address: SocketAddrV4,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// What it is good for.
+    pub standing: Standing,
+    /// Its part of new flows, in proportion to the others of its service.
+    pub weight: f64,
+}
+
+/// The backend servers of a service.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Pool {
+    /// The service's name.
+    pub service: Arc<str>,
+    /// Positions of those that take new flows.
+    pub open: Vec<u32>,
+}
+
+/// A route's targets.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Route {
+    /// Its name, for logs.
+    pub name: Arc<str>,
+    /// Positions of the services' pools, each with its weight.
+    pub pools: Vec<(u32, u32)>,
+}
+
+/// Routes and servers at one moment.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Snapshot {
+    /// The operators' number of the configuration.
+    pub version: u64,
+    /// The store's revision that it is made from.
+    pub revision: u64,
+    /// The routes by what callers use.
+    pub routes: Map<Front, Route>,
+    /// The pools of all services that routes name.
+    pub pools: Vec<Pool>,
+    /// All servers, those that have left a while ago included.
+    pub servers: Vec<Server>,
+    /// Positions of servers by cookie, all variants.
+    pub cookies: Map<Cookie, u32>,
+}
+
+impl Snapshot {
+    /// The server that a cookie names.
+    ///
+    /// ```
+    /// use acacia_cookie::{cookie::Cookie, Snapshot};
+    /// assert!(Snapshot::default().server(Cookie::of("a", 0)).is_none());
+    /// ```
+    #[must_use]
+    pub fn server(&self, cookie: Cookie) -> Option<&Server> {
+        let position = *self.cookies.get(&cookie)?;
+        self.servers.get(position as usize)
+    }
+}
--- /dev/null
+++ b/crates/node/src/cookie/daemon.rs
@@ -0,0 +1,437 @@
+//! Puts the services of the process together, and ends them in order.
+
+use std::{
+    net::UdpSocket,
+    path::{Path, PathBuf},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use acacia_adapter::{ready, store};
+use acacia_code::Code;
+use acacia_kernel::{BoxError, Registry, Service, Stopper};
+use acacia_platform::{Client, Options, server};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::{Notify, oneshot},
+    task::{JoinSet, LocalSet},
+    time,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    core::{Core, Outcome},
+    exchange, follow,
+    message::{Message, Parcel},
+    rotation::Phase,
+    settings::Settings,
+    traffic::{self, Published},
+};
+use crate::{clock, counter::Counter, daemon, journal};
+
+/// Between two rounds of gossip. 500 ms: a balancer that is lost is noticed within six.
+const ROUND: Duration = Duration::from_millis(500);
+/// Longest message taken, in bytes.
+const LARGEST: usize = 9_000;
+/// Connections at a time, of routers or of peers. Load: routers ask twice a second, and peers fetch
+/// differences together when a large configuration comes. Harm: each takes memory and a descriptor.
+const CONNECTIONS: usize = 64;
+/// Between two looks at the settings file, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// What the services of the process share.
+struct Shared {
+    settings: Settings,
+    path: PathBuf,
+    published: Published,
+    counter: Arc<Counter>,
+}
+
+/// The control thread's state, shared by its tasks.
+pub struct Control {
+    core: Mutex<Core>,
+    phase: Mutex<Phase>,
+    settings: Mutex<Settings>,
+    socket: tokio::net::UdpSocket,
+    published: Published,
+    counter: Arc<Counter>,
+    fetching: AtomicBool,
+    /// Wakes the task that follows the store.
+    pub wake: Notify,
+    /// Wakes the task that publishes.
+    changed: Notify,
+}
+
+/// Runs the balancer until it is asked to end or a service of it dies. The settings are read again
+/// from `path` whenever they change.
+///
+/// # Errors
+/// When a service can't start.
+pub fn run(settings: Settings, path: PathBuf) -> anyhow::Result<Code> {
+    journal::start(settings.log)?;
+    log::info!(
+        "event=started name={} traffic={} control={}",
+        settings.name,
+        settings.traffic,
+        settings.control
+    );
+    let shared = Arc::new(Shared {
+        settings,
+        path,
+        published: Published::default(),
+        counter: Arc::default(),
+    });
+    let (hand, stopper) = oneshot::channel();
+    let mut registry = Registry::default();
+    registry.add(traffic_service(Arc::clone(&shared)));
+    registry.add(control_service(Arc::clone(&shared), stopper));
+    let kernel = registry.start()?;
+    // Refused only if the control thread has died, which the kernel then tells.
+    let _ = hand.send(kernel.stopper());
+    let outcome = kernel.wait();
+    let counts = shared.counter.line();
+    log::info!("event=ended name={} {counts}", shared.settings.name);
+    Ok(outcome.code())
+}
+
+fn traffic_service(shared: Arc<Shared>) -> Service {
+    Service::new("traffic", [], move |context| {
+        let stop = Arc::new(AtomicBool::new(false));
+        let socket = daemon::bind(shared.settings.traffic)?;
+        let traffic = traffic::Context {
+            published: Arc::clone(&shared.published),
+            counter: Arc::clone(&shared.counter),
+            port: shared.settings.traffic.port(),
+        };
+        let flag = Arc::clone(&stop);
+        context.spawn(move || Ok(traffic::run(&socket, &traffic, &flag)?))?;
+        context.on_stop(move || stop.store(true, Ordering::Relaxed));
+        Ok(())
+    })
+}
+
+fn control_service(shared: Arc<Shared>, stopper: oneshot::Receiver<Stopper>) -> Service {
+    Service::new("control", ["traffic"], move |context| {
+        let stop = CancellationToken::new();
+        let token = stop.clone();
+        context.spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()?;
+            // The client's futures stay on this thread: nothing here gains from others.
+            LocalSet::new().block_on(&runtime, serve(&shared, stopper, token))
+        })?;
+        context.on_stop(move || stop.cancel());
+        Ok(())
+    })
+}
+
+/// The control thread: until it is stopped, or one of its tasks fails.
+async fn serve(
+    shared: &Shared,
+    stopper: oneshot::Receiver<Stopper>,
+    stop: CancellationToken,
+) -> Result<(), BoxError> {
+    let control = Arc::new(Control::new(shared)?);
+    let settings = &shared.settings;
+    let ready = TcpListener::bind(settings.ready).await?;
+    let peers = TcpListener::bind(settings.control).await?;
+    let mut tasks: JoinSet<Result<(), BoxError>> = JoinSet::new();
+    let (one, two, three) = (
+        Arc::clone(&control),
+        Arc::clone(&control),
+        Arc::clone(&control),
+    );
+    tasks.spawn_local(follow_store(one, settings.platform));
+    tasks.spawn(gossip(two));
+    tasks.spawn(receive(three));
+    let (one, two, three) = (
+        Arc::clone(&control),
+        Arc::clone(&control),
+        Arc::clone(&control),
+    );
+    tasks.spawn(publish(one));
+    tasks.spawn(reload(two, shared.path.clone()));
+    tasks.spawn(leave(three, stopper));
+    tasks.spawn(answer_routers(Arc::clone(&control), ready, stop.clone()));
+    tasks.spawn(answer_peers(control, peers, stop.clone()));
+    let ended = loop {
+        tokio::select! {
+            () = stop.cancelled() => break Ok(()),
+            Some(ended) = tasks.join_next() => match ended {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => break Err(error),
+                Err(error) => break Err(error.into()),
+            }
+        }
+    };
+    tasks.shutdown().await;
+    ended
+}
+
+impl Control {
+    fn new(shared: &Shared) -> Result<Self, BoxError> {
+        let settings = shared.settings.clone();
+        let incarnation = clock::time_of_day().as_millis() as u64;
+        let socket = UdpSocket::bind(settings.control)?;
+        socket.set_nonblocking(true)?;
+        Ok(Control {
+            core: Mutex::new(Core::new(&settings, incarnation)),
+            phase: Mutex::new(Phase::Starting),
+            settings: Mutex::new(settings),
+            socket: tokio::net::UdpSocket::from_std(socket)?,
+            published: Arc::clone(&shared.published),
+            counter: Arc::clone(&shared.counter),
+            fetching: AtomicBool::new(false),
+            wake: Notify::new(),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Asks or tells the core.
+    pub fn core<T>(&self, with: impl FnOnce(&mut Core, Duration) -> T) -> T {
+        with(&mut lock(&self.core), clock::now())
+    }
+
+    /// Tells the core and does what follows.
+    pub async fn take(&self, with: impl FnOnce(&mut Core, Duration) -> Outcome) {
+        let outcome = self.core(with);
+        if outcome.changed {
+            self.changed.notify_one();
+        }
+        self.advance();
+        self.send(outcome.parcels).await;
+    }
+
+    async fn send(&self, parcels: Vec<Parcel>) {
+        if parcels.is_empty() {
+            return;
+        }
+        let secret = lock(&self.settings).secret.clone();
+        exchange::send(&self.socket, parcels, &secret).await;
+    }
+
+    /// Takes its place in rotation once it knows enough.
+    fn advance(&self) {
+        let mut phase = lock(&self.phase);
+        let core = lock(&self.core);
+        if *phase == Phase::Starting && core.is_informed() {
+            *phase = Phase::Serving;
+            let version = core.version().unwrap_or_default();
+            log::info!("event=ready revision={} version={version}", core.revision());
+            self.changed.notify_one();
+        }
+    }
+}
+
+/// A poisoned lock is taken as it is: each change under it is a single step.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn follow_store(
+    control: Arc<Control>,
+    address: std::net::SocketAddrV4,
+) -> Result<(), BoxError> {
+    let options = Options {
+        seed: control.core(|core, _| core.own().incarnation),
+        ..Options::default()
+    };
+    let client = Client::with_transport(address.into(), options, store::transport());
+    follow::run(&control, &client).await;
+    Ok(())
+}
+
+async fn gossip(control: Arc<Control>) -> Result<(), BoxError> {
+    loop {
+        let parcels = control.core(Core::gossip);
+        control.send(parcels).await;
+        time::sleep(ROUND).await;
+    }
+}
+
+async fn receive(control: Arc<Control>) -> Result<(), BoxError> {
+    let mut buffer = vec![0; LARGEST];
+    let mut fetches = JoinSet::new();
+    loop {
+        let secret = lock(&control.settings).secret.clone();
+        let message = match exchange::receive(&control.socket, &mut buffer, &secret).await {
+            Ok(Ok(message)) => message,
+            Ok(Err(error)) => {
+                control.counter.code(control_code(error));
+                continue;
+            }
+            // An earlier datagram met a closed port; the socket is as good as before.
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => continue,
+            Err(error) => return Err(error.into()),
+        };
+        while fetches.try_join_next().is_some() {}
+        if let Some(fetch) = hear(&control, message).await {
+            fetches.spawn(fetch);
+        }
+        control.wake.notify_one();
+    }
+}
+
+/// Takes a message in; gives the fetch of what is missing here, unless one is under way.
+async fn hear(
+    control: &Arc<Control>,
+    message: Message,
+) -> Option<impl Future<Output = ()> + use<>> {
+    let (from, centre) = (message.from.address, Arc::clone(&message.from.data_centre));
+    let mut missing = false;
+    control
+        .take(|core, now| {
+            let outcome = core.hear(message, now);
+            missing = outcome.fetch;
+            outcome
+        })
+        .await;
+    if !missing || control.fetching.swap(true, Ordering::Relaxed) {
+        return None;
+    }
+    let control = Arc::clone(control);
+    Some(async move {
+        let revision = control.core(|core, _| core.revision());
+        match exchange::fetch(from, revision).await {
+            Ok(difference) => {
+                control
+                    .take(|core, now| core.fetched(difference, &centre, now))
+                    .await;
+            }
+            Err(error) => log::info!("event=fetch-failed peer={from} error=\"{error}\""),
+        }
+        control.fetching.store(false, Ordering::Relaxed);
+        control.wake.notify_one();
+    })
+}
+
+const fn control_code(error: acacia_wire::control::Error) -> Code {
+    use acacia_wire::control::Error;
+    match error {
+        Error::Truncated => Code::ControlTruncated,
+        Error::Oversized => Code::ControlOversized,
+        Error::Forged => Code::ControlForged,
+        Error::Undecodable => Code::ControlUndecodable,
+    }
+}
+
+/// Publishes routes and servers whenever they change, by news or by time.
+async fn publish(control: Arc<Control>) -> Result<(), BoxError> {
+    /// Where nothing is to change by time.
+    const IDLE: Duration = Duration::from_secs(60);
+    loop {
+        let (snapshot, next) = control.core(|core, now| {
+            let (snapshot, next) = core.snapshot(now);
+            let next = next.map(|at| at.saturating_sub(now));
+            (core.is_informed().then_some(snapshot), next)
+        });
+        if let Some(snapshot) = snapshot {
+            control.published.store(Some(Arc::new(snapshot)));
+        }
+        tokio::select! {
+            () = control.changed.notified() => {}
+            () = time::sleep(next.unwrap_or(IDLE)) => {}
+        }
+    }
+}
+
+/// Rereads the settings when they change, with a signal or without.
+async fn reload(control: Arc<Control>, path: PathBuf) -> Result<(), BoxError> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    let mut before = std::fs::read_to_string(&path).ok();
+    loop {
+        tokio::select! {
+            _ = hangups.recv() => log::info!("event=hangup"),
+            () = time::sleep(LOOK) => {}
+        }
+        let text = read(&path);
+        if text.is_none() || text == before {
+            continue;
+        }
+        before = text;
+        match Settings::parse(before.as_deref().unwrap_or_default()) {
+            Ok(settings) => {
+                control.core(|core, _| core.renew(&settings));
+                *lock(&control.settings) = settings;
+                log::info!("event=settings-reloaded");
+            }
+            Err(error) => {
+                log::error!(
+                    "event=settings-refused code={} error=\"{error}\"",
+                    error.code
+                );
+            }
+        }
+    }
+}
+
+fn read(path: &Path) -> Option<String> {
+    let code = Code::SettingsUnreadable;
+    std::fs::read_to_string(path)
+        .inspect_err(|error| log::warn!("event=settings-unreadable code={code} error=\"{error}\""))
+        .ok()
+}
+
+async fn answer_routers(
+    control: Arc<Control>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) -> Result<(), BoxError> {
+    server::listen(listener, stop, CONNECTIONS, move |stream| {
+        let control = Arc::clone(&control);
+        async move { ready::serve(stream, || lock(&control.phase).is_ready()).await }
+    })
+    .await;
+    Ok(())
+}
+
+async fn answer_peers(
+    control: Arc<Control>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) -> Result<(), BoxError> {
+    server::listen(listener, stop, CONNECTIONS, move |stream| {
+        let control = Arc::clone(&control);
+        exchange::serve(stream, move |revision| {
+            control.core(|core, now| core.difference(revision, now))
+        })
+    })
+    .await;
+    Ok(())
+}
+
+/// Waits for the request to end, leaves the rotation, and stops the process once the routers have
+/// noticed. A second request ends it at once.
+async fn leave(control: Arc<Control>, stopper: oneshot::Receiver<Stopper>) -> Result<(), BoxError> {
+    let mut terms = signal(SignalKind::terminate())?;
+    let mut interrupts = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terms.recv() => {}
+        _ = interrupts.recv() => {}
+    }
+    let phase = Phase::Leaving {
+        since: clock::now(),
+    };
+    *lock(&control.phase) = phase;
+    log::info!("event=leaving");
+    let parcels = control.core(Core::leave);
+    control.send(parcels).await;
+    let grace = lock(&control.settings).grace;
+    let end = phase.end(grace).unwrap_or_default();
+    tokio::select! {
+        () = time::sleep(end.saturating_sub(clock::now())) => stopper.await?.stop(),
+        _ = terms.recv() => force(),
+        _ = interrupts.recv() => force(),
+    }
+    Ok(())
+}
+
+fn force() {
+    log::error!("event=forced code={}", Code::Forced);
+    std::process::exit(i32::from(Code::Forced.exit_status()));
+}
--- /dev/null
+++ b/crates/node/src/cookie/exchange.rs
@@ -0,0 +1,106 @@
+//! Messages between balancers: news and gossip by UDP, whole differences by TCP.
+//!
+//! Datagrams rather than nng's connections: one that is lost is made good by the next within a
+//! second, none can go silent for good, and a balancer that has just started is answered at once,
+//! where a connection would wait for its next attempt. Differences are fetched over a connection
+//! of their own that ends with the answer, for the same reason.
+
+use std::{io, net::SocketAddrV4, time::Duration};
+
+use acacia_platform::server;
+use acacia_wire::control::{self, Envelope, Secret};
+use tarpc::{
+    client, context, serde_transport::Transport, server::Serve as _, tokio_serde::formats::Json,
+};
+use tokio::{
+    net::{TcpStream, UdpSocket},
+    time::{self, Instant},
+};
+
+use super::message::{Difference, Message, Parcel};
+
+/// How long a peer has to give a difference. It answers from memory; with a round trip of 20 ms
+/// and a starved processor, this is ample.
+const FETCH: Duration = Duration::from_millis(500);
+
+/// What a balancer is asked by its peers.
+#[tarpc::service]
+pub trait Peer {
+    /// All that changed after a revision.
+    async fn difference(revision: u64) -> Difference;
+}
+
+/// Sends parcels. One that can't be sent is lost, as any datagram may be.
+pub async fn send(socket: &UdpSocket, parcels: Vec<Parcel>, secret: &Secret) {
+    for Parcel { to, message } in parcels {
+        let envelope = Envelope {
+            // Addresses tell these balancers apart, not numbers.
+            sender: 0,
+            incarnation: message.from.incarnation,
+            sequence: message.from.beat,
+        };
+        let frame = control::seal(&envelope, &message, secret);
+        if let Err(error) = socket.send_to(&frame, to).await {
+            log::debug!("event=message-unsent peer={to} error={error:?}");
+        }
+    }
+}
+
+/// Takes the next message.
+///
+/// # Errors
+/// When the socket fails. A datagram that is no message gives nothing.
+pub async fn receive(
+    socket: &UdpSocket,
+    buffer: &mut [u8],
+    secret: &Secret,
+) -> io::Result<Result<Message, control::Error>> {
+    let (length, _) = socket.recv_from(buffer).await?;
+    let opened = control::open::<Message>(&buffer[..length], secret);
+    Ok(opened.map(|(_, message)| message))
+}
+
+/// Fetches from the peer at `address` all that changed after `revision`.
+///
+/// # Errors
+/// When it does not answer in time.
+pub async fn fetch(address: SocketAddrV4, revision: u64) -> anyhow::Result<Difference> {
+    let deadline = Instant::now() + FETCH;
+    let stream = time::timeout_at(deadline, TcpStream::connect(address)).await??;
+    let transport = Transport::from((stream, Json::default()));
+    let new = PeerClient::new(client::Config::default(), transport);
+    let mut ctx = context::current();
+    ctx.deadline = deadline.into_std();
+    // The connection is served here and not by a task of its own: it ends with this call.
+    tokio::select! {
+        answer = time::timeout_at(deadline, new.client.difference(ctx, revision)) => Ok(answer??),
+        ended = new.dispatch => {
+            ended?;
+            anyhow::bail!("the connection ended")
+        }
+    }
+}
+
+/// Answers a peer on one connection until it ends.
+pub async fn serve<D>(stream: TcpStream, difference: D)
+where
+    D: Fn(u64) -> Difference + Clone + Send + Sync + 'static,
+{
+    let answers = Answers { difference };
+    server::connection(stream, move |ctx, request| {
+        answers.clone().serve().serve(ctx, request)
+    })
+    .await;
+}
+
+/// The answers as a tarpc service.
+#[derive(Clone)]
+struct Answers<D> {
+    difference: D,
+}
+
+impl<D: Fn(u64) -> Difference + Send> Peer for Answers<D> {
+    async fn difference(self, _: context::Context, revision: u64) -> Difference {
+        (self.difference)(revision)
+    }
+}
--- /dev/null
+++ b/crates/node/src/cookie/follow.rs
@@ -0,0 +1,83 @@
+//! Reading of the store, when the core says so.
+
+use std::{sync::Arc, time::Duration};
+
+use acacia_adapter::entry;
+use acacia_catalog::{Change, spread::Turn};
+use acacia_platform::{Client, Error};
+use tokio::time;
+
+use super::daemon::Control;
+use crate::clock;
+
+/// How long a watch waits that is only to answer at once. The store takes whole milliseconds.
+const AT_ONCE: Duration = Duration::from_millis(1);
+
+/// Follows the store until the task is dropped.
+pub async fn run(control: &Control, client: &Client) {
+    let mut whole = true;
+    loop {
+        let turn = control.core(|core, now| core.turn(now));
+        let wait = match turn {
+            Turn::Wait(wait) => {
+                tokio::select! {
+                    () = time::sleep(wait) => {}
+                    () = control.wake.notified() => {}
+                }
+                continue;
+            }
+            Turn::Watch => control.core(|core, _| core.pace().watch),
+            Turn::Poll => AT_ONCE,
+        };
+        let sent = clock::now();
+        let done = match whole || control.core(|core, _| core.revision()) == 0 {
+            true => read(control, client, sent).await,
+            false => watch(control, client, wait, sent).await,
+        };
+        match done {
+            Ok(()) => whole = false,
+            Err(Error::HistoryGone) => {
+                log::info!(
+                    "event=store-history-gone code={}",
+                    Error::HistoryGone.code()
+                );
+                whole = true;
+            }
+            Err(error) => control.core(|core, now| core.failed(&error, now)),
+        }
+    }
+}
+
+async fn read(control: &Control, client: &Client, sent: Duration) -> Result<(), Error> {
+    let prefix: Arc<str> = entry::PREFIX.into();
+    let (items, revision) = client.range(&prefix).await?;
+    let changes: Vec<Change> = items.iter().filter_map(entry::item).collect();
+    control
+        .take(|core, now| core.read(changes, revision, sent, now))
+        .await;
+    Ok(())
+}
+
+async fn watch(
+    control: &Control,
+    client: &Client,
+    wait: Duration,
+    sent: Duration,
+) -> Result<(), Error> {
+    let prefix: Arc<str> = entry::PREFIX.into();
+    let after = control.core(|core, _| core.revision());
+    let answer = client.changes(&prefix, after, wait).await?;
+    let changes: Vec<Change> = answer.events.iter().filter_map(entry::event).collect();
+    // The store answers a watch when it ends or something happens, so its answer is as new as the
+    // moment before it came; half the time of a call that is answered at once is on the safe side.
+    let fresh = if answer.events.is_empty() {
+        sent + wait
+    } else {
+        sent
+    };
+    let fresh = fresh.min(clock::now());
+    control
+        .take(|core, now| core.changed(changes, answer.revision, fresh, now))
+        .await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/cookie/message.rs
@@ -0,0 +1,72 @@
+//! What balancers tell each other.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use acacia_catalog::{Change, member::Member};
+use serde::{Deserialize, Serialize};
+
+/// A datagram between balancers: who sends it, how much it knows, and news.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender.
+    pub from: Member,
+    /// What the sender knows of the store.
+    pub known: Known,
+    /// The revision that `changes` follow on.
+    pub base: u64,
+    /// All changes from `base` to the sender's revision, if they fit; else none, and whoever needs
+    /// them fetches them.
+    pub changes: Vec<Change>,
+    /// Some other balancers.
+    pub others: Vec<Member>,
+    /// Whether the sender asks for a message in return.
+    pub wants: bool,
+}
+
+/// How much a balancer knows of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// The revision up to which it knows everything.
+    pub revision: u64,
+    /// How long ago that was the store's newest, in milliseconds; none if it never knew.
+    pub age_ms: Option<u64>,
+}
+
+impl Known {
+    /// When the store's newest revision was known, seen from `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_node::cookie::message::Known;
+    /// let known = Known { revision: 3, age_ms: Some(400) };
+    /// let at = known.at(Duration::from_secs(1));
+    /// assert_eq!(at, Some(Duration::from_millis(600)));
+    /// ```
+    #[must_use]
+    pub fn at(&self, now: Duration) -> Option<Duration> {
+        let age = Duration::from_millis(self.age_ms?);
+        now.checked_sub(age)
+    }
+}
+
+/// Most bytes of changes that travel in a datagram; with the envelope it stays below an Ethernet
+/// frame. What is longer is fetched over TCP.
+pub const LONGEST: usize = 1_000;
+
+/// Where a message goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Parcel {
+    /// The receiver's control address.
+    pub to: SocketAddrV4,
+    /// What it is told.
+    pub message: Message,
+}
+
+/// All that changed after a revision, as it is fetched from a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Difference {
+    /// What the peer knows.
+    pub known: Known,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
--- /dev/null
+++ b/crates/node/src/cookie/mod.rs
@@ -0,0 +1,13 @@
+//! The balancer where packets carry a cookie: flows are resolved from the packet and the list of
+//! servers, and control threads only spread the two documents that all must know.
+
+pub mod core;
+pub mod daemon;
+pub mod exchange;
+pub mod follow;
+pub mod message;
+pub mod rotation;
+pub mod settings;
+pub mod traffic;
+
+pub use settings::Settings;
--- /dev/null
+++ b/crates/node/src/cookie/settings.rs
@@ -0,0 +1,119 @@
+//! The daemon's settings where packets carry a cookie.
+
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use acacia_wire::control::Secret;
+
+use crate::settings::{self, ADDRESS, Error, Reader, Transport};
+
+/// Everything a balancer learns from its settings.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This balancer's name, for logs.
+    pub name: Arc<str>,
+    /// The data centre it runs in.
+    pub data_centre: Arc<str>,
+    /// Where callers' packets come in. Packets for a caller go to the caller's address on the same
+    /// port.
+    pub traffic: SocketAddrV4,
+    /// Where other balancers' messages come in, by UDP and TCP: this balancer's identity.
+    pub control: SocketAddrV4,
+    /// Keys of the messages between balancers.
+    pub secret: Secret,
+    /// Control addresses of a few balancers to begin with. They may be out of date.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Where the routers ask whether to send packets here.
+    pub ready: SocketAddrV4,
+    /// Where the platform's store answers.
+    pub platform: SocketAddrV4,
+    /// How soon after the store's answer a change must be in force.
+    pub in_force: Duration,
+    /// The longest life of a flow.
+    pub flow: Duration,
+    /// How long after a request to end the process may live.
+    pub grace: Duration,
+    /// Level of logs.
+    pub log: log::LevelFilter,
+}
+
+/// Every key that may stand in a section.
+pub const KEYS: &[(&str, &[&str])] = &[
+    ("balancer", &["name", "data_centre"]),
+    ("traffic", &["transport", "listen"]),
+    ("control", &["listen", "key", "previous_key", "seeds"]),
+    ("ready", &["listen"]),
+    ("platform", &["address"]),
+    ("bounds", &["in_force_ms", "flow_s", "grace_s"]),
+    ("log", &["level"]),
+];
+
+impl Settings {
+    /// Reads and checks `text`.
+    ///
+    /// # Errors
+    /// All problems at once, unknown keys among them.
+    ///
+    /// ```
+    /// use acacia_node::cookie::Settings;
+    /// let error = Settings::parse("[ready]\nlisten = x\n").unwrap_err();
+    /// assert!(error.to_string().contains("[ready] listen: found x"));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        settings::read(text, KEYS, take)
+    }
+}
+
+fn take(reader: &mut Reader<'_>) -> Option<Settings> {
+    // Each value is read before any is missed, so that all problems are listed at once.
+    let name = reader.required::<String>("balancer", "name", "a name");
+    let data_centre = reader.required::<String>("balancer", "data_centre", "a name");
+    reader.optional::<Transport>("traffic", "transport", "ip or cookie");
+    let traffic = reader.required("traffic", "listen", ADDRESS);
+    let control = reader.required("control", "listen", ADDRESS);
+    let key = reader.key("key", true);
+    let previous = reader.key("previous_key", false);
+    let seeds = seeds(reader);
+    let ready = reader.required("ready", "listen", ADDRESS);
+    let platform = reader.required("platform", "address", ADDRESS);
+    let in_force = reader.required("bounds", "in_force_ms", "whole milliseconds, 500 or more");
+    if in_force.is_some_and(|ms: u64| ms < 500) {
+        reader.problem("bounds", "in_force_ms", "whole milliseconds, 500 or more");
+    }
+    let flow = reader.required("bounds", "flow_s", "seconds");
+    let grace = reader.required("bounds", "grace_s", "seconds");
+    let log = reader.optional("log", "level", "off, error, warn, info, debug or trace");
+    Some(Settings {
+        name: name?.into(),
+        data_centre: data_centre?.into(),
+        traffic: traffic?,
+        control: control?,
+        secret: Secret::new(&key?, previous.as_ref()),
+        seeds: seeds?,
+        ready: ready?,
+        platform: platform?,
+        in_force: Duration::from_millis(in_force?),
+        flow: seconds(flow?)?,
+        grace: seconds(grace?)?,
+        log: log.unwrap_or(log::LevelFilter::Info),
+    })
+}
+
+/// Addresses joined by commas; none where nothing stands.
+fn seeds(reader: &mut Reader<'_>) -> Option<Vec<SocketAddrV4>> {
+    let expected = "addresses joined by commas";
+    let text = reader.text("control", "seeds");
+    let parsed: Result<Vec<SocketAddrV4>, _> = text
+        .split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+        .map(str::parse)
+        .collect();
+    if parsed.is_err() {
+        reader.problem("control", "seeds", expected);
+    }
+    parsed.ok()
+}
+
+fn seconds(value: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(value).ok()
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -243,7 +243,7 @@
 
 /// A socket of its own for each traffic thread, on one address: the kernel spreads datagrams over
 /// them by their outer addresses.
-fn bind(address: SocketAddrV4) -> std::io::Result<UdpSocket> {
+pub(crate) fn bind(address: SocketAddrV4) -> std::io::Result<UdpSocket> {
     let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
     socket.set_reuse_port(true)?;
     // The system may grant less; then bursts are cut sooner.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin;
 pub mod clock;
 pub mod control;
+pub mod cookie;
 pub mod counter;
 pub mod daemon;
 pub mod journal;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -105,7 +105,7 @@
 /// Every key that may stand in a section, for the check on unknown ones and for docs/SETTINGS.md.
 pub const KEYS: &[(&str, &[&str])] = &[
     ("balancer", &["id", "data_centre", "advertise"]),
-    ("traffic", &["listen", "threads", "gateway"]),
+    ("traffic", &["transport", "listen", "threads", "gateway"]),
     ("control", &["listen", "key", "previous_key"]),
     ("admin", &["listen"]),
     ("platform", &["address"]),
@@ -124,37 +124,84 @@
     /// assert!(error.to_string().contains("[balancer] id: found x"));
     /// ```
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let ini = Ini::load_from_str(text).map_err(|error| Error {
-            code: Code::SettingsUnreadable,
-            problems: vec![Problem {
-                section: String::new(),
-                key: format!("line {}", error.line),
-                found: Some(error.msg.into_owned()),
-                expected: "sections of key = value lines",
-            }],
-        })?;
-        let mut reader = Reader {
-            ini: &ini,
-            problems: Vec::new(),
-        };
-        let settings = reader.settings();
-        reader.unknown_keys();
-        match settings {
-            Some(settings) if reader.problems.is_empty() => Ok(settings),
-            _ => Err(Error {
-                code: Code::SettingsInvalid,
-                problems: reader.problems,
-            }),
+        read(text, KEYS, |reader| reader.settings())
+    }
+}
+
+/// How flows are resolved, which the transport decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Transport {
+    /// IP packets in UDP: balancers remember flows by pins.
+    Ip,
+    /// Packets that carry a cookie of the balancer's.
+    Cookie,
+}
+
+impl FromStr for Transport {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "ip" => Ok(Transport::Ip),
+            "cookie" => Ok(Transport::Cookie),
+            _ => Err(()),
         }
     }
 }
 
-struct Reader<'a> {
+/// The transport that settings name; [`Transport::Ip`] where they name none or can't be read,
+/// which reading them whole then reports.
+///
+/// ```
+/// use acacia_node::settings::{Transport, transport};
+/// assert_eq!(transport("[traffic]\ntransport = cookie\n"), Transport::Cookie);
+/// ```
+#[must_use]
+pub fn transport(text: &str) -> Transport {
+    Ini::load_from_str(text)
+        .ok()
+        .and_then(|ini| ini.get_from(Some("traffic"), "transport")?.parse().ok())
+        .unwrap_or(Transport::Ip)
+}
+
+/// Reads settings with `take`, which gives nothing if a value is missing, and refuses keys that
+/// aren't among `keys`.
+pub(crate) fn read<T>(
+    text: &str,
+    keys: &'static [(&'static str, &'static [&'static str])],
+    take: impl FnOnce(&mut Reader<'_>) -> Option<T>,
+) -> Result<T, Error> {
+    let ini = Ini::load_from_str(text).map_err(|error| Error {
+        code: Code::SettingsUnreadable,
+        problems: vec![Problem {
+            section: String::new(),
+            key: format!("line {}", error.line),
+            found: Some(error.msg.into_owned()),
+            expected: "sections of key = value lines",
+        }],
+    })?;
+    let mut reader = Reader {
+        ini: &ini,
+        problems: Vec::new(),
+    };
+    let settings = take(&mut reader);
+    reader.unknown_keys(keys);
+    match settings {
+        Some(settings) if reader.problems.is_empty() => Ok(settings),
+        _ => Err(Error {
+            code: Code::SettingsInvalid,
+            problems: reader.problems,
+        }),
+    }
+}
+
+/// Takes values out of a file and collects what is wrong with them.
+pub(crate) struct Reader<'a> {
     ini: &'a Ini,
     problems: Vec<Problem>,
 }
 
-const ADDRESS: &str = "an IPv4 address and port, such as 10.0.0.1:6080";
+pub(crate) const ADDRESS: &str = "an IPv4 address and port, such as 10.0.0.1:6080";
 const IP_NUMBER: &str = "an IPv4 address, such as 10.0.0.1";
 const HEX_KEY: &str = "64 hexadecimal digits";
 
@@ -164,6 +211,7 @@
         let id = self.required("balancer", "id", "a number from 0 to 65534");
         let data_centre = self.required::<String>("balancer", "data_centre", "a name");
         let advertise = self.optional("balancer", "advertise", IP_NUMBER);
+        self.optional::<Transport>("traffic", "transport", "ip or cookie");
         let traffic = self.required("traffic", "listen", ADDRESS);
         let threads = self
             .optional("traffic", "threads", "a number from 1 to 64")
@@ -229,7 +277,7 @@
         peers
     }
 
-    fn key(&mut self, name: &str, needed: bool) -> Option<[u8; KEY]> {
+    pub(crate) fn key(&mut self, name: &str, needed: bool) -> Option<[u8; KEY]> {
         let text = if needed {
             self.required::<String>("control", name, HEX_KEY)?
         } else {
@@ -248,7 +296,7 @@
         key
     }
 
-    fn required<T: FromStr>(
+    pub(crate) fn required<T: FromStr>(
         &mut self,
         section: &str,
         key: &str,
@@ -261,7 +309,7 @@
         self.optional(section, key, expected)
     }
 
-    fn optional<T: FromStr>(
+    pub(crate) fn optional<T: FromStr>(
         &mut self,
         section: &str,
         key: &str,
@@ -275,7 +323,16 @@
         parsed
     }
 
-    fn problem(&mut self, section: &str, key: &str, expected: &'static str) {
+    /// What stands there; nothing is an empty text.
+    pub(crate) fn text(&self, section: &str, key: &str) -> String {
+        self.ini
+            .get_from(Some(section), key)
+            .unwrap_or_default()
+            .trim()
+            .to_owned()
+    }
+
+    pub(crate) fn problem(&mut self, section: &str, key: &str, expected: &'static str) {
         self.problems.push(Problem {
             section: section.to_owned(),
             key: key.to_owned(),
@@ -285,10 +342,10 @@
     }
 
     /// A misspelt key would otherwise leave its default in force without a word.
-    fn unknown_keys(&mut self) {
+    fn unknown_keys(&mut self, all: &[(&str, &[&str])]) {
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or("");
-            let known = KEYS
+            let known = all
                 .iter()
                 .find_map(|(name, keys)| (*name == section).then_some(*keys))
                 .or(section.starts_with("peer.").then_some(PEER_KEYS))
--- a/crates/node/src/traffic/worker.rs
+++ b/crates/node/src/traffic/worker.rs
@@ -54,15 +54,12 @@
 
 /// Resolves and passes on packets until `stop` is raised.
 pub fn run(socket: &UdpSocket, context: &Context, stop: &AtomicBool) -> std::io::Result<()> {
-    let mut received = Received::default();
-    let mut to_send = ToSend::default();
     let mut desk = Desk::new(context.seed);
-    while !stop.load(Ordering::Relaxed) {
-        received.fill(socket)?;
+    repeat(socket, &context.counter, stop, |received, to_send| {
         // One look a batch: a view is good for far longer than a batch takes.
         let view = context.published.load();
         let Some(view) = view.as_deref() else {
-            continue;
+            return;
         };
         let now = clock::now();
         for index in 0..received.len() {
@@ -71,19 +68,35 @@
                 view,
                 now,
                 index,
-                to_send: &mut to_send,
+                to_send,
                 desk: &mut desk,
             };
             if let Err(code) = step.datagram(received.get(index)) {
                 context.counter.code(code);
             }
         }
-        let lost = to_send.flush(socket, &received);
-        context.counter.kind(Kind::Unsent, lost as u64);
         for counts in desk.drain(now) {
             // A full queue loses half a second of counts; estimates go on with the next.
             let _ = context.counts.try_send(counts);
         }
+    })
+}
+
+/// Takes batches of datagrams until `stop` is raised, and sends what `handle` makes of each. It is
+/// called at least as often as the socket's read timeout, also with an empty batch.
+pub fn repeat(
+    socket: &UdpSocket,
+    counter: &Counter,
+    stop: &AtomicBool,
+    mut handle: impl FnMut(&Received, &mut ToSend),
+) -> std::io::Result<()> {
+    let mut received = Received::default();
+    let mut to_send = ToSend::default();
+    while !stop.load(Ordering::Relaxed) {
+        received.fill(socket)?;
+        handle(&received, &mut to_send);
+        let lost = to_send.flush(socket, &received);
+        counter.kind(Kind::Unsent, lost as u64);
     }
     Ok(())
 }
@@ -207,7 +220,7 @@
     }
 }
 
-fn packet_code(error: packet::Error) -> Code {
+pub(crate) fn packet_code(error: packet::Error) -> Code {
     match error {
         packet::Error::Truncated => Code::PacketTruncated,
         packet::Error::Malformed => Code::PacketMalformed,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -10,7 +10,6 @@
 
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64;
-use tarpc::{client::RpcError, context};
 use tokio::time::{self, Instant};
 
 use crate::{
@@ -19,8 +18,9 @@
     machine::Machine,
     retry::Schedule,
     seen::{Seen, Verdict},
-    service::PlatformClient,
-    store::{Entry, Lease, Outcome, Refusal, Swap},
+    service,
+    store::{Entry, Events, Item, Lease, Outcome, Refusal, Swap},
+    transport::{Answer, Call, Failure, Transport},
 };
 
 mod slot;
@@ -72,6 +72,7 @@
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
+    transport: Transport,
     options: Options,
     start: Instant,
     state: Mutex<State>,
@@ -108,8 +109,23 @@
     /// ```
     #[must_use]
     pub fn new(address: SocketAddr, options: Options) -> Self {
+        Client::with_transport(address, options, service::transport())
+    }
+
+    /// A client of the platform at `address` that speaks to it by `transport`.
+    ///
+    /// ```
+    /// use acacia_platform::{Client, Options, service};
+    /// let address = "127.0.0.1:2379".parse()?;
+    /// let client = Client::with_transport(address, Options::default(), service::transport());
+    /// assert_eq!(client.calls(), 0);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    #[must_use]
+    pub fn with_transport(address: SocketAddr, options: Options, transport: Transport) -> Self {
         Client {
             address,
+            transport,
             options,
             start: Instant::now(),
             state: Mutex::new(State {
@@ -149,13 +165,14 @@
 
     /// Reads a key once.
     async fn read(&self, key: &Arc<str>) -> Result<Entry, Error> {
-        let wait = self.options.deadline;
-        let get = async |rpc: &PlatformClient, ctx| rpc.get(ctx, Arc::clone(key)).await;
-        self.call(&self.calls, wait, Effect::None, get).await
+        let call = Call::Get {
+            key: Arc::clone(key),
+        };
+        self.read_call(call, Answer::entry).await
     }
 
     /// Tries a read by the schedule.
-    async fn retry(&self, read: impl AsyncFn() -> Result<Entry, Error>) -> Result<Entry, Error> {
+    async fn retry<T>(&self, read: impl AsyncFn() -> Result<T, Error>) -> Result<T, Error> {
         let mut tried = 1;
         loop {
             let answer = read().await;
@@ -176,8 +193,7 @@
     /// [`Error::Unknown`] if the write may have taken effect, any other if it has not.
     pub async fn swap(&self, swap: Swap) -> Result<Outcome, Error> {
         let key = Arc::clone(&swap.key);
-        let write = async |rpc: &PlatformClient, ctx| rpc.swap(ctx, swap.clone()).await;
-        let outcome = self.write(write).await?;
+        let outcome = self.write(Call::Swap(swap), Answer::swapped).await?;
         if let Outcome::Written { revision } = outcome {
             let _known = self.state().seen.judge(&key, revision);
         }
@@ -196,12 +212,15 @@
     /// # Errors
     /// When the read fails as well.
     pub async fn watch(&self, key: &Arc<str>, above: u64) -> Result<Entry, Error> {
-        let wait_ms = u64::try_from(self.options.watch.as_millis()).unwrap_or(u64::MAX);
-        let wait = self.options.watch + self.options.deadline;
-        let watch =
-            async |rpc: &PlatformClient, ctx| rpc.watch(ctx, Arc::clone(key), above, wait_ms).await;
-        match self.call(&self.watches, wait, Effect::None, watch).await {
-            Ok(entry) => Ok(entry),
+        let wait = self.options.watch;
+        let call = Call::Watch {
+            key: Arc::clone(key),
+            above,
+            wait,
+        };
+        let wait = wait + self.options.deadline;
+        match self.call(&self.watches, wait, Effect::None, call).await {
+            Ok(answer) => answer.entry().ok_or(Error::Malformed),
             Err(_) => self.retry(async || self.read(key).await).await,
         }
     }
@@ -211,9 +230,7 @@
     /// # Errors
     /// After [`Error::Unknown`] a lease may exist; it lapses by itself.
     pub async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
-        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
-        let grant = async |rpc: &PlatformClient, ctx| Ok(Ok(rpc.grant(ctx, ttl_ms).await?));
-        self.write(grant).await
+        self.write(Call::Grant { ttl }, Answer::granted).await
     }
 
     /// Starts a lease's time anew.
@@ -221,8 +238,7 @@
     /// # Errors
     /// [`Refusal::LeaseGone`] if it has lapsed: whatever it protected is someone else's now.
     pub async fn keep_alive(&self, lease: Lease) -> Result<(), Error> {
-        let keep = async |rpc: &PlatformClient, ctx| rpc.keep_alive(ctx, lease).await;
-        self.write(keep).await
+        self.write(Call::KeepAlive { lease }, Answer::done).await
     }
 
     /// Ends a lease.
@@ -230,8 +246,7 @@
     /// # Errors
     /// After any of them the lease may still be there; it lapses by itself.
     pub async fn revoke(&self, lease: Lease) -> Result<(), Error> {
-        let revoke = async |rpc: &PlatformClient, ctx| rpc.revoke(ctx, lease).await;
-        self.write(revoke).await
+        self.write(Call::Revoke { lease }, Answer::done).await
     }
 
     /// The platform's list of VMs, which lags.
@@ -239,9 +254,56 @@
     /// # Errors
     /// When the platform can't be reached or does not answer.
     pub async fn machines(&self) -> Result<Vec<Machine>, Error> {
-        let machines = async |rpc: &PlatformClient, ctx| rpc.machines(ctx).await;
-        let wait = self.options.deadline;
-        self.call(&self.calls, wait, Effect::None, machines).await
+        self.read_call(Call::Machines, Answer::machines).await
+    }
+
+    /// Reads all items whose keys begin with `prefix`, page by page, and gives them with the
+    /// store's revision at the first page. The pages are no snapshot: [`Client::changes`] after
+    /// that revision tells what changed while they were read.
+    ///
+    /// # Errors
+    /// When no try has given a page, or the platform doesn't offer the call.
+    pub async fn range(&self, prefix: &Arc<str>) -> Result<(Vec<Item>, u64), Error> {
+        let (mut items, mut revision, mut after) = (Vec::new(), None, None);
+        loop {
+            let page = self
+                .retry(async || {
+                    let (prefix, after) = (Arc::clone(prefix), after.clone());
+                    self.read_call(Call::Range { prefix, after }, Answer::page)
+                        .await
+                })
+                .await?;
+            revision.get_or_insert(page.revision);
+            after = page.items.last().map(|item| Arc::clone(&item.key));
+            let more = page.more && after.is_some();
+            items.extend(page.items);
+            if !more {
+                return Ok((items, revision.unwrap_or_default()));
+            }
+        }
+    }
+
+    /// Waits until something below `prefix` changes after the revision `after`, at most for `wait`,
+    /// and gives the changes. Made once: whoever follows the store decides what to do about a
+    /// failure.
+    ///
+    /// # Errors
+    /// [`Error::HistoryGone`] when the store no longer knows that revision: read the whole again.
+    pub async fn changes(
+        &self,
+        prefix: &Arc<str>,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Events, Error> {
+        let prefix = Arc::clone(prefix);
+        let call = Call::Changes {
+            prefix,
+            after,
+            wait,
+        };
+        let wait = wait + self.options.deadline;
+        let answer = self.call(&self.watches, wait, Effect::None, call).await?;
+        answer.events().ok_or(Error::Malformed)
     }
 
     fn judge(&self, key: &Arc<str>, entry: Entry) -> Result<Entry, Error> {
@@ -257,41 +319,60 @@
 
     async fn write<T>(
         &self,
-        call: impl AsyncFn(&PlatformClient, context::Context) -> Result<Result<T, Refusal>, RpcError>,
+        call: Call,
+        take: impl FnOnce(Answer) -> Option<Result<T, Refusal>>,
     ) -> Result<T, Error> {
         let wait = self.options.deadline;
         let answer = self.call(&self.calls, wait, Effect::Possible, call).await?;
-        answer.map_err(Error::Refused)
+        take(answer)
+            .ok_or(Error::Malformed)?
+            .map_err(Error::Refused)
+    }
+
+    async fn read_call<T>(
+        &self,
+        call: Call,
+        take: impl FnOnce(Answer) -> Option<T>,
+    ) -> Result<T, Error> {
+        let wait = self.options.deadline;
+        let answer = self.call(&self.calls, wait, Effect::None, call).await?;
+        take(answer).ok_or(Error::Malformed)
     }
 
     /// Makes one call over the slot's connection, which is replaced when it turns out broken or
     /// silent.
-    async fn call<T>(
+    async fn call(
         &self,
         slot: &Slot,
         wait: Duration,
         effect: Effect,
-        call: impl AsyncFn(&PlatformClient, context::Context) -> Result<T, RpcError>,
-    ) -> Result<T, Error> {
+        call: Call,
+    ) -> Result<Answer, Error> {
         self.admit().await?;
         let deadline = Instant::now() + wait;
-        let open = time::timeout_at(deadline, slot.open(self.address, self.start))
-            .await
-            .map_err(|_| Error::Unreachable)?
-            .map_err(|_| Error::Unreachable)?;
+        let opening = slot.open(&self.transport, self.address, self.start);
+        let open = time::timeout_at(
+            deadline.min(Instant::now() + self.options.deadline),
+            opening,
+        )
+        .await
+        .map_err(|_| Error::Unreachable)?
+        .map_err(|_| Error::Unreachable)?;
         self.made.fetch_add(1, Ordering::Relaxed);
-        let mut ctx = context::current();
-        ctx.deadline = deadline.into_std();
         let sent = self.start.elapsed();
-        let answer = time::timeout_at(deadline, call(open.rpc(), ctx)).await;
+        let answer = time::timeout_at(deadline, open.call(call, deadline)).await;
         match answer {
             Ok(Ok(value)) => {
                 open.heard(self.start.elapsed());
                 return Ok(value);
             }
-            Ok(Err(RpcError::DeadlineExceeded)) | Err(_) if !open.is_silent(sent) => {}
-            Ok(Err(error)) => self.discard(slot, &open, &error.to_string()),
-            Err(_) => self.discard(slot, &open, "silent"),
+            Ok(Err(Failure::Refused(error))) => {
+                open.heard(self.start.elapsed());
+                return Err(error);
+            }
+            Ok(Err(Failure::Deadline)) | Err(_) if !open.is_silent(sent) => {}
+            Ok(Err(Failure::Broken(error))) => self.discard(slot, &open, &error),
+            Ok(Err(Failure::Deadline)) | Err(_) => self.discard(slot, &open, "silent"),
         }
         Err(match effect {
             Effect::None => Error::Timeout,
--- a/crates/platform/src/client/slot.rs
+++ b/crates/platform/src/client/slot.rs
@@ -7,14 +7,16 @@
     time::Duration,
 };
 
-use tarpc::{client, serde_transport::Transport, tokio_serde::formats::Json};
-use tokio::{net::TcpStream, time::Instant};
+use tokio::time::Instant;
 use tokio_util::{
     sync::{CancellationToken, DropGuard},
     task::TaskTracker,
 };
 
-use crate::{link::Link, service::PlatformClient};
+use crate::{
+    link::Link,
+    transport::{Answer, Call, Caller, Failure, Transport},
+};
 
 /// Holds the connection in use, if any, and all tasks that serve connections.
 #[derive(Debug, Default)]
@@ -24,16 +26,24 @@
 }
 
 /// An open connection. The task that serves it ends with the last call that uses it.
-#[derive(Debug)]
 pub(super) struct Open {
-    rpc: PlatformClient,
+    caller: Caller,
     link: Mutex<Link>,
     _stop: DropGuard,
 }
 
+impl std::fmt::Debug for Open {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Open")
+            .field("link", &self.link)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Open {
-    pub(super) fn rpc(&self) -> &PlatformClient {
-        &self.rpc
+    /// Makes one call on this connection.
+    pub(super) async fn call(&self, call: Call, deadline: Instant) -> Result<Answer, Failure> {
+        (self.caller)(call, deadline).await
     }
 
     pub(super) fn heard(&self, now: Duration) {
@@ -50,26 +60,27 @@
 impl Slot {
     /// The connection in use, or a new one. Two callers at once may both connect; the later one
     /// stays in use, the other lives until its call is over.
-    pub(super) async fn open(&self, address: SocketAddr, start: Instant) -> io::Result<Arc<Open>> {
+    pub(super) async fn open(
+        &self,
+        transport: &Transport,
+        address: SocketAddr,
+        start: Instant,
+    ) -> io::Result<Arc<Open>> {
         if let Some(open) = self.current() {
             return Ok(open);
         }
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let transport = Transport::from((stream, Json::default()));
-        let new = PlatformClient::new(client::Config::default(), transport);
-        let dispatch = new.dispatch;
+        let connection = transport.open(address).await?;
         let stop = CancellationToken::new();
         let stopped = stop.clone();
         self.tasks.spawn(async move {
             tokio::select! {
                 // Its error reaches each caller as the failure of its own call.
-                _ = dispatch => {}
+                () = connection.serve => {}
                 () = stopped.cancelled() => {}
             }
         });
         let open = Arc::new(Open {
-            rpc: new.client,
+            caller: connection.call,
             link: Mutex::new(Link::new(start.elapsed())),
             _stop: stop.drop_guard(),
         });
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -29,6 +29,18 @@
     /// The platform refused. The call has had no effect.
     #[error("the platform refuses: {0:?}")]
     Refused(Refusal),
+    /// The platform is too busy for the call, and has not made it.
+    #[error("the platform is busy; the call was not made")]
+    Busy,
+    /// The store no longer holds the history that was asked for.
+    #[error("the store no longer holds that history")]
+    HistoryGone,
+    /// The answer can't be understood.
+    #[error("the platform's answer can't be understood")]
+    Malformed,
+    /// The platform does not offer the call.
+    #[error("the platform does not offer this call")]
+    Unsupported,
     /// Our own limit on calls. The call was not made.
     #[error("the limit on calls to the platform is reached; try again in {after:?}")]
     Limited {
@@ -53,6 +65,10 @@
             Error::Stale { .. } => Code::PlatformStale,
             Error::Refused(Refusal::TooLarge) => Code::PlatformTooLarge,
             Error::Refused(Refusal::LeaseGone) => Code::PlatformLeaseGone,
+            Error::Busy => Code::PlatformBusy,
+            Error::HistoryGone => Code::PlatformHistoryGone,
+            Error::Malformed => Code::PlatformMalformed,
+            Error::Unsupported => Code::PlatformUnsupported,
             Error::Limited { .. } => Code::PlatformLimited,
         }
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,8 +4,8 @@
 //! watch or a connection has gone silent) lives in [`retry`], [`seen`], [`limit`] and [`link`],
 //! which know no sockets and read no clocks.
 //!
-//! The service itself is described by [`service::Platform`], a tarpc trait carried as JSON over
-//! TCP. [`server`] runs such a trait on an accepted connection.
+//! How a call travels is plugged in as a [`transport::Transport`]. The project's own is
+//! [`service::Platform`], a tarpc trait carried as JSON over TCP. [`server`] runs such a trait on an accepted connection.
 
 pub mod apply;
 mod client;
@@ -18,6 +18,7 @@
 pub mod server;
 pub mod service;
 pub mod store;
+pub mod transport;
 
 pub use client::{Client, Options};
 pub use error::Error;
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -1,11 +1,21 @@
 //! The platform's calls as a tarpc service. Each call counts against the platform's rates, a
 //! waiting watch as one.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tarpc::{
+    client::{self, RpcError},
+    context,
+    serde_transport::Transport as Framed,
+    tokio_serde::formats::Json,
+};
+use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
+    Error,
     machine::Machine,
     store::{Entry, Lease, Outcome, Refusal, Swap},
+    transport::{Answer, Call, Connection, Failure, Transport},
 };
 
 /// The calls of the platform.
@@ -27,3 +37,57 @@
     /// The lagging list of live and leaving VMs.
     async fn machines() -> Vec<Machine>;
 }
+
+/// Calls by this service over TCP.
+///
+/// ```
+/// let transport = acacia_platform::service::transport();
+/// assert!(format!("{transport:?}").contains("Transport"));
+/// ```
+#[must_use]
+pub fn transport() -> Transport {
+    Transport::new(|address| Box::pin(connect(address)))
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let framed = Framed::from((stream, Json::default()));
+    let new = PlatformClient::new(client::Config::default(), framed);
+    let (rpc, dispatch) = (new.client, new.dispatch);
+    Ok(Connection {
+        call: Box::new(move |call, deadline| Box::pin(make(rpc.clone(), call, deadline))),
+        serve: Box::pin(async move {
+            // Its error reaches each caller as the failure of its own call.
+            let _ = dispatch.await;
+        }),
+    })
+}
+
+async fn make(rpc: PlatformClient, call: Call, deadline: Instant) -> Result<Answer, Failure> {
+    let mut ctx = context::current();
+    ctx.deadline = deadline.into_std();
+    let answer = match call {
+        Call::Get { key } => rpc.get(ctx, key).await.map(Answer::Entry),
+        Call::Swap(swap) => rpc.swap(ctx, swap).await.map(Answer::Swapped),
+        Call::Watch { key, above, wait } => {
+            let watched = rpc.watch(ctx, key, above, millis(wait)).await;
+            watched.map(Answer::Entry)
+        }
+        Call::Grant { ttl } => rpc.grant(ctx, millis(ttl)).await.map(Answer::Granted),
+        Call::KeepAlive { lease } => rpc.keep_alive(ctx, lease).await.map(Answer::Done),
+        Call::Revoke { lease } => rpc.revoke(ctx, lease).await.map(Answer::Done),
+        Call::Machines => rpc.machines(ctx).await.map(Answer::Machines),
+        Call::Range { .. } | Call::Changes { .. } => {
+            return Err(Failure::Refused(Error::Unsupported));
+        }
+    };
+    answer.map_err(|error| match error {
+        RpcError::DeadlineExceeded => Failure::Deadline,
+        error => Failure::Broken(error.to_string()),
+    })
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -65,3 +65,45 @@
     /// The lease has lapsed or was revoked.
     LeaseGone,
 }
+
+/// An item of a range.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// Its key.
+    pub key: Arc<str>,
+    /// Its value.
+    pub value: Arc<[u8]>,
+    /// The store's revision of its last change.
+    pub revision: u64,
+}
+
+/// A part of a range, in the order of keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// The items.
+    pub items: Vec<Item>,
+    /// Whether there are more behind the last.
+    pub more: bool,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// What happened to a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The key.
+    pub key: Arc<str>,
+    /// The store's revision that made the change.
+    pub revision: u64,
+    /// The value since; none if the key was removed.
+    pub value: Option<Arc<[u8]>>,
+}
+
+/// What happened after a revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Events {
+    /// The changes.
+    pub events: Vec<Event>,
+    /// The revision to go on from.
+    pub revision: u64,
+}
