End the flows of a silent server at once, and send no new ones there

Cause: callers of a server that died or lay beyond a cut waited out their deadlines, and new flows joined them until the store dropped its entry. Now a packet sent again starts a probe of the server's address; two probes without an answer end all its flows here, its neighbours are probed. Ruled out: evidence from packets alone (3 requests a second of a server pass a node, so it needs a second); ending flows by the store's entry (3.6 s late).

--- /dev/null
+++ b/crates/cookie/src/flow.rs
@@ -0,0 +1,217 @@
+//! The flows that pass through this balancer, as far as callers' packets show them.
+//!
+//! Nothing is resolved by this table: a balancer without it, or with a full one, sends each packet
+//! to the same server. It shows which packets went unanswered, how many flows each server has, and
+//! which callers to tell when a server is lost.
+
+use std::{sync::Arc, time::Duration};
+
+use acacia_wire::{
+    collections::Map,
+    flow::Key,
+    packet::{Kind, Packet},
+};
+
+use crate::cookie::Cookie;
+
+/// Most flows remembered; about 100 bytes each. A balancer of the largest deployment has 10,000
+/// open at a time.
+const MOST: usize = 32_768;
+/// A copy that follows its original within less has waited somewhere before this balancer, which
+/// was frozen or overrun; the server had no time to answer. Callers send again after 200 ms.
+const PATIENCE: Duration = Duration::from_millis(120);
+
+/// One flow.
+#[derive(Debug, Clone)]
+pub struct Flow {
+    /// The cookie of its server.
+    pub cookie: Cookie,
+    /// The server's name, as the flow counts among the server's.
+    pub server: Arc<str>,
+    /// What the caller has acknowledged last.
+    pub acknowledged: u32,
+    /// The sequence number behind the last data that the caller sent.
+    end: u32,
+    /// When the data that is not known to be answered first passed.
+    sent: Option<Duration>,
+    /// When the last packet passed.
+    pub seen: Duration,
+}
+
+/// What a packet shows of its flow's server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sign {
+    /// Nothing.
+    None,
+    /// The server has answered something on this flow since the last packet.
+    Answered,
+    /// The packet was sent before, and the server had time to answer.
+    Unanswered,
+}
+
+/// The flows of one traffic thread.
+#[derive(Debug, Default)]
+pub struct Table {
+    flows: Map<Key, Flow>,
+    counts: Map<Arc<str>, u32>,
+}
+
+impl Table {
+    /// How many flows a server has through here.
+    ///
+    /// ```
+    /// assert_eq!(acacia_cookie::flow::Table::default().count("host-1"), 0);
+    /// ```
+    #[must_use]
+    pub fn count(&self, server: &str) -> u32 {
+        self.counts.get(server).copied().unwrap_or(0)
+    }
+
+    /// How many flows are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether none is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// Takes in an opening that goes to a server; a copy that goes elsewhere takes the place.
+    pub fn opened(&mut self, packet: &Packet, cookie: Cookie, server: &Arc<str>, now: Duration) {
+        let flow = Flow {
+            cookie,
+            server: Arc::clone(server),
+            acknowledged: 0,
+            end: packet.sequence.wrapping_add(1),
+            sent: Some(now),
+            seen: now,
+        };
+        self.insert(packet.key, flow);
+    }
+
+    /// Takes in a packet of an open flow and tells what it shows.
+    pub fn passed(
+        &mut self,
+        packet: &Packet,
+        cookie: Cookie,
+        server: &Arc<str>,
+        now: Duration,
+    ) -> Sign {
+        if packet.kind == Kind::Reset {
+            self.remove(&packet.key);
+            return Sign::None;
+        }
+        let known = self
+            .flows
+            .get_mut(&packet.key)
+            .filter(|flow| flow.cookie == cookie);
+        let Some(flow) = known else {
+            self.insert(packet.key, first_seen(packet, cookie, server, now));
+            return Sign::Answered;
+        };
+        flow.seen = now;
+        let sign = flow.take(packet, now);
+        if packet.kind == Kind::Closing {
+            self.remove(&packet.key);
+        }
+        sign
+    }
+
+    fn insert(&mut self, key: Key, flow: Flow) {
+        let full = self.flows.len() >= MOST && !self.flows.contains_key(&key);
+        if full {
+            return;
+        }
+        *self.counts.entry(Arc::clone(&flow.server)).or_default() += 1;
+        if let Some(before) = self.flows.insert(key, flow) {
+            self.uncount(&before.server);
+        }
+    }
+
+    fn remove(&mut self, key: &Key) {
+        if let Some(flow) = self.flows.remove(key) {
+            self.uncount(&flow.server);
+        }
+    }
+
+    fn uncount(&mut self, server: &Arc<str>) {
+        if let Some(count) = self.counts.get_mut(server) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(server);
+            }
+        }
+    }
+
+    /// Takes out the flows of the servers that `is_lost` names, so that their callers are told.
+    pub fn take_lost(&mut self, is_lost: impl Fn(&Arc<str>) -> bool) -> Vec<(Key, Flow)> {
+        let lost: Vec<(Key, Flow)> = self
+            .flows
+            .extract_if(|_, flow| is_lost(&flow.server))
+            .collect();
+        for (_, flow) in &lost {
+            self.uncount(&flow.server);
+        }
+        lost
+    }
+
+    /// Forgets flows without a packet since `before`.
+    pub fn sweep(&mut self, before: Duration) {
+        let old: Vec<(Key, Flow)> = self
+            .flows
+            .extract_if(|_, flow| flow.seen < before)
+            .collect();
+        for (_, flow) in &old {
+            self.uncount(&flow.server);
+        }
+    }
+}
+
+/// A flow that passed through another balancer so far.
+fn first_seen(packet: &Packet, cookie: Cookie, server: &Arc<str>, now: Duration) -> Flow {
+    Flow {
+        cookie,
+        server: Arc::clone(server),
+        acknowledged: packet.acknowledgement,
+        end: end(packet),
+        sent: (packet.payload > 0).then_some(now),
+        seen: now,
+    }
+}
+
+impl Flow {
+    fn take(&mut self, packet: &Packet, now: Duration) -> Sign {
+        let end = end(packet);
+        let advanced = self.acknowledged != packet.acknowledgement
+            && !is_before(packet.acknowledgement, self.acknowledged);
+        let fresh = is_before(self.end, end);
+        if advanced || self.acknowledged == 0 {
+            self.acknowledged = packet.acknowledgement;
+            self.sent = None;
+        }
+        if fresh {
+            self.end = end;
+            self.sent = self.sent.or(Some(now));
+        }
+        if advanced {
+            return Sign::Answered;
+        }
+        let copied = packet.payload > 0 && !fresh;
+        match self.sent {
+            Some(sent) if copied && now >= sent + PATIENCE => Sign::Unanswered,
+            _ => Sign::None,
+        }
+    }
+}
+
+fn end(packet: &Packet) -> u32 {
+    packet.sequence.wrapping_add(packet.payload.into())
+}
+
+/// Whether sequence number `one` comes before `other`, around the end of the numbers.
+fn is_before(one: u32, other: u32) -> bool {
+    one != other && other.wrapping_sub(one) < 1 << 31
+}
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -7,11 +7,13 @@
 //! Nothing here opens a socket or reads a clock.
 
 pub mod cookie;
+pub mod flow;
 pub mod place;
 pub mod resolver;
 pub mod roster;
+pub mod silence;
 pub mod snapshot;
 
-pub use resolver::{Action, Resolver};
+pub use resolver::{Action, Notice, Resolver};
 pub use roster::Roster;
 pub use snapshot::Snapshot;
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     cookie::{self, Cookie},
+    flow::{Sign, Table},
     place::{Candidate, choose},
     snapshot::{Pool, Route, Server, Snapshot, Standing},
 };
@@ -41,6 +42,14 @@
 /// How long an opening is remembered: its copies come 200 and 600 ms after it and the caller waits
 /// 1.4 s for an answer.
 const OPENING: Duration = Duration::from_secs(3);
+/// A copy of an opening that follows it within less has waited somewhere before this balancer.
+const PATIENCE: Duration = Duration::from_millis(120);
+/// Between two notices of one server. A probe takes that long, and more notices say nothing more.
+const NOTICE: Duration = Duration::from_millis(100);
+
+/// How long a flow without a packet is remembered: callers that are silent for longer are told by
+/// the server when they come back.
+const IDLE: Duration = Duration::from_secs(20);
 
 /// An opening that was passed on here.
 #[derive(Debug, Clone)]
@@ -50,13 +59,24 @@
     server: Arc<str>,
 }
 
+/// What a traffic thread tells the control thread.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Notice {
+    /// A packet to the server went unanswered.
+    Unanswered(Arc<str>),
+}
+
 /// Resolves packets, one for each traffic thread.
 #[derive(Debug, Default)]
 pub struct Resolver {
     openings: Map<Key, Opening>,
+    flows: Table,
     swept: Duration,
-    /// Flows that were opened here and are not known to have ended, by server.
-    placed: Map<Arc<str>, u32>,
+    /// When each server last answered something here.
+    answered: Map<Arc<str>, Duration>,
+    /// When each server was last noticed for not answering.
+    noticed: Map<Arc<str>, Duration>,
+    notices: Vec<Notice>,
 }
 
 impl Resolver {
@@ -86,10 +106,32 @@
     ) -> Action {
         match packet.kind {
             Kind::Opening { isn } => self.open(snapshot, packet, isn, now),
-            _ => follow(snapshot, packet, cookie),
+            _ => self.follow(snapshot, packet, cookie, now),
         }
     }
 
+    /// What the control thread is to be told since the last time.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// The flows of servers that are gone, each with what its caller acknowledged last: those
+    /// callers are told at once.
+    ///
+    /// Load: a server with hundreds of flows dies. Harm: each caller sends its next request into
+    /// the void and waits out its deadline, though another server would answer in milliseconds. A
+    /// caller whose flow has ended opens another.
+    pub fn end_lost(&mut self, snapshot: &Snapshot) -> Vec<(Key, u32)> {
+        let is_gone = |server: &Arc<str>| {
+            let server = snapshot.server(Cookie::of(server, 0));
+            server.is_some_and(|server| server.standing == Standing::Gone)
+        };
+        let lost = self.flows.take_lost(is_gone);
+        lost.into_iter()
+            .map(|(key, flow)| (key, flow.acknowledged))
+            .collect()
+    }
+
     fn open(&mut self, snapshot: &Snapshot, packet: &Packet, isn: u32, now: Duration) -> Action {
         self.sweep(now);
         let front = Front {
@@ -101,59 +143,150 @@
                 code: Code::ServiceUnknown,
             };
         };
-        if let Some((server, cookie)) = self.remembered(snapshot, &packet.key, isn) {
-            return Action::Forward { server, cookie };
-        }
-        let Some(position) = self.place(snapshot, route, packet.key.hash()) else {
+        let before = self
+            .openings
+            .get(&packet.key)
+            .filter(|opening| opening.isn == isn)
+            .cloned();
+        let position = match &before {
+            Some(opening) => self.open_again(snapshot, route, packet, opening, now),
+            None => self.place(snapshot, route, packet.key.hash(), None),
+        };
+        let Some(position) = position else {
             return Action::Reset {
                 code: Code::ServerNone,
             };
         };
         let server = &snapshot.servers[position as usize];
+        let at = before.map_or(now, |opening| opening.at);
         let opening = Opening {
             isn,
-            at: now,
+            at,
             server: Arc::clone(&server.id),
         };
         self.openings.insert(packet.key, opening);
+        self.flows.opened(packet, server.cookie, &server.id, now);
         Action::Forward {
             server: position,
             cookie: server.cookie,
         }
     }
 
-    /// The server that an earlier copy of the opening was sent to, if it still takes flows.
-    fn remembered(&self, snapshot: &Snapshot, key: &Key, isn: u32) -> Option<(u32, Cookie)> {
-        let opening = self
-            .openings
-            .get(key)
-            .filter(|opening| opening.isn == isn)?;
-        let server = snapshot.server(Cookie::of(&opening.server, 0))?;
-        let position = *snapshot.cookies.get(&server.cookie)?;
-        let usable = server.standing != Standing::Gone && server.id == opening.server;
-        usable.then_some((position, server.cookie))
+    /// Where a copy of an opening goes: to the same server, so that no two answer it, unless that
+    /// one has shown no life since the opening was sent there or takes flows no more.
+    fn open_again(
+        &mut self,
+        snapshot: &Snapshot,
+        route: &Route,
+        packet: &Packet,
+        opening: &Opening,
+        now: Duration,
+    ) -> Option<u32> {
+        let same = position(snapshot, &opening.server);
+        let waited = now >= opening.at + PATIENCE;
+        let lives = self
+            .answered
+            .get(&opening.server)
+            .is_some_and(|at| *at > opening.at);
+        if waited && !lives {
+            self.notice(&opening.server, now);
+        }
+        let usable = same.filter(|position| {
+            matches!(
+                snapshot.servers[*position as usize].standing,
+                Standing::Ready | Standing::Missing
+            )
+        });
+        if usable.is_some() && (lives || !waited) {
+            return usable;
+        }
+        let other = self.place(snapshot, route, packet.key.hash(), Some(&opening.server));
+        other.or(same)
+    }
+
+    /// A packet of a flow that is open.
+    fn follow(
+        &mut self,
+        snapshot: &Snapshot,
+        packet: &Packet,
+        cookie: Option<Cookie>,
+        now: Duration,
+    ) -> Action {
+        let Some(cookie) = cookie else {
+            return Action::Drop {
+                code: Code::FlowUnknown,
+            };
+        };
+        let Some(position) = snapshot.cookies.get(&cookie).copied() else {
+            return Action::Drop {
+                code: Code::FlowServerUnknown,
+            };
+        };
+        let server = &snapshot.servers[position as usize];
+        if server.standing == Standing::Gone {
+            return match packet.kind {
+                Kind::Reset => Action::Drop {
+                    code: Code::FlowServerGone,
+                },
+                _ => Action::Reset {
+                    code: Code::FlowServerGone,
+                },
+            };
+        }
+        match self.flows.passed(packet, cookie, &server.id, now) {
+            Sign::Answered => {
+                self.answered.insert(Arc::clone(&server.id), now);
+            }
+            Sign::Unanswered => self.notice(&server.id, now),
+            Sign::None => {}
+        }
+        Action::Forward {
+            server: position,
+            cookie,
+        }
     }
 
-    fn place(&self, snapshot: &Snapshot, route: &Route, flow: u64) -> Option<u32> {
+    fn notice(&mut self, server: &Arc<str>, now: Duration) {
+        let recent = self
+            .noticed
+            .get(server)
+            .is_some_and(|at| now < *at + NOTICE);
+        if !recent {
+            self.noticed.insert(Arc::clone(server), now);
+            self.notices.push(Notice::Unanswered(Arc::clone(server)));
+        }
+    }
+
+    /// The server for a new flow, another than `except` where there is one.
+    fn place(
+        &self,
+        snapshot: &Snapshot,
+        route: &Route,
+        flow: u64,
+        except: Option<&Arc<str>>,
+    ) -> Option<u32> {
         let pool = split(snapshot, route, flow)?;
         let candidates: Vec<Candidate> = pool
             .open
             .iter()
-            .map(|position| self.candidate(&snapshot.servers[*position as usize], *position))
+            .map(|position| (&snapshot.servers[*position as usize], *position))
+            .filter(|(server, _)| Some(&server.id) != except)
+            .map(|(server, position)| self.candidate(server, position))
             .collect();
         choose(flow, &candidates)
     }
 
     fn candidate(&self, server: &Server, position: u32) -> Candidate {
-        let placed = self.placed.get(&server.id).copied().unwrap_or(0);
+        let flows = self.flows.count(&server.id);
         Candidate {
             position,
             name: cookie::hash(&server.id),
             weight: server.weight,
-            load: f64::from(placed) / server.weight,
+            load: f64::from(flows) / server.weight,
         }
     }
 
+    /// Forgets what is too old to matter, now and then.
     fn sweep(&mut self, now: Duration) {
         if now < self.swept + OPENING {
             return;
@@ -161,9 +294,18 @@
         self.swept = now;
         self.openings
             .retain(|_, opening| opening.at + OPENING > now);
+        self.flows.sweep(now.saturating_sub(IDLE));
+        self.answered.retain(|_, at| *at + IDLE > now);
+        self.noticed.retain(|_, at| *at + IDLE > now);
     }
 }
 
+fn position(snapshot: &Snapshot, id: &Arc<str>) -> Option<u32> {
+    let position = *snapshot.cookies.get(&Cookie::of(id, 0))?;
+    let server = snapshot.servers.get(position as usize)?;
+    (server.id == *id).then_some(position)
+}
+
 /// The pool that takes the flow by the route's weights, among those that have a server open.
 fn split<'a>(snapshot: &'a Snapshot, route: &Route, flow: u64) -> Option<&'a Pool> {
     let pool = |position: u32| &snapshot.pools[position as usize];
@@ -183,27 +325,3 @@
     }
     None
 }
-
-/// A packet of a flow that is open.
-fn follow(snapshot: &Snapshot, packet: &Packet, cookie: Option<Cookie>) -> Action {
-    let Some(cookie) = cookie else {
-        return Action::Drop {
-            code: Code::FlowUnknown,
-        };
-    };
-    let Some(position) = snapshot.cookies.get(&cookie).copied() else {
-        return Action::Drop {
-            code: Code::FlowServerUnknown,
-        };
-    };
-    let server = &snapshot.servers[position as usize];
-    if server.standing == Standing::Gone && packet.kind != Kind::Reset {
-        return Action::Reset {
-            code: Code::FlowServerGone,
-        };
-    }
-    Action::Forward {
-        server: position,
-        cookie,
-    }
-}
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     cookie::{Cookie, VARIANTS},
+    silence::Detector,
     snapshot::{Pool, Route, Server, Snapshot, Standing},
 };
 
@@ -73,10 +74,11 @@
     /// ```
     /// use std::time::Duration;
     /// use acacia_catalog::Catalog;
-    /// use acacia_cookie::Roster;
+    /// use acacia_cookie::{Roster, silence::Detector};
     /// let mut roster = Roster::default();
     /// roster.update(&Catalog::default(), Duration::ZERO);
-    /// assert!(roster.snapshot(Duration::ZERO).servers.is_empty());
+    /// let snapshot = roster.snapshot(&Detector::default(), Duration::ZERO);
+    /// assert!(snapshot.servers.is_empty());
     /// ```
     pub fn update(&mut self, catalog: &Catalog, now: Duration) {
         self.revision = catalog.revision();
@@ -141,7 +143,7 @@
 
     /// Routes and servers as traffic threads need them.
     #[must_use]
-    pub fn snapshot(&self, now: Duration) -> Snapshot {
+    pub fn snapshot(&self, detector: &Detector, now: Duration) -> Snapshot {
         let mut snapshot = Snapshot {
             revision: self.revision,
             ..Snapshot::default()
@@ -157,7 +159,11 @@
                 let cookie = Cookie::of(&known.server.id, variant);
                 snapshot.cookies.entry(cookie).or_insert(position as u32);
             }
-            snapshot.servers.push(self.server(known, &shared, now));
+            let mut server = self.server(known, &shared, now);
+            if detector.is_silent(&server.id) {
+                server.standing = Standing::Gone;
+            }
+            snapshot.servers.push(server);
         }
         if let Some(config) = &self.config {
             fill_routes(&mut snapshot, config, &known);
@@ -184,14 +190,40 @@
         }
     }
 
+    /// Whether another server has its address: it lives no more, and nothing that is sent there for
+    /// it is answered.
+    fn is_replaced(&self, known: &Known) -> bool {
+        let address = known.server.address;
+        self.servers.values().any(|other| {
+            other.missing.is_none()
+                && other.server.address == address
+                && other.server.id != known.server.id
+        })
+    }
+
+    /// Names, addresses and data centres of all servers that may have flows and whose entries say
+    /// where they are.
+    pub fn servers(&self) -> impl Iterator<Item = &Arc<server::Server>> {
+        self.servers.values().map(|known| &known.server)
+    }
+
+    /// Servers whose entries went missing unannounced after `since`.
+    pub fn missing(&self, since: Duration) -> impl Iterator<Item = &Arc<str>> {
+        let unannounced = |known: &&Known| known.server.state == State::Ready;
+        let after = move |known: &&Known| known.missing.is_some_and(|at| at > since);
+        let missing = self.servers.values().filter(unannounced).filter(after);
+        missing.map(|known| &known.server.id)
+    }
+
     fn standing(&self, known: &Known, now: Duration) -> Standing {
         let draining = known.server.state == State::Draining;
         match known.missing {
             None if draining => Standing::Draining,
             None => Standing::Ready,
             Some(_) if draining => Standing::Gone,
+            Some(_) if self.is_replaced(known) => Standing::Gone,
             Some(at) if now.saturating_sub(at) < self.limits.missing => Standing::Missing,
-            Some(_) => Standing::Gone,
+            Some(_) => Standing::Lost,
         }
     }
 }
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -18,7 +18,10 @@
     Missing,
     /// It announced that it leaves: it keeps its flows.
     Draining,
-    /// Its entry is gone for good: flows that it no longer answers are ended.
+    /// Its entry is missing for good, or its address has passed to another server, but nothing
+    /// shows yet that it no longer answers. It keeps its flows.
+    Lost,
+    /// It has left, or does not answer: its flows are ended.
     Gone,
 }
 
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -1,13 +1,17 @@
 //! What the control thread knows, and what follows from each piece of news. No sockets.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use acacia_catalog::{
     Catalog, Change,
     member::{List, Member},
     spread::{Pace, Reading, Turn, audience, is_reader},
 };
-use acacia_cookie::{Roster, Snapshot, roster::Limits};
+use acacia_cookie::{
+    Roster, Snapshot,
+    roster::Limits,
+    silence::{Detector, Verdict},
+};
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64;
 
@@ -22,6 +26,24 @@
 /// Balancers told in one round of gossip. Two: news double each round.
 const FANOUT: usize = 2;
 
+/// How long a server that has answered a probe here is left alone whatever peers say of it: a
+/// server may be out of reach for one balancer alone, which goes on saying so.
+const PEER_DOUBT: Duration = Duration::from_secs(2);
+/// The same where a packet went unanswered here: at a loss of packets that goes on, each copy would
+/// else start a probe.
+const OWN_DOUBT: Duration = Duration::from_millis(300);
+/// Silent servers named in one message.
+const SILENT: usize = 20;
+
+/// A backend server to probe.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probe {
+    /// Its name.
+    pub server: Arc<str>,
+    /// Where.
+    pub address: SocketAddrV4,
+}
+
 /// What to do about a message.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Outcome {
@@ -29,6 +51,8 @@
     pub parcels: Vec<Parcel>,
     /// Whether to fetch from the sender what is missing here.
     pub fetch: bool,
+    /// Whether servers are to be probed.
+    pub probe: bool,
     /// Whether routes or servers changed.
     pub changed: bool,
 }
@@ -37,11 +61,13 @@
 #[derive(Debug)]
 pub struct Core {
     own: Member,
-    seeds: Vec<std::net::SocketAddrV4>,
+    seeds: Vec<SocketAddrV4>,
     list: List,
     catalog: Catalog,
     reading: Reading,
     roster: Roster,
+    detector: Detector,
+    isolated: bool,
     random: Pcg64,
     /// This balancer's place in the spread of readings.
     share: f64,
@@ -71,6 +97,8 @@
                 known: settings.flow,
                 ..Limits::default()
             }),
+            detector: Detector::default(),
+            isolated: false,
             share: random.random(),
             random,
             reads: false,
@@ -187,6 +215,7 @@
             base,
             changes,
             others,
+            silent,
             wants,
         } = message;
         if from.address == self.own.address {
@@ -204,6 +233,9 @@
             Outcome::default()
         };
         outcome.fetch = known.revision > self.catalog.revision();
+        for server in &silent {
+            outcome.probe |= self.detector.suspect(server, PEER_DOUBT, now);
+        }
         if wants {
             let message = self.message(false, self.catalog.revision(), now);
             outcome.parcels.push(Parcel {
@@ -275,8 +307,8 @@
         }
         Outcome {
             parcels,
-            fetch: false,
             changed,
+            ..Outcome::default()
         }
     }
 
@@ -296,8 +328,7 @@
         for lost in self.list.expire(now) {
             log::info!("event=peer-lost peer={}", lost.address);
         }
-        let others: Vec<std::net::SocketAddrV4> =
-            self.list.iter().map(|member| member.address).collect();
+        let others: Vec<SocketAddrV4> = self.list.iter().map(|member| member.address).collect();
         let mut audience: Vec<_> = others.sample(&mut self.random, FANOUT).copied().collect();
         // A balancer that knows few others asks those it was given; later one of them now and then,
         // so that two halves that lost each other meet again.
@@ -350,10 +381,92 @@
             base: if fits { base } else { self.catalog.revision() },
             changes: if fits { changes } else { Vec::new() },
             others,
+            silent: self.detector.silent().into_iter().take(SILENT).collect(),
             wants,
         }
     }
 
+    /// A packet to a server went unanswered here. Whether there is something to probe.
+    pub fn unanswered(&mut self, server: &Arc<str>, now: Duration) -> bool {
+        let probe = self.detector.suspect(server, OWN_DOUBT, now);
+        if probe {
+            log::info!("event=server-suspected server={server}");
+        }
+        probe
+    }
+
+    /// The servers to probe now, and when to look again.
+    pub fn probes(&mut self, now: Duration) -> (Vec<Probe>, Option<Duration>) {
+        let due = self.detector.due(now);
+        let probes = due.iter().filter_map(|server| {
+            let found = self.roster.servers().find(|known| known.id == *server)?;
+            Some(Probe {
+                server: Arc::clone(server),
+                address: found.address,
+            })
+        });
+        (probes.collect(), self.detector.next())
+    }
+
+    /// A probe has ended.
+    pub fn probed(&mut self, server: &Arc<str>, answered: bool, now: Duration) -> Outcome {
+        let verdict = match answered {
+            true => self.detector.answered(server, now),
+            false => self.detector.unanswered(server, now),
+        };
+        match verdict {
+            Verdict::Same => Outcome::default(),
+            Verdict::Back => {
+                log::info!("event=server-back server={server}");
+                Outcome {
+                    changed: true,
+                    ..Outcome::default()
+                }
+            }
+            Verdict::Silent => self.fell_silent(server, now),
+        }
+    }
+
+    /// A server has fallen silent: its neighbours are probed at once, and the own data centre is
+    /// told.
+    ///
+    /// Load: a cut puts all servers of a data centre out of reach in one moment. Harm: found one by
+    /// one, each costs its callers an unanswered packet first, and new flows go from one lost server
+    /// to the next.
+    fn fell_silent(&mut self, server: &Arc<str>, now: Duration) -> Outcome {
+        log::warn!("event=server-silent server={server}");
+        let centre = self.roster.servers().find(|known| known.id == *server);
+        let centre = centre.map(|known| Arc::clone(&known.data_centre));
+        let near = self
+            .roster
+            .servers()
+            .filter(|known| Some(&known.data_centre) == centre.as_ref());
+        for neighbour in near {
+            self.detector.suspect(&neighbour.id, OWN_DOUBT, now);
+        }
+        let message = self.message(false, self.catalog.revision(), now);
+        let own = self
+            .list
+            .iter()
+            .filter(|member| member.data_centre == self.own.data_centre);
+        let parcels = own.map(|member| Parcel {
+            to: member.address,
+            message: message.clone(),
+        });
+        Outcome {
+            parcels: parcels.collect(),
+            changed: true,
+            probe: true,
+            fetch: false,
+        }
+    }
+
+    /// Whether this balancer reaches next to no server, and its callers are better off elsewhere.
+    #[must_use]
+    pub const fn is_isolated(&self) -> bool {
+        self.isolated
+    }
+
     fn known(&self, now: Duration) -> Known {
         let age = self.reading.fresh().map(|fresh| now.saturating_sub(fresh));
         Known {
@@ -374,7 +487,25 @@
     /// Routes and servers for the traffic threads, and when they change by time alone.
     pub fn snapshot(&mut self, now: Duration) -> (Snapshot, Option<Duration>) {
         self.roster.update(&self.catalog, now);
-        (self.roster.snapshot(now), self.roster.next_change(now))
+        let known: Vec<Arc<str>> = self
+            .roster
+            .servers()
+            .map(|server| Arc::clone(&server.id))
+            .collect();
+        self.detector
+            .retain(|server| known.binary_search(server).is_ok());
+        let isolated = self.detector.is_isolated(known.len());
+        if isolated != self.isolated {
+            self.isolated = isolated;
+            log::warn!("event=isolated isolated={isolated} servers={}", known.len());
+        }
+        // Whoever reaches nobody knows nothing of the servers: others may reach them.
+        let none = Detector::default();
+        let detector = if isolated { &none } else { &self.detector };
+        (
+            self.roster.snapshot(detector, now),
+            self.roster.next_change(now),
+        )
     }
 }
 
--- a/crates/node/src/cookie/daemon.rs
+++ b/crates/node/src/cookie/daemon.rs
@@ -10,14 +10,15 @@
     time::Duration,
 };
 
-use acacia_adapter::{ready, store};
+use acacia_adapter::{probe, ready, store};
 use acacia_code::Code;
+use acacia_cookie::{Notice, silence};
 use acacia_kernel::{BoxError, Registry, Service, Stopper};
 use acacia_platform::{Client, Options, server};
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
-    sync::{Notify, oneshot},
+    sync::{Notify, mpsc, oneshot},
     task::{JoinSet, LocalSet},
     time,
 };
@@ -40,6 +41,14 @@
 /// Connections at a time, of routers or of peers. Load: routers ask twice a second, and peers fetch
 /// differences together when a large configuration comes. Harm: each takes memory and a descriptor.
 const CONNECTIONS: usize = 64;
+/// Notices of the traffic threads that wait. One a server and 100 ms is made, so this is room for a
+/// second of a whole fleet of servers; one that is lost is made again.
+const NOTICES: usize = 1_024;
+/// Least wait between two looks for probes that are due, against a busy loop.
+const SHORTEST: Duration = Duration::from_millis(1);
+/// Probes at a time. Load: a data centre with hundreds of servers is cut off. Harm: each probe takes
+/// a descriptor.
+const PROBES: usize = 256;
 /// Between two looks at the settings file, which may change without a signal.
 const LOOK: Duration = Duration::from_secs(2);
 
@@ -64,6 +73,8 @@
     pub wake: Notify,
     /// Wakes the task that publishes.
     changed: Notify,
+    /// Wakes the task that probes.
+    doubt: Notify,
 }
 
 /// Runs the balancer until it is asked to end or a service of it dies. The settings are read again
@@ -86,9 +97,10 @@
         counter: Arc::default(),
     });
     let (hand, stopper) = oneshot::channel();
+    let (sender, notices) = mpsc::channel(NOTICES);
     let mut registry = Registry::default();
-    registry.add(traffic_service(Arc::clone(&shared)));
-    registry.add(control_service(Arc::clone(&shared), stopper));
+    registry.add(traffic_service(Arc::clone(&shared), sender));
+    registry.add(control_service(Arc::clone(&shared), stopper, notices));
     let kernel = registry.start()?;
     // Refused only if the control thread has died, which the kernel then tells.
     let _ = hand.send(kernel.stopper());
@@ -98,7 +110,7 @@
     Ok(outcome.code())
 }
 
-fn traffic_service(shared: Arc<Shared>) -> Service {
+fn traffic_service(shared: Arc<Shared>, notices: mpsc::Sender<Notice>) -> Service {
     Service::new("traffic", [], move |context| {
         let stop = Arc::new(AtomicBool::new(false));
         let socket = daemon::bind(shared.settings.traffic)?;
@@ -106,6 +118,7 @@
             published: Arc::clone(&shared.published),
             counter: Arc::clone(&shared.counter),
             port: shared.settings.traffic.port(),
+            notices,
         };
         let flag = Arc::clone(&stop);
         context.spawn(move || Ok(traffic::run(&socket, &traffic, &flag)?))?;
@@ -114,7 +127,11 @@
     })
 }
 
-fn control_service(shared: Arc<Shared>, stopper: oneshot::Receiver<Stopper>) -> Service {
+fn control_service(
+    shared: Arc<Shared>,
+    stopper: oneshot::Receiver<Stopper>,
+    notices: mpsc::Receiver<Notice>,
+) -> Service {
     Service::new("control", ["traffic"], move |context| {
         let stop = CancellationToken::new();
         let token = stop.clone();
@@ -123,7 +140,7 @@
                 .enable_all()
                 .build()?;
             // The client's futures stay on this thread: nothing here gains from others.
-            LocalSet::new().block_on(&runtime, serve(&shared, stopper, token))
+            LocalSet::new().block_on(&runtime, serve(&shared, stopper, notices, token))
         })?;
         context.on_stop(move || stop.cancel());
         Ok(())
@@ -134,6 +151,7 @@
 async fn serve(
     shared: &Shared,
     stopper: oneshot::Receiver<Stopper>,
+    notices: mpsc::Receiver<Notice>,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
     let control = Arc::new(Control::new(shared)?);
@@ -157,6 +175,8 @@
     tasks.spawn(publish(one));
     tasks.spawn(reload(two, shared.path.clone()));
     tasks.spawn(leave(three, stopper));
+    tasks.spawn(probe_servers(Arc::clone(&control)));
+    tasks.spawn(take_notices(Arc::clone(&control), notices));
     tasks.spawn(answer_routers(Arc::clone(&control), ready, stop.clone()));
     tasks.spawn(answer_peers(control, peers, stop.clone()));
     let ended = loop {
@@ -189,6 +209,7 @@
             fetching: AtomicBool::new(false),
             wake: Notify::new(),
             changed: Notify::new(),
+            doubt: Notify::new(),
         })
     }
 
@@ -203,10 +224,18 @@
         if outcome.changed {
             self.changed.notify_one();
         }
+        if outcome.probe {
+            self.doubt.notify_one();
+        }
         self.advance();
         self.send(outcome.parcels).await;
     }
 
+    /// Whether the routers should send packets here.
+    fn is_ready(&self) -> bool {
+        lock(&self.phase).is_ready() && !lock(&self.core).is_isolated()
+    }
+
     async fn send(&self, parcels: Vec<Parcel>) {
         if parcels.is_empty() {
             return;
@@ -340,6 +369,46 @@
     }
 }
 
+/// Tells the core what the traffic threads have noticed.
+async fn take_notices(
+    control: Arc<Control>,
+    mut notices: mpsc::Receiver<Notice>,
+) -> Result<(), BoxError> {
+    while let Some(Notice::Unanswered(server)) = notices.recv().await {
+        if control.core(|core, now| core.unanswered(&server, now)) {
+            control.doubt.notify_one();
+        }
+    }
+    Ok(())
+}
+
+/// Probes servers under suspicion, and silent ones until they are back.
+async fn probe_servers(control: Arc<Control>) -> Result<(), BoxError> {
+    let mut probes = JoinSet::new();
+    loop {
+        let (due, next) = control.core(Core::probes);
+        for due in due {
+            if probes.len() >= PROBES {
+                break;
+            }
+            let control = Arc::clone(&control);
+            probes.spawn(async move {
+                let reached = probe::reach(due.address, silence::WAIT).await;
+                let answered = reached.is_ok();
+                control
+                    .take(|core, now| core.probed(&due.server, answered, now))
+                    .await;
+            });
+        }
+        let wait = next.map(|at| at.saturating_sub(clock::now()));
+        tokio::select! {
+            () = control.doubt.notified() => {}
+            () = time::sleep(wait.unwrap_or(ROUND).max(SHORTEST)) => {}
+            Some(_) = probes.join_next() => {}
+        }
+    }
+}
+
 /// Rereads the settings when they change, with a signal or without.
 async fn reload(control: Arc<Control>, path: PathBuf) -> Result<(), BoxError> {
     let mut hangups = signal(SignalKind::hangup())?;
@@ -384,7 +453,7 @@
 ) -> Result<(), BoxError> {
     server::listen(listener, stop, CONNECTIONS, move |stream| {
         let control = Arc::clone(&control);
-        async move { ready::serve(stream, || lock(&control.phase).is_ready()).await }
+        async move { ready::serve(stream, || control.is_ready()).await }
     })
     .await;
     Ok(())
--- a/crates/node/src/cookie/message.rs
+++ b/crates/node/src/cookie/message.rs
@@ -1,6 +1,6 @@
 //! What balancers tell each other.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use acacia_catalog::{Change, member::Member};
 use serde::{Deserialize, Serialize};
@@ -19,6 +19,8 @@
     pub changes: Vec<Change>,
     /// Some other balancers.
     pub others: Vec<Member>,
+    /// Backend servers that the sender finds silent.
+    pub silent: Vec<Arc<str>>,
     /// Whether the sender asks for a message in return.
     pub wants: bool,
 }
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -7,9 +7,13 @@
 
 use acacia_adapter::packet::{self, Frame};
 use acacia_code::Code;
-use acacia_cookie::{Action, Resolver, Snapshot, cookie::Cookie};
-use acacia_wire::packet::{Error, Kind as PacketKind};
+use acacia_cookie::{Action, Notice, Resolver, Snapshot, cookie::Cookie};
+use acacia_wire::{
+    flow::Key,
+    packet::{Error, Kind as PacketKind},
+};
 use arc_swap::ArcSwapOption;
+use tokio::sync::mpsc;
 
 use crate::{
     clock,
@@ -32,6 +36,8 @@
     pub counter: Arc<Counter>,
     /// The port at which callers take packets.
     pub port: u16,
+    /// What the control thread is told.
+    pub notices: mpsc::Sender<Notice>,
 }
 
 /// Resolves and passes on packets until `stop` is raised.
@@ -40,12 +46,26 @@
 /// When the socket fails.
 pub fn run(socket: &UdpSocket, context: &Context, stop: &AtomicBool) -> std::io::Result<()> {
     let mut resolver = Resolver::default();
+    let mut before: Option<Arc<Snapshot>> = None;
     worker::repeat(socket, &context.counter, stop, |received, to_send| {
-        let snapshot = context.published.load();
-        let Some(snapshot) = snapshot.as_deref() else {
+        let Some(snapshot) = context.published.load_full() else {
             return;
         };
-        batch(&mut resolver, snapshot, context, received, to_send);
+        if before
+            .as_ref()
+            .is_none_or(|before| !Arc::ptr_eq(before, &snapshot))
+        {
+            for (key, acknowledged) in resolver.end_lost(&snapshot) {
+                context.counter.kind(Kind::Ended, 1);
+                reset(&key, acknowledged, context, to_send);
+            }
+            before = Some(Arc::clone(&snapshot));
+        }
+        batch(&mut resolver, &snapshot, context, received, to_send);
+        for notice in resolver.take_notices() {
+            // A full queue loses the notice; the next copy of the packet makes another.
+            let _ = context.notices.try_send(notice);
+        }
     })
 }
 
@@ -92,17 +112,24 @@
             });
         }
         Action::Reset { code } => {
-            let key = &frame.packet.key;
-            let caller = SocketAddrV4::new(key.client, context.port);
             context.counter.kind(Kind::Refused, 1);
             context.counter.code(code);
-            let reset = packet::reset(key, frame.packet.acknowledgement);
-            to_send.build(caller, |out| out.extend(reset));
+            reset(
+                &frame.packet.key,
+                frame.packet.acknowledgement,
+                context,
+                to_send,
+            );
         }
         Action::Drop { code } => context.counter.code(code),
     }
 }
 
+fn reset(key: &Key, acknowledged: u32, context: &Context, to_send: &mut ToSend) {
+    let caller = SocketAddrV4::new(key.client, context.port);
+    to_send.build(caller, |out| out.extend(packet::reset(key, acknowledged)));
+}
+
 fn code(error: Error) -> Code {
     worker::packet_code(error)
 }
