--- a/crates/cookie/src/flow.rs
+++ b/crates/cookie/src/flow.rs
@@ -32,8 +32,10 @@
     pub acknowledged: u32,
     /// The sequence number behind the last data that the caller sent.
     end: u32,
-    /// When the data that is not known to be answered first passed.
+    /// When the opening or the data that is not known to be answered first passed.
     sent: Option<Duration>,
+    /// Whether that is the opening.
+    opening: bool,
     /// When the last packet passed.
     pub seen: Duration,
 }
@@ -45,6 +47,12 @@
     None,
     /// The server has answered something on this flow since the last packet.
     Answered,
+    /// It has answered the opening, after so long.
+    Opened(Duration),
+    /// It has answered data, after so long.
+    Timed(Duration),
+    /// Data went to it, and nothing was unanswered before.
+    Asked,
     /// The packet was sent before, and the server had time to answer.
     Unanswered,
 }
@@ -87,6 +95,7 @@
             acknowledged: 0,
             end: packet.sequence.wrapping_add(1),
             sent: Some(now),
+            opening: true,
             seen: now,
         };
         self.insert(packet.key, flow);
@@ -178,6 +187,7 @@
         acknowledged: packet.acknowledgement,
         end: end(packet),
         sent: (packet.payload > 0).then_some(now),
+        opening: false,
         seen: now,
     }
 }
@@ -185,26 +195,40 @@
 impl Flow {
     fn take(&mut self, packet: &Packet, now: Duration) -> Sign {
         let end = end(packet);
-        let advanced = self.acknowledged != packet.acknowledgement
-            && !is_before(packet.acknowledgement, self.acknowledged);
+        let advanced = self.opening || is_before(self.acknowledged, packet.acknowledgement);
         let fresh = is_before(self.end, end);
-        if advanced || self.acknowledged == 0 {
-            self.acknowledged = packet.acknowledgement;
-            self.sent = None;
+        if advanced {
+            return self.advance(packet, end, now);
         }
         if fresh {
             self.end = end;
+            let idle = self.sent.is_none();
             self.sent = self.sent.or(Some(now));
+            return if idle { Sign::Asked } else { Sign::None };
         }
-        if advanced {
-            return Sign::Answered;
-        }
-        let copied = packet.payload > 0 && !fresh;
         match self.sent {
-            Some(sent) if copied && now >= sent + PATIENCE => Sign::Unanswered,
+            Some(sent) if packet.payload > 0 && now >= sent + PATIENCE => Sign::Unanswered,
             _ => Sign::None,
         }
     }
+
+    /// The caller has acknowledged more than before. An acknowledgement that comes with data may
+    /// have waited for it, so only a bare one tells the time that the server took.
+    fn advance(&mut self, packet: &Packet, end: u32, now: Duration) -> Sign {
+        let took = self.sent.map(|sent| now.saturating_sub(sent));
+        let opened = std::mem::take(&mut self.opening);
+        self.acknowledged = packet.acknowledgement;
+        self.sent = None;
+        if is_before(self.end, end) {
+            self.end = end;
+            self.sent = Some(now);
+        }
+        match took {
+            Some(took) if opened => Sign::Opened(took),
+            Some(took) if packet.payload == 0 => Sign::Timed(took),
+            _ => Sign::Answered,
+        }
+    }
 }
 
 fn end(packet: &Packet) -> u32 {
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod roster;
 pub mod silence;
 pub mod snapshot;
+pub mod speed;
 
 pub use resolver::{Action, Notice, Resolver};
 pub use roster::Roster;
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -15,6 +15,7 @@
     flow::{Sign, Table},
     place::{Candidate, choose},
     snapshot::{Pool, Route, Server, Snapshot, Standing},
+    speed::Speeds,
 };
 
 /// What to do with a packet.
@@ -71,6 +72,7 @@
 pub struct Resolver {
     openings: Map<Key, Opening>,
     flows: Table,
+    speeds: Speeds,
     swept: Duration,
     /// When each server last answered something here.
     answered: Map<Arc<str>, Duration>,
@@ -133,7 +135,7 @@
     }
 
     fn open(&mut self, snapshot: &Snapshot, packet: &Packet, isn: u32, now: Duration) -> Action {
-        self.sweep(now);
+        self.sweep(snapshot, now);
         let front = Front {
             address: packet.key.service,
             port: packet.key.service_port,
@@ -234,11 +236,18 @@
             };
         }
         match self.flows.passed(packet, cookie, &server.id, now) {
-            Sign::Answered => {
-                self.answered.insert(Arc::clone(&server.id), now);
-            }
-            Sign::Unanswered => self.notice(&server.id, now),
             Sign::None => {}
+            Sign::Asked => self.speeds.asked(&server.id),
+            Sign::Unanswered => self.notice(&server.id, now),
+            Sign::Answered => self.lives(&server.id, now),
+            Sign::Opened(took) => {
+                self.lives(&server.id, now);
+                self.speeds.opened(&server.id, took);
+            }
+            Sign::Timed(took) => {
+                self.lives(&server.id, now);
+                self.speeds.answered(&server.id, took);
+            }
         }
         Action::Forward {
             server: position,
@@ -246,6 +255,10 @@
         }
     }
 
+    fn lives(&mut self, server: &Arc<str>, now: Duration) {
+        self.answered.insert(Arc::clone(server), now);
+    }
+
     fn notice(&mut self, server: &Arc<str>, now: Duration) {
         let recent = self
             .noticed
@@ -266,28 +279,38 @@
         except: Option<&Arc<str>>,
     ) -> Option<u32> {
         let pool = split(snapshot, route, flow)?;
+        let server = |position: &u32| &snapshot.servers[*position as usize];
+        let factors = self
+            .speeds
+            .factors(pool.open.iter().map(|position| &*server(position).id));
         let candidates: Vec<Candidate> = pool
             .open
             .iter()
-            .map(|position| (&snapshot.servers[*position as usize], *position))
-            .filter(|(server, _)| Some(&server.id) != except)
-            .map(|(server, position)| self.candidate(server, position))
+            .zip(factors)
+            .filter(|(position, _)| Some(&server(position).id) != except)
+            .map(|(position, factor)| self.candidate(server(position), *position, factor))
             .collect();
         choose(flow, &candidates)
     }
 
-    fn candidate(&self, server: &Server, position: u32) -> Candidate {
+    fn candidate(&self, server: &Server, position: u32, factor: f64) -> Candidate {
         let flows = self.flows.count(&server.id);
+        let weight = server.weight * factor;
         Candidate {
             position,
             name: cookie::hash(&server.id),
-            weight: server.weight,
-            load: f64::from(flows) / server.weight,
+            weight,
+            load: f64::from(flows + 1) / weight,
         }
     }
 
     /// Forgets what is too old to matter, now and then.
-    fn sweep(&mut self, now: Duration) {
+    fn sweep(&mut self, snapshot: &Snapshot, now: Duration) {
+        let visible = 1.0 / snapshot.balancers.max(1) as f64;
+        self.speeds.tick(now, visible, |id| {
+            let server = snapshot.server(Cookie::of(id, 0))?;
+            Some(server.slots.into())
+        });
         if now < self.swept + OPENING {
             return;
         }
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -146,6 +146,7 @@
     pub fn snapshot(&self, detector: &Detector, now: Duration) -> Snapshot {
         let mut snapshot = Snapshot {
             revision: self.revision,
+            balancers: 1,
             ..Snapshot::default()
         };
         // Older ones first: they keep the cookies that younger ones turn out to share.
@@ -186,6 +187,7 @@
             address: server.address,
             data_centre: Arc::clone(&server.data_centre),
             standing: self.standing(known, now),
+            slots: server.slots.max(1),
             weight: f64::from(server.slots.max(1)) * warmth,
         }
     }
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -40,7 +40,9 @@
     pub data_centre: Arc<str>,
     /// What it is good for.
     pub standing: Standing,
-    /// Its part of new flows, in proportion to the others of its service.
+    /// Requests that it works on at once.
+    pub slots: u16,
+    /// Its part of new flows at the mean speed, in proportion to the others of its service.
     pub weight: f64,
 }
 
@@ -69,6 +71,8 @@
     pub version: u64,
     /// The store's revision that it is made from.
     pub revision: u64,
+    /// Balancers that callers' packets are spread over, this one included.
+    pub balancers: usize,
     /// The routes by what callers use.
     pub routes: Map<Front, Route>,
     /// The pools of all services that routes name.
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -502,10 +502,9 @@
         // Whoever reaches nobody knows nothing of the servers: others may reach them.
         let none = Detector::default();
         let detector = if isolated { &none } else { &self.detector };
-        (
-            self.roster.snapshot(detector, now),
-            self.roster.next_change(now),
-        )
+        let mut snapshot = self.roster.snapshot(detector, now);
+        snapshot.balancers = self.list.len() + 1;
+        (snapshot, self.roster.next_change(now))
     }
 }
 
