--- /dev/null
+++ b/crates/catalog/tests/it/catalog.rs
@@ -0,0 +1,131 @@
+use acacia_catalog::{Catalog, Change};
+use proptest::prelude::*;
+
+use crate::fixture::{added, config, removed};
+
+/// A replica of the store that lags answers a reading, or a peer's message was held up. Taken as it
+/// comes, it would put an older configuration in force again: callers of a route that was just
+/// added would be reset.
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut catalog = Catalog::default();
+    catalog.apply(config(9, 20));
+
+    let changed = catalog.apply(config(8, 19));
+
+    assert!(!changed);
+    assert_eq!(catalog.config().map(|item| item.value.version), Some(9));
+}
+
+/// The store drops its history while a server leaves, so that no event tells of it. Only the whole
+/// reading after it shows that its entry is missing; without notice of that, new flows would go to
+/// a server that is gone.
+#[test]
+fn a_server_that_a_whole_reading_lacks_is_removed() {
+    let mut catalog = Catalog::default();
+    catalog.replace(vec![added("a", 3), added("b", 4)], 5);
+
+    let changed = catalog.replace(vec![added("a", 3)], 9);
+
+    assert!(changed);
+    assert_eq!(catalog.since(5), [removed("b", 9)]);
+}
+
+/// A reading takes several pages and seconds; meanwhile a peer tells of a server that is newer. The
+/// reading knows nothing of it, and must not take it away.
+#[test]
+fn a_server_from_a_later_revision_outlives_an_older_reading() {
+    let mut catalog = Catalog::default();
+    catalog.apply(added("young", 12));
+
+    catalog.replace(vec![added("old", 3)], 9);
+
+    let names: Vec<&str> = catalog
+        .servers()
+        .filter(|(_, item)| item.value.is_some())
+        .map(|(id, _)| &**id)
+        .collect();
+    assert_eq!(names, ["old", "young"]);
+}
+
+#[test]
+fn a_reading_older_than_what_is_complete_changes_nothing() {
+    let mut catalog = Catalog::default();
+    catalog.replace(vec![added("a", 3), config(1, 2)], 9);
+
+    let changed = catalog.replace(Vec::new(), 8);
+
+    assert!(!changed);
+    assert_eq!(catalog.since(0).len(), 2);
+}
+
+#[test]
+fn removals_are_told_to_peers_until_they_are_forgotten() {
+    let mut catalog = Catalog::default();
+    catalog.apply(added("a", 3));
+    catalog.apply(removed("a", 7));
+
+    let told = catalog.since(3);
+    catalog.forget(7);
+
+    assert_eq!(told, [removed("a", 7)]);
+    assert_eq!(catalog.since(0), []);
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    // A revision belongs to one change, as in the store: it decides what the change is.
+    (0..60u64).prop_map(|revision| match revision % 5 {
+        0 => config(revision, revision + 1),
+        1 => removed(["a", "b", "c"][revision as usize % 3], revision + 1),
+        _ => added(["a", "b", "c"][revision as usize % 3], revision + 1),
+    })
+}
+
+proptest! {
+    /// Messages overtake each other, are lost and repeated. Whatever comes in whatever order,
+    /// balancers that have had the same changes know the same.
+    #[test]
+    fn the_order_of_news_does_not_matter(
+        changes in prop::collection::vec(change(), 0..40),
+        seed in any::<u64>(),
+    ) {
+        let mut shuffled = changes.clone();
+        let mut state = seed | 1;
+        for at in (1..shuffled.len()).rev() {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            shuffled.swap(at, (state >> 33) as usize % (at + 1));
+        }
+        shuffled.extend(changes.iter().take(5).cloned());
+        let (mut one, mut other) = (Catalog::default(), Catalog::default());
+        for change in changes {
+            one.apply(change);
+        }
+        for change in shuffled {
+            other.apply(change);
+        }
+
+        prop_assert_eq!(one, other);
+    }
+
+    /// A balancer that has everything up to some revision and takes a peer's difference since then
+    /// knows what the peer knows.
+    #[test]
+    fn a_difference_brings_a_peer_up_to_date(
+        changes in prop::collection::vec(change(), 0..40),
+        upto in 0..60u64,
+    ) {
+        let (mut ahead, mut behind) = (Catalog::default(), Catalog::default());
+        for change in changes {
+            if change.revision() <= upto {
+                behind.apply(change.clone());
+            }
+            ahead.apply(change);
+        }
+
+        for change in ahead.since(upto) {
+            behind.apply(change);
+        }
+
+        prop_assert_eq!(ahead.since(0), behind.since(0));
+    }
+}
--- /dev/null
+++ b/crates/catalog/tests/it/spread.rs
@@ -0,0 +1,132 @@
+use std::{collections::BTreeSet, net::SocketAddrV4, time::Duration};
+
+use acacia_catalog::{
+    member::{List, Member},
+    spread::{Pace, Reading, Turn, audience, is_reader},
+};
+use rstest::rstest;
+
+use crate::fixture::member;
+
+const BOUND: Duration = Duration::from_secs(3);
+
+/// A fleet of `count` balancers in `centres` data centres.
+fn fleet(count: u8, centres: &[&str]) -> Vec<Member> {
+    (0..count)
+        .map(|number| member(number, centres[number as usize % centres.len()]))
+        .collect()
+}
+
+/// The list that `own` has of the others.
+fn list(own: &Member, fleet: &[Member]) -> List {
+    let mut list = List::default();
+    for other in fleet.iter().filter(|other| other.address != own.address) {
+        list.hear(other.clone(), Duration::ZERO);
+    }
+    list
+}
+
+#[rstest]
+#[case::today(9)]
+#[case::grown(62)]
+fn one_of_the_fleet_reads(#[case] count: u8) {
+    let fleet = fleet(count, &["a", "b", "c"]);
+
+    let readers = fleet
+        .iter()
+        .filter(|own| is_reader(own, &list(own, &fleet)));
+
+    assert_eq!(readers.count(), 1);
+}
+
+/// The store turns some balancers away and serves the others. Were the first in rank among those
+/// that are turned away, nobody would hear of changes but by reading alone.
+#[test]
+fn one_that_does_not_see_the_store_is_not_the_reader() {
+    let mut fleet = fleet(9, &["a", "b", "c"]);
+    let first = fleet
+        .iter()
+        .position(|own| is_reader(own, &list(own, &fleet)));
+    let first = first.expect("a reader");
+    fleet[first].sighted = false;
+
+    let readers: Vec<usize> = (0..fleet.len())
+        .filter(|at| is_reader(&fleet[*at], &list(&fleet[*at], &fleet)))
+        .collect();
+
+    assert_eq!(readers.len(), 1);
+    assert_ne!(readers[0], first);
+}
+
+/// What the reader learns must reach every balancer by the reader's own messages and one relay in
+/// each other data centre, whoever the reader is; else the balancers that are missed would turn to
+/// the store after every change.
+#[rstest]
+#[case::today(9, &["a", "b", "c"])]
+#[case::grown(61, &["a", "b", "c", "d"])]
+fn news_reach_all_in_two_steps(#[case] count: u8, #[case] centres: &[&str]) {
+    let fleet = fleet(count, centres);
+    for reader in &fleet {
+        let mut told: BTreeSet<SocketAddrV4> = BTreeSet::from([reader.address]);
+        let first = audience(reader, &list(reader, &fleet), None);
+        for address in &first {
+            told.insert(*address);
+            let relay = fleet.iter().find(|member| member.address == *address);
+            let relay = relay.expect("a member");
+            let near = list(relay, &fleet);
+            told.extend(audience(relay, &near, Some(&reader.data_centre)));
+        }
+
+        assert_eq!(told.len(), fleet.len());
+        // A reader tells its own data centre and one of each other, not the fleet.
+        assert!(first.len() <= fleet.len().div_ceil(centres.len()) + centres.len() - 1);
+    }
+}
+
+/// The reader is killed, cut off or frozen just after it told the others. Nobody tells them, and a
+/// change that the store accepts at that moment must be in force within the bound all the same.
+#[rstest]
+#[case::first(0.0)]
+#[case::last(0.999)]
+fn whoever_hears_nothing_reads_within_the_bound(#[case] share: f64) {
+    let mut reading = Reading::new(Pace::within(BOUND));
+    reading.confirmed(Duration::ZERO);
+    let mut now = Duration::ZERO;
+
+    while let Turn::Wait(wait) = reading.turn(now, false, share) {
+        now += wait;
+    }
+
+    assert!(now <= BOUND * 3 / 4, "read after {now:?}");
+}
+
+/// The store is down for long, and each of 61 balancers asks it. What is refused counts as well, and
+/// would run over the store just when it comes back.
+#[test]
+fn a_store_that_fails_is_asked_less_and_less() {
+    let mut reading = Reading::new(Pace::within(BOUND));
+    let (mut now, mut calls) = (Duration::ZERO, 0);
+    while now < Duration::from_secs(10) {
+        match reading.turn(now, false, 0.5) {
+            Turn::Wait(wait) => now += wait,
+            Turn::Watch | Turn::Poll => {
+                calls += 1;
+                reading.failed(now);
+            }
+        }
+    }
+
+    assert!((10..=14).contains(&calls), "{calls} calls in 10 s");
+}
+
+/// A balancer that a peer has just told is as well informed as the peer, and has no reason to read.
+#[test]
+fn a_peer_s_word_takes_the_place_of_a_reading() {
+    let mut reading = Reading::new(Pace::within(BOUND));
+    for second in 0..30 {
+        let now = Duration::from_secs(second);
+        reading.confirmed(now);
+
+        assert!(matches!(reading.turn(now, false, 0.0), Turn::Wait(_)));
+    }
+}
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -20,6 +20,9 @@
 /// Between the two. They overlap, as each of them waits for next to nothing where the server lives;
 /// one after the other they took 200 ms, in which callers wait.
 const APART: Duration = Duration::from_millis(25);
+/// After which probes that brought no result are given up: they were never sent, as too many were
+/// under way.
+const EXPIRY: Duration = Duration::from_millis(240);
 /// Between two probes of a silent server.
 const AGAIN: Duration = Duration::from_millis(400);
 /// Where at least this part of all servers is silent, it is this balancer that is cut off, and its
@@ -80,7 +83,8 @@
     pub fn suspect(&mut self, server: &Arc<str>, doubt: Duration, now: Duration) -> bool {
         match self.states.get(server) {
             Some(State::Content(at)) if now < *at + doubt => false,
-            Some(State::Asked { .. } | State::Silent(_)) => false,
+            Some(State::Asked { at, .. }) if now < *at + EXPIRY => false,
+            Some(State::Silent(_)) => false,
             _ => {
                 let asked = State::Asked {
                     sent: 0,
--- /dev/null
+++ b/crates/cookie/tests/it/main.rs
@@ -0,0 +1,9 @@
+//! Tests of flow resolution by cookies: several resolvers whose views differ, without sockets.
+
+mod fixture;
+mod flow;
+mod place;
+mod resolver;
+mod roster;
+mod silence;
+mod speed;
--- /dev/null
+++ b/crates/cookie/tests/it/place.rs
@@ -0,0 +1,58 @@
+use acacia_cookie::place::{Candidate, choose};
+
+/// Flows opened one after the other, none closed; how many each of the servers has then.
+fn spread(weights: &[f64], flows: u64) -> Vec<f64> {
+    let mut counts = vec![0.0; weights.len()];
+    for flow in 0..flows {
+        let candidates: Vec<Candidate> = weights
+            .iter()
+            .enumerate()
+            .map(|(at, weight)| Candidate {
+                position: at as u32,
+                name: at as u64 * 77 + 1,
+                weight: *weight,
+                load: (counts[at] + 1.0) / weight,
+            })
+            .collect();
+        let chosen = choose(acacia_wire::flow::mix(flow), &candidates);
+        counts[chosen.expect("a server") as usize] += 1.0;
+    }
+    counts
+}
+
+/// Two hundred long flows at fourteen servers: by chance alone one of them would have some 40 % more
+/// than the mean, for as long as the flows last.
+#[test]
+fn long_flows_are_spread_evenly() {
+    let counts = spread(&[1.0; 14], 210);
+
+    let busiest = counts.iter().copied().fold(0.0, f64::max);
+    assert!(busiest / 15.0 < 1.2, "{counts:?}");
+}
+
+#[test]
+fn servers_get_flows_in_proportion_to_their_weights() {
+    let weights = [0.7, 0.7, 1.7, 0.7, 0.7, 1.7];
+
+    let counts = spread(&weights, 2_000);
+
+    for (count, weight) in counts.iter().zip(weights) {
+        let expected = 2_000.0 * weight / 6.2;
+        assert!((count / expected - 1.0).abs() < 0.1, "{counts:?}");
+    }
+}
+
+/// One server is full of flows. It gets no more while others have room, unless it is the only one.
+#[test]
+fn the_busiest_of_several_gets_nothing() {
+    let server = |position: u32, load| Candidate {
+        position,
+        name: position.into(),
+        weight: 1.0,
+        load,
+    };
+    for flow in 0..1_000 {
+        assert_ne!(choose(flow, &[server(0, 90.0), server(1, 1.0)]), Some(0));
+        assert_eq!(choose(flow, &[server(0, 90.0)]), Some(0));
+    }
+}
