Condemn no server without a control, and pass large configurations on in a tree

Now a probe of another server, sent last, must be answered; peers are sent the steps between configurations, and fetch large ones from each other in a tree; members are gossiped for 6 s before they are dropped.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,8 +1,18 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{route::Config, server::Server};
+use crate::{
+    route::{Config, Patch},
+    server::Server,
+};
+
+/// Steps from one configuration to the next that are kept for peers. Within the seconds that a peer
+/// may be behind, a storm of changes makes a few dozen.
+const STEPS: usize = 64;
 
 /// Something at a revision of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,6 +33,13 @@
         /// The whole configuration.
         config: Arc<Config>,
     },
+    /// A step from the configuration before.
+    Patch {
+        /// The store's revision that made it.
+        revision: u64,
+        /// The step.
+        patch: Arc<Patch>,
+    },
     /// A backend server's entry.
     Server {
         /// The server's name.
@@ -45,7 +62,9 @@
     #[must_use]
     pub const fn revision(&self) -> u64 {
         match self {
-            Change::Config { revision, .. } | Change::Server { revision, .. } => *revision,
+            Change::Config { revision, .. }
+            | Change::Patch { revision, .. }
+            | Change::Server { revision, .. } => *revision,
         }
     }
 }
@@ -56,10 +75,12 @@
 /// replicas that lag. Harm: a configuration that was in force would revert, a server that is
 /// draining would get new flows again. Hence each item keeps its revision, and an older one
 /// changes nothing, wherever it comes from.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default)]
 pub struct Catalog {
     revision: u64,
     config: Option<Item<Arc<Config>>>,
+    /// The last steps between configurations, each from the one before to the next.
+    steps: VecDeque<Item<Arc<Patch>>>,
     servers: BTreeMap<Arc<str>, Item<Option<Arc<Server>>>>,
 }
 
@@ -92,18 +113,16 @@
     /// ```
     pub fn apply(&mut self, change: Change) -> bool {
         match change {
-            Change::Config { revision, config } => {
-                if self
+            Change::Config { revision, config } => return self.configure(revision, config),
+            Change::Patch { revision, patch } => {
+                let old = self
                     .config
                     .as_ref()
-                    .is_some_and(|item| item.revision >= revision)
-                {
+                    .filter(|item| item.revision == patch.base);
+                let Some(config) = old.map(|item| patch.apply(&item.value)) else {
                     return false;
-                }
-                self.config = Some(Item {
-                    revision,
-                    value: config,
-                });
+                };
+                return self.configure(revision, Arc::new(config));
             }
             Change::Server {
                 id,
@@ -129,6 +148,65 @@
         true
     }
 
+    /// Whether a change can be taken in: a step needs the configuration that it starts from.
+    #[must_use]
+    pub fn fits(&self, change: &Change) -> bool {
+        let own = self.config.as_ref().map_or(0, |item| item.revision);
+        match change {
+            Change::Patch { revision, patch } => own == patch.base || own >= *revision,
+            Change::Config { .. } | Change::Server { .. } => true,
+        }
+    }
+
+    fn configure(&mut self, revision: u64, config: Arc<Config>) -> bool {
+        if let Some(old) = &self.config {
+            if old.revision >= revision {
+                return false;
+            }
+            let step = Patch::between(&old.value, old.revision, &config);
+            self.steps.push_back(Item {
+                revision,
+                value: Arc::new(step),
+            });
+            if self.steps.len() > STEPS {
+                self.steps.pop_front();
+            }
+        }
+        self.config = Some(Item {
+            revision,
+            value: config,
+        });
+        true
+    }
+
+    /// What brings the configuration of a peer that knows everything up to `revision` up to date:
+    /// the steps since, or the whole.
+    fn configuration_since(&self, revision: u64) -> Vec<Change> {
+        let Some(config) = self.config.as_ref().filter(|item| item.revision > revision) else {
+            return Vec::new();
+        };
+        let mut steps = self
+            .steps
+            .iter()
+            .filter(|step| step.revision > revision)
+            .peekable();
+        // The peer has the configuration that the first step starts from, and no later one.
+        if steps
+            .peek()
+            .is_some_and(|first| first.value.base <= revision)
+        {
+            let step = |step: &Item<Arc<Patch>>| Change::Patch {
+                revision: step.revision,
+                patch: Arc::clone(&step.value),
+            };
+            return steps.map(step).collect();
+        }
+        vec![Change::Config {
+            revision: config.revision,
+            config: Arc::clone(&config.value),
+        }]
+    }
+
     /// Takes note that all changes up to `revision` have been taken in.
     pub fn complete(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
@@ -176,19 +254,13 @@
     /// All changes after `revision`, the oldest first.
     #[must_use]
     pub fn since(&self, revision: u64) -> Vec<Change> {
-        let config = self.config.iter().map(|item| Change::Config {
-            revision: item.revision,
-            config: Arc::clone(&item.value),
-        });
         let servers = self.servers.iter().map(|(id, item)| Change::Server {
             id: Arc::clone(id),
             revision: item.revision,
             server: item.value.clone(),
         });
-        let mut changes: Vec<Change> = config
-            .chain(servers)
-            .filter(|change| change.revision() > revision)
-            .collect();
+        let mut changes = self.configuration_since(revision);
+        changes.extend(servers.filter(|change| change.revision() > revision));
         changes.sort_by_key(Change::revision);
         changes
     }
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 
 /// How long a balancer may go unheard, directly and through others, before it is taken off the
-/// list. Six rounds of gossip at 500 ms: with 60 balancers, news take four.
-pub const UNHEARD: Duration = Duration::from_secs(3);
+/// list. Twelve rounds of gossip at 500 ms: among 62 balancers a word takes up to eight, as each
+/// message names a third of them; at half the time, eight of 61 were taken off though they lived.
+pub const UNHEARD: Duration = Duration::from_secs(6);
 
 /// A balancer as it describes itself, and how often it has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,7 +57,7 @@
     /// let mut list = List::default();
     /// assert!(list.hear(member.clone(), Duration::ZERO));
     /// assert!(!list.hear(member, Duration::from_secs(1)), "nothing new");
-    /// assert_eq!(list.expire(Duration::from_secs(4)).len(), 1);
+    /// assert_eq!(list.expire(Duration::from_secs(7)).len(), 1);
     /// ```
     pub fn hear(&mut self, member: Member, now: Duration) -> bool {
         let Some(known) = self.members.get_mut(&member.address) else {
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -1,6 +1,6 @@
 //! Where callers' flows may go.
 
-use std::{net::Ipv4Addr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::Ipv4Addr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -43,3 +43,83 @@
     /// How long a flow may be idle before it may be forgotten; unlimited if none.
     pub idle: Option<Duration>,
 }
+
+/// What leads from one configuration to the next.
+///
+/// Load: a large configuration of which each change touches a route or two. Harm: sent whole to
+/// every balancer, it fills the links of the small ones that pass it on (40 KB to twenty peers take
+/// 0.6 s at 10 Mbit/s), and callers' packets wait behind it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Patch {
+    /// The store's revision of the configuration that it applies to.
+    pub base: u64,
+    /// The operators' number of the configuration that it leads to.
+    pub version: u64,
+    /// Routes that are new or changed.
+    pub put: Vec<Route>,
+    /// Names of routes that are no more.
+    pub remove: Vec<Arc<str>>,
+    /// See [`Config::idle`].
+    pub idle: Option<Duration>,
+}
+
+impl Patch {
+    /// What leads from `old`, which stands at the store's revision `base`, to `new`.
+    ///
+    /// ```
+    /// use acacia_catalog::route::{Config, Patch};
+    /// let old = Config { version: 1, routes: Vec::new(), idle: None };
+    /// let new = Config { version: 3, ..old.clone() };
+    /// assert_eq!(Patch::between(&old, 9, &new).apply(&old), new);
+    /// ```
+    #[must_use]
+    pub fn between(old: &Config, base: u64, new: &Config) -> Self {
+        let before: BTreeMap<&str, &Route> = by_name(old);
+        let after: BTreeMap<&str, &Route> = by_name(new);
+        let differs = |route: &&Route| before.get(&*route.name) != Some(route);
+        let gone = |route: &&Route| !after.contains_key(&*route.name);
+        Patch {
+            base,
+            version: new.version,
+            put: new.routes.iter().filter(differs).cloned().collect(),
+            remove: old
+                .routes
+                .iter()
+                .filter(gone)
+                .map(|route| Arc::clone(&route.name))
+                .collect(),
+            idle: new.idle,
+        }
+    }
+
+    /// The configuration that `old` becomes. Routes keep their places; new ones come last.
+    #[must_use]
+    pub fn apply(&self, old: &Config) -> Config {
+        let mut put: BTreeMap<&str, &Route> = BTreeMap::new();
+        put.extend(self.put.iter().map(|route| (&*route.name, route)));
+        let mut routes = Vec::with_capacity(old.routes.len() + self.put.len());
+        for route in &old.routes {
+            if !self.remove.contains(&route.name) {
+                routes.push(put.remove(&*route.name).unwrap_or(route).clone());
+            }
+        }
+        let new = self
+            .put
+            .iter()
+            .filter(|route| put.contains_key(&*route.name));
+        routes.extend(new.cloned());
+        Config {
+            version: self.version,
+            routes,
+            idle: self.idle,
+        }
+    }
+}
+
+fn by_name(config: &Config) -> BTreeMap<&str, &Route> {
+    config
+        .routes
+        .iter()
+        .map(|route| (&*route.name, route))
+        .collect()
+}
--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -176,7 +176,7 @@
             .all(|member| rank(member.address) < rank(own.address))
 }
 
-/// Whom a balancer tells news that came to it from `source`: the store itself, when none.
+/// Whom a balancer tells small news that came to it from `source`: the store itself, when none.
 ///
 /// From the store: all of its own data centre, and one relay of each other. From another data
 /// centre: all of its own. From its own data centre: nobody, they were all told.
@@ -194,6 +194,44 @@
     audience
 }
 
+/// How many each balancer tells of large news.
+const BRANCHES: usize = 3;
+
+/// Whom a balancer tells news that are too large for a datagram, so that whoever is told fetches
+/// them from it. `root` is the first of the data centre that had them.
+///
+/// Load: a configuration grows by hundreds of routes, and everybody fetches it at once. Harm: the
+/// link of the one that all fetch from is full for a second, and callers' packets wait behind it. So
+/// the data centre is a tree in which each is asked by a few. Whoever is missed, as one above has
+/// just died, hears by gossip within a second.
+#[must_use]
+pub fn branches(
+    own: &Member,
+    list: &List,
+    root: SocketAddrV4,
+    source: Option<&Arc<str>>,
+) -> Vec<SocketAddrV4> {
+    let near = list
+        .iter()
+        .filter(|member| member.data_centre == own.data_centre);
+    let mut order: Vec<SocketAddrV4> = near
+        .map(|member| member.address)
+        .chain([own.address])
+        .collect();
+    // The root first, then all in an order on which everybody agrees.
+    order.sort_by_key(|address| (*address != root, rank(*address)));
+    let at = order
+        .iter()
+        .position(|address| *address == own.address)
+        .unwrap_or(0);
+    let first = at * BRANCHES + 1;
+    let mut told: Vec<SocketAddrV4> = order.into_iter().skip(first).take(BRANCHES).collect();
+    if source.is_none() {
+        told.extend(relays(own, list));
+    }
+    told
+}
+
 /// The first in rank of each other data centre.
 fn relays(own: &Member, list: &List) -> Vec<SocketAddrV4> {
     let mut first: Vec<&Member> = Vec::new();
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -48,6 +48,8 @@
     missing: Option<Duration>,
     /// Until when it is slow after its start.
     warm: Duration,
+    /// All its cookies.
+    cookies: [Cookie; VARIANTS as usize],
 }
 
 /// The servers known to a balancer, those that left within the life of a flow included.
@@ -85,7 +87,7 @@
         self.config = catalog.config().map(|item| Arc::clone(&item.value));
         for (id, item) in catalog.servers() {
             match &item.value {
-                Some(server) => self.present(id, server, item.revision, now),
+                Some(server) => self.take(id, server, item.revision, now),
                 None => {
                     if let Some(known) = self.servers.get_mut(id) {
                         known.missing.get_or_insert(now);
@@ -101,13 +103,7 @@
         });
     }
 
-    fn present(
-        &mut self,
-        id: &Arc<str>,
-        server: &Arc<server::Server>,
-        revision: u64,
-        now: Duration,
-    ) {
+    fn take(&mut self, id: &Arc<str>, server: &Arc<server::Server>, revision: u64, now: Duration) {
         let warm = now + Duration::from_millis(server.warmup_ms.into());
         match self.servers.get_mut(id) {
             Some(known) if Arc::ptr_eq(&known.server, server) => known.missing = None,
@@ -122,6 +118,7 @@
                     since: revision,
                     missing: None,
                     warm,
+                    cookies: std::array::from_fn(|variant| Cookie::of(id, variant as u32)),
                 };
                 self.servers.insert(Arc::clone(id), known);
             }
@@ -156,8 +153,7 @@
         });
         let shared = shared_cookies(&known);
         for (position, known) in known.iter().enumerate() {
-            for variant in 0..VARIANTS {
-                let cookie = Cookie::of(&known.server.id, variant);
+            for cookie in known.cookies {
                 snapshot.cookies.entry(cookie).or_insert(position as u32);
             }
             let mut server = self.server(known, &shared, now);
@@ -174,15 +170,13 @@
 
     fn server(&self, known: &Known, shared: &[Cookie], now: Duration) -> Server {
         let server = &known.server;
-        let own = (0..VARIANTS).map(|variant| Cookie::of(&server.id, variant));
-        let alone = own
-            .clone()
-            .find(|cookie| shared.binary_search(cookie).is_err());
+        let mut own = known.cookies.into_iter();
+        let alone = own.find(|cookie| shared.binary_search(cookie).is_err());
         let warmth = if known.warm > now { COLD } else { 1.0 };
         Server {
             id: Arc::clone(&server.id),
             // With all variants shared, which no fleet will see, the older server gets the flow.
-            cookie: alone.unwrap_or_else(|| Cookie::of(&server.id, 0)),
+            cookie: alone.unwrap_or(known.cookies[0]),
             tag: server.tag,
             address: server.address,
             data_centre: Arc::clone(&server.data_centre),
@@ -209,12 +203,13 @@
         self.servers.values().map(|known| &known.server)
     }
 
-    /// Servers whose entries went missing unannounced after `since`.
-    pub fn missing(&self, since: Duration) -> impl Iterator<Item = &Arc<str>> {
-        let unannounced = |known: &&Known| known.server.state == State::Ready;
-        let after = move |known: &&Known| known.missing.is_some_and(|at| at > since);
-        let missing = self.servers.values().filter(unannounced).filter(after);
-        missing.map(|known| &known.server.id)
+    /// The servers whose entries stand.
+    pub fn present(&self) -> impl Iterator<Item = &Arc<server::Server>> {
+        let present = self
+            .servers
+            .values()
+            .filter(|known| known.missing.is_none());
+        present.map(|known| &known.server)
     }
 
     fn standing(&self, known: &Known, now: Duration) -> Standing {
@@ -232,10 +227,7 @@
 
 /// Cookies that two servers have, in order.
 fn shared_cookies(known: &[&Known]) -> Vec<Cookie> {
-    let all = known
-        .iter()
-        .flat_map(|known| (0..VARIANTS).map(|variant| Cookie::of(&known.server.id, variant)));
-    let mut all: Vec<Cookie> = all.collect();
+    let mut all: Vec<Cookie> = known.iter().flat_map(|known| known.cookies).collect();
     all.sort_unstable();
     let mut shared: Vec<Cookie> = all
         .windows(2)
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -4,9 +4,12 @@
 //! of reach at once. Harm: callers wait out their deadlines on flows that nobody answers, and new
 //! flows join them until the store drops the server's entry, seconds later. One notices by callers'
 //! packets that are sent again. That alone proves little (one lost packet looks the same), so it
-//! only starts a probe: whether the server's address still accepts a connection. A server that
-//! lives accepts one within a round trip however busy it is, so two probes in a row without an
-//! answer, together with an unanswered packet, are taken as proof.
+//! only starts an examination: whether the server's address still accepts a connection. A server
+//! that lives accepts one within a round trip however busy it is.
+//!
+//! Two probes in a row without an answer are proof only if a probe of another server, sent after
+//! them, is answered in time. Without that *control*, a balancer whose own link is full or whose
+//! processor is withheld takes all servers for silent and ends flows that are well.
 
 use std::{sync::Arc, time::Duration};
 
@@ -14,17 +17,14 @@
 
 /// How long a probe waits. 60 ms: twice the longest round trip between regions.
 pub const WAIT: Duration = Duration::from_millis(60);
-/// Probes in a row without an answer before a server is taken for silent. With one packet of ten
-/// lost, two lose theirs in one of a hundred cases, and only after a packet has gone unanswered.
-const PROBES: u32 = 2;
-/// Between the two. They overlap, as each of them waits for next to nothing where the server lives;
-/// one after the other they took 200 ms, in which callers wait.
-const APART: Duration = Duration::from_millis(25);
-/// After which probes that brought no result are given up: they were never sent, as too many were
-/// under way.
-const EXPIRY: Duration = Duration::from_millis(240);
+/// Between the two probes of an examination. They overlap, as each of them waits for next to nothing
+/// where the server lives; one after the other, the same proof took 115 ms longer.
+pub const APART: Duration = Duration::from_millis(25);
 /// Between two probes of a silent server.
 const AGAIN: Duration = Duration::from_millis(400);
+/// After this long an examination without a result is given up: it was never made, as too many were
+/// under way.
+const EXPIRY: Duration = Duration::from_millis(500);
 /// Where at least this part of all servers is silent, it is this balancer that is cut off, and its
 /// callers are better served through another.
 const ISOLATED: f64 = 0.95;
@@ -34,19 +34,25 @@
 enum State {
     /// It answered a probe at that time.
     Content(Duration),
-    /// Probes are under way.
-    Asked {
-        /// How many were sent.
-        sent: u32,
-        /// How many of them had no answer in time.
-        failed: u32,
-        /// When the last was sent.
-        at: Duration,
-    },
-    /// Silent; the last probe was sent at that time.
+    /// It is to be examined, since that time.
+    Doubted(Duration),
+    /// It is being examined, since that time.
+    Examined(Duration),
+    /// Silent; it is to be probed again at that time.
     Silent(Duration),
 }
 
+/// What an examination has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// The server answered a probe.
+    Answered,
+    /// It answered none, and the control did.
+    Silent,
+    /// It answered none, nor did the control.
+    Unknown,
+}
+
 /// A change that the control thread acts upon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -66,69 +72,37 @@
 
 impl Detector {
     /// Takes in that a server is said to be silent, by a packet that went unanswered or by a peer.
-    /// True if it is to be probed now; one that answered a probe within the time of `doubt` is not.
+    /// True if it is to be examined; one that answered a probe within the time of `trust` is not.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use acacia_cookie::silence::{Detector, Verdict};
+    /// use acacia_cookie::silence::{Detector, Finding, Verdict};
     /// let ms = Duration::from_millis;
     /// let mut detector = Detector::default();
     /// assert!(detector.suspect(&"host-1".into(), ms(300), ms(0)));
     /// assert_eq!(detector.due(ms(0)), ["host-1".into()]);
-    /// assert_eq!(detector.due(ms(25)), ["host-1".into()]);
-    /// assert_eq!(detector.unanswered(&"host-1".into(), ms(60)), Verdict::Same);
-    /// assert_eq!(detector.unanswered(&"host-1".into(), ms(85)), Verdict::Silent);
-    /// assert_eq!(detector.answered(&"host-1".into(), ms(700)), Verdict::Back);
+    /// assert_eq!(detector.found(&"host-1".into(), Finding::Silent, ms(85)), Verdict::Silent);
+    /// assert_eq!(detector.found(&"host-1".into(), Finding::Answered, ms(700)), Verdict::Back);
     /// ```
-    pub fn suspect(&mut self, server: &Arc<str>, doubt: Duration, now: Duration) -> bool {
+    pub fn suspect(&mut self, server: &Arc<str>, trust: Duration, now: Duration) -> bool {
         match self.states.get(server) {
-            Some(State::Content(at)) if now < *at + doubt => false,
-            Some(State::Asked { at, .. }) if now < *at + EXPIRY => false,
+            Some(State::Content(at)) if now < *at + trust => false,
+            Some(State::Doubted(at) | State::Examined(at)) if now < *at + EXPIRY => false,
             Some(State::Silent(_)) => false,
             _ => {
-                let asked = State::Asked {
-                    sent: 0,
-                    failed: 0,
-                    at: now,
-                };
-                self.states.insert(Arc::clone(server), asked);
+                self.states.insert(Arc::clone(server), State::Doubted(now));
                 true
             }
         }
     }
 
-    /// The server has answered a probe, or a flow.
-    pub fn answered(&mut self, server: &Arc<str>, now: Duration) -> Verdict {
-        match self.states.insert(Arc::clone(server), State::Content(now)) {
-            Some(State::Silent(_)) => Verdict::Back,
-            _ => Verdict::Same,
-        }
-    }
-
-    /// A probe had no answer.
-    pub fn unanswered(&mut self, server: &Arc<str>, now: Duration) -> Verdict {
-        let Some(state) = self.states.get_mut(server) else {
-            return Verdict::Same;
-        };
-        if let State::Asked { failed, .. } = state {
-            *failed += 1;
-            if *failed >= PROBES {
-                *state = State::Silent(now);
-                return Verdict::Silent;
-            }
-        }
-        Verdict::Same
-    }
-
-    /// The servers to probe now; each counts as probed.
+    /// The servers to examine now.
     pub fn due(&mut self, now: Duration) -> Vec<Arc<str>> {
         let mut due = Vec::new();
         for (server, state) in &mut self.states {
             match state {
-                State::Asked { sent, at, .. } if is_due(*sent, *at, now) => {
-                    (*sent, *at) = (*sent + 1, now);
-                }
-                State::Silent(at) if now >= *at + AGAIN => *at = now,
+                State::Doubted(_) => *state = State::Examined(now),
+                State::Silent(at) if now >= *at => *at = now + AGAIN,
                 _ => continue,
             }
             due.push(Arc::clone(server));
@@ -137,16 +111,38 @@
         due
     }
 
-    /// When the next probe is due.
+    /// Takes in what an examination has shown.
+    pub fn found(&mut self, server: &Arc<str>, finding: Finding, now: Duration) -> Verdict {
+        let state = self.states.get(server).copied();
+        match (finding, state) {
+            (Finding::Answered, state) => {
+                self.states.insert(Arc::clone(server), State::Content(now));
+                match state {
+                    Some(State::Silent(_)) => Verdict::Back,
+                    _ => Verdict::Same,
+                }
+            }
+            (Finding::Silent, Some(State::Examined(_))) => {
+                self.states
+                    .insert(Arc::clone(server), State::Silent(now + AGAIN));
+                Verdict::Silent
+            }
+            (Finding::Unknown, Some(State::Examined(_))) => {
+                self.states.remove(server);
+                Verdict::Same
+            }
+            _ => Verdict::Same,
+        }
+    }
+
+    /// When the next examination is due.
     #[must_use]
     pub fn next(&self) -> Option<Duration> {
         self.states
             .values()
             .filter_map(|state| match state {
-                State::Content(_) => None,
-                State::Asked { sent: 0, at, .. } => Some(*at),
-                State::Asked { sent, at, .. } => (*sent < PROBES).then_some(*at + APART),
-                State::Silent(at) => Some(*at + AGAIN),
+                State::Content(_) | State::Examined(_) => None,
+                State::Doubted(at) | State::Silent(at) => Some(*at),
             })
             .min()
     }
@@ -157,6 +153,12 @@
         matches!(self.states.get(server), Some(State::Silent(_)))
     }
 
+    /// Whether a server may serve as the control of an examination: nothing speaks against it.
+    #[must_use]
+    pub fn is_trusted(&self, server: &str) -> bool {
+        matches!(self.states.get(server), None | Some(State::Content(_)))
+    }
+
     /// The silent servers.
     #[must_use]
     pub fn silent(&self) -> Vec<Arc<str>> {
@@ -184,8 +186,3 @@
         silent > 2 && silent as f64 >= ISOLATED * all as f64
     }
 }
-
-/// The first probe leaves at once, the next a moment later.
-fn is_due(sent: u32, at: Duration, now: Duration) -> bool {
-    sent == 0 || sent < PROBES && now >= at + APART
-}
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -1,62 +1,54 @@
 //! What the control thread knows, and what follows from each piece of news. No sockets.
 
+mod describe;
+mod examine;
+mod gossip;
+
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use acacia_catalog::{
     Catalog, Change,
     member::{List, Member},
-    spread::{Pace, Reading, Turn, audience, is_reader},
-};
-use acacia_cookie::{
-    Roster, Snapshot,
-    roster::Limits,
-    silence::{Detector, Verdict},
+    spread::{Pace, Reading, Turn, audience, branches, is_reader},
 };
-use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
+use acacia_cookie::{Roster, Snapshot, roster::Limits, silence::Detector};
+use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 
+pub use examine::{Examination, Target};
+
 use super::{
     message::{Difference, Known, LONGEST, Message, Parcel},
     settings::Settings,
 };
 
-/// Other balancers named in one message: with 40 bytes each, a message stays below an Ethernet
-/// frame.
-const NAMED: usize = 20;
-/// Balancers told in one round of gossip. Two: news double each round.
-const FANOUT: usize = 2;
-
-/// How long a server that has answered a probe here is left alone whatever peers say of it: a
-/// server may be out of reach for one balancer alone, which goes on saying so.
-const PEER_DOUBT: Duration = Duration::from_secs(2);
-/// The same where a packet went unanswered here: at a loss of packets that goes on, each copy would
-/// else start a probe.
-const OWN_DOUBT: Duration = Duration::from_millis(300);
-/// Silent servers named in one message.
-const SILENT: usize = 20;
-
-/// A backend server to probe.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Probe {
-    /// Its name.
-    pub server: Arc<str>,
-    /// Where.
-    pub address: SocketAddrV4,
-}
-
-/// What to do about a message.
+/// What to do about a piece of news.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Outcome {
     /// What to send.
     pub parcels: Vec<Parcel>,
     /// Whether to fetch from the sender what is missing here.
     pub fetch: bool,
-    /// Whether servers are to be probed.
-    pub probe: bool,
+    /// Whether servers are to be examined.
+    pub examine: bool,
     /// Whether routes or servers changed.
     pub changed: bool,
 }
 
+/// Where news came from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// The store.
+    Store,
+    /// A peer.
+    Peer {
+        /// The peer's data centre.
+        data_centre: Arc<str>,
+        /// The first of that data centre that had them.
+        root: SocketAddrV4,
+    },
+}
+
 /// The control thread's state.
 #[derive(Debug)]
 pub struct Core {
@@ -68,6 +60,8 @@
     roster: Roster,
     detector: Detector,
     isolated: bool,
+    /// Whether a step of the configuration was missed, so that the whole is to be fetched.
+    missed: bool,
     random: Pcg64,
     /// This balancer's place in the spread of readings.
     share: f64,
@@ -78,8 +72,8 @@
     /// A balancer that has just started. `incarnation` is higher than in any former life.
     #[must_use]
     pub fn new(settings: &Settings, incarnation: u64) -> Self {
-        let mut random =
-            Pcg64::seed_from_u64(incarnation ^ u64::from(settings.control.ip().to_bits()));
+        let seed = incarnation ^ u64::from(settings.control.ip().to_bits());
+        let mut random = Pcg64::seed_from_u64(seed);
         Core {
             own: Member {
                 address: settings.control,
@@ -99,6 +93,7 @@
             }),
             detector: Detector::default(),
             isolated: false,
+            missed: false,
             share: random.random(),
             random,
             reads: false,
@@ -123,12 +118,28 @@
         self.catalog.revision()
     }
 
+    /// The revision after which changes are to be fetched from a peer.
+    #[must_use]
+    pub const fn wanted(&self) -> u64 {
+        if self.missed {
+            0
+        } else {
+            self.catalog.revision()
+        }
+    }
+
     /// Whether this balancer knows enough to serve.
     #[must_use]
     pub fn is_informed(&self) -> bool {
         self.reading.fresh().is_some() && self.catalog.config().is_some()
     }
 
+    /// Whether this balancer reaches next to no server, and its callers are better off elsewhere.
+    #[must_use]
+    pub const fn is_isolated(&self) -> bool {
+        self.isolated
+    }
+
     /// The operators' number of the configuration in force.
     #[must_use]
     pub fn version(&self) -> Option<u64> {
@@ -174,7 +185,7 @@
         }
         self.catalog.complete(revision);
         self.reading.answered(sent);
-        self.told(changed, base, None, now)
+        self.pass_on(changed, base, &Source::Store, now)
     }
 
     /// The store has answered a whole reading that left at `sent`.
@@ -188,13 +199,15 @@
         self.regained();
         let base = self.catalog.revision();
         let changed = self.catalog.replace(reading, revision);
+        log::info!("event=store-read revision={revision} changed={changed}");
         self.reading.answered(sent);
-        self.told(changed, base, None, now)
+        self.pass_on(changed, base, &Source::Store, now)
     }
 
     fn regained(&self) {
         if !self.reading.is_sighted() {
-            log::info!("event=store-regained revision={}", self.catalog.revision());
+            let revision = self.catalog.revision();
+            log::info!("event=store-regained revision={revision}");
         }
     }
 
@@ -209,6 +222,10 @@
 
     /// A message has come in.
     pub fn hear(&mut self, message: Message, now: Duration) -> Outcome {
+        if message.from.address == self.own.address {
+            return Outcome::default();
+        }
+        let (sender, source) = (message.from.address, self.source(&message));
         let Message {
             from,
             known,
@@ -217,50 +234,63 @@
             others,
             silent,
             wants,
+            ..
         } = message;
-        if from.address == self.own.address {
-            return Outcome::default();
-        }
-        let centre = Arc::clone(&from.data_centre);
-        let sender = from.address;
         self.meet(from, now);
         for other in others {
             self.meet(other, now);
         }
-        let mut outcome = if base <= self.catalog.revision() {
-            self.learn(known, changes, &centre, now)
-        } else {
-            Outcome::default()
-        };
-        outcome.fetch = known.revision > self.catalog.revision();
-        for server in &silent {
-            outcome.probe |= self.detector.suspect(server, PEER_DOUBT, now);
+        let mut outcome = Outcome::default();
+        if base <= self.catalog.revision() {
+            outcome = self.learn(known, changes, &source, now);
         }
+        outcome.fetch = self.missed || known.revision > self.catalog.revision();
+        outcome.examine |= self.doubt(&silent, now);
         if wants {
-            let message = self.message(false, self.catalog.revision(), now);
+            let message = self.gossip_message(false, now);
             outcome.parcels.push(Parcel {
-                to: sender,
+                to: vec![sender],
                 message,
             });
         }
         outcome
     }
 
-    /// What was fetched from a peer of that data centre has come in.
-    pub fn fetched(&mut self, difference: Difference, centre: &Arc<str>, now: Duration) -> Outcome {
-        self.learn(difference.known, difference.changes, centre, now)
+    /// Where a message's news come from. For one from another data centre, this balancer is the
+    /// first of its own.
+    pub fn source(&self, message: &Message) -> Source {
+        let near = message.from.data_centre == self.own.data_centre;
+        Source::Peer {
+            data_centre: Arc::clone(&message.from.data_centre),
+            root: if near { message.root } else { self.own.address },
+        }
+    }
+
+    /// What was fetched from a peer has come in.
+    pub fn fetched(&mut self, difference: Difference, source: &Source, now: Duration) -> Outcome {
+        self.missed = false;
+        self.learn(difference.known, difference.changes, source, now)
     }
 
+    /// Takes in all changes up to what a peer knows.
     fn learn(
         &mut self,
         known: Known,
         changes: Vec<Change>,
-        centre: &Arc<str>,
+        source: &Source,
         now: Duration,
     ) -> Outcome {
         let base = self.catalog.revision();
         let mut changed = false;
         for change in changes {
+            if !self.catalog.fits(&change) {
+                log::info!("event=step-missed revision={}", change.revision());
+                self.missed = true;
+                return Outcome {
+                    changed,
+                    ..Outcome::default()
+                };
+            }
             changed |= self.apply(change);
         }
         self.catalog.complete(known.revision);
@@ -268,7 +298,7 @@
         if !changed && !gained {
             return Outcome::default();
         }
-        self.told(changed, base, Some(centre), now)
+        self.pass_on(changed, base, source, now)
     }
 
     /// Takes in that everything was known at `at`; whether that is worth passing on. Peers' words
@@ -280,7 +310,7 @@
     }
 
     fn apply(&mut self, change: Change) -> bool {
-        let line = describe(&change);
+        let line = describe::change(&change);
         let applied = self.catalog.apply(change);
         if applied {
             log::info!("{line}");
@@ -288,183 +318,44 @@
         applied
     }
 
-    /// Passes on what was learned from `source`.
-    fn told(
-        &mut self,
-        changed: bool,
-        base: u64,
-        source: Option<&Arc<str>>,
-        now: Duration,
-    ) -> Outcome {
-        let mut parcels = Vec::new();
-        let audience = audience(&self.own, &self.list, source);
-        if !audience.is_empty() {
-            let message = self.message(false, base, now);
-            parcels.extend(audience.into_iter().map(|to| Parcel {
-                to,
-                message: message.clone(),
-            }));
+    /// Passes on what was learned: small news to all that it concerns, large ones to a few that
+    /// fetch them and pass them on.
+    fn pass_on(&mut self, changed: bool, base: u64, source: &Source, now: Duration) -> Outcome {
+        let (centre, root) = match source {
+            Source::Store => (None, self.own.address),
+            Source::Peer { data_centre, root } => (Some(data_centre), *root),
+        };
+        let changes = self.catalog.since(base);
+        let size = postcard::experimental::serialized_size(&changes);
+        let fits = size.is_ok_and(|size| size <= LONGEST);
+        let to = match fits {
+            true => audience(&self.own, &self.list, centre),
+            false => branches(&self.own, &self.list, root, centre),
+        };
+        let mut message = self.message(now);
+        message.root = root;
+        if fits {
+            (message.base, message.changes) = (base, changes);
         }
         Outcome {
-            parcels,
+            parcels: vec![Parcel { to, message }],
             changed,
             ..Outcome::default()
         }
     }
 
-    fn meet(&mut self, member: Member, now: Duration) {
-        if member.address == self.own.address {
-            return;
-        }
-        let (address, centre) = (member.address, Arc::clone(&member.data_centre));
-        if self.list.hear(member, now) {
-            log::info!("event=peer-found peer={address} data_centre={centre}");
-        }
-    }
-
-    /// A round of gossip.
-    pub fn gossip(&mut self, now: Duration) -> Vec<Parcel> {
-        self.own.beat += 1;
-        for lost in self.list.expire(now) {
-            log::info!("event=peer-lost peer={}", lost.address);
-        }
-        let others: Vec<SocketAddrV4> = self.list.iter().map(|member| member.address).collect();
-        let mut audience: Vec<_> = others.sample(&mut self.random, FANOUT).copied().collect();
-        // A balancer that knows few others asks those it was given; later one of them now and then,
-        // so that two halves that lost each other meet again.
-        let strangers = || {
-            self.seeds
-                .iter()
-                .filter(|seed| **seed != self.own.address && !others.contains(seed))
-        };
-        match others.len() {
-            0 => audience.extend(strangers()),
-            _ => audience.extend(strangers().nth(self.own.beat as usize % self.seeds.len().max(1))),
-        }
-        let wants = others.is_empty();
-        let message = self.message(wants, self.catalog.revision(), now);
-        let parcel = |to| Parcel {
-            to,
-            message: message.clone(),
-        };
-        audience.into_iter().map(parcel).collect()
-    }
-
-    /// Tells all of the own data centre that this balancer leaves.
-    pub fn leave(&mut self, now: Duration) -> Vec<Parcel> {
-        self.own.leaving = true;
-        self.own.beat += 1;
-        let message = self.message(false, self.catalog.revision(), now);
-        let near = self
-            .list
-            .iter()
-            .filter(|member| member.data_centre == self.own.data_centre);
-        near.map(|member| Parcel {
-            to: member.address,
-            message: message.clone(),
-        })
-        .collect()
-    }
-
-    fn message(&mut self, wants: bool, base: u64, now: Duration) -> Message {
-        let members: Vec<&Member> = self.list.iter().collect();
-        let others = members
-            .sample(&mut self.random, NAMED)
-            .map(|member| (*member).clone())
-            .collect();
-        let changes = self.catalog.since(base);
-        let fits =
-            postcard::experimental::serialized_size(&changes).is_ok_and(|size| size <= LONGEST);
+    /// A message that tells how much is known here and nothing else.
+    fn message(&self, now: Duration) -> Message {
         Message {
             from: self.own.clone(),
             known: self.known(now),
-            base: if fits { base } else { self.catalog.revision() },
-            changes: if fits { changes } else { Vec::new() },
-            others,
-            silent: self.detector.silent().into_iter().take(SILENT).collect(),
-            wants,
-        }
-    }
-
-    /// A packet to a server went unanswered here. Whether there is something to probe.
-    pub fn unanswered(&mut self, server: &Arc<str>, now: Duration) -> bool {
-        let probe = self.detector.suspect(server, OWN_DOUBT, now);
-        if probe {
-            log::info!("event=server-suspected server={server}");
+            base: self.catalog.revision(),
+            root: self.own.address,
+            changes: Vec::new(),
+            others: Vec::new(),
+            silent: Vec::new(),
+            wants: false,
         }
-        probe
-    }
-
-    /// The servers to probe now, and when to look again.
-    pub fn probes(&mut self, now: Duration) -> (Vec<Probe>, Option<Duration>) {
-        let due = self.detector.due(now);
-        let probes = due.iter().filter_map(|server| {
-            let found = self.roster.servers().find(|known| known.id == *server)?;
-            Some(Probe {
-                server: Arc::clone(server),
-                address: found.address,
-            })
-        });
-        (probes.collect(), self.detector.next())
-    }
-
-    /// A probe has ended.
-    pub fn probed(&mut self, server: &Arc<str>, answered: bool, now: Duration) -> Outcome {
-        let verdict = match answered {
-            true => self.detector.answered(server, now),
-            false => self.detector.unanswered(server, now),
-        };
-        match verdict {
-            Verdict::Same => Outcome::default(),
-            Verdict::Back => {
-                log::info!("event=server-back server={server}");
-                Outcome {
-                    changed: true,
-                    ..Outcome::default()
-                }
-            }
-            Verdict::Silent => self.fell_silent(server, now),
-        }
-    }
-
-    /// A server has fallen silent: its neighbours are probed at once, and the own data centre is
-    /// told.
-    ///
-    /// Load: a cut puts all servers of a data centre out of reach in one moment. Harm: found one by
-    /// one, each costs its callers an unanswered packet first, and new flows go from one lost server
-    /// to the next.
-    fn fell_silent(&mut self, server: &Arc<str>, now: Duration) -> Outcome {
-        log::warn!("event=server-silent server={server}");
-        let centre = self.roster.servers().find(|known| known.id == *server);
-        let centre = centre.map(|known| Arc::clone(&known.data_centre));
-        let near = self
-            .roster
-            .servers()
-            .filter(|known| Some(&known.data_centre) == centre.as_ref());
-        for neighbour in near {
-            self.detector.suspect(&neighbour.id, OWN_DOUBT, now);
-        }
-        let message = self.message(false, self.catalog.revision(), now);
-        let own = self
-            .list
-            .iter()
-            .filter(|member| member.data_centre == self.own.data_centre);
-        let parcels = own.map(|member| Parcel {
-            to: member.address,
-            message: message.clone(),
-        });
-        Outcome {
-            parcels: parcels.collect(),
-            changed: true,
-            probe: true,
-            fetch: false,
-        }
-    }
-
-    /// Whether this balancer reaches next to no server, and its callers are better off elsewhere.
-    #[must_use]
-    pub const fn is_isolated(&self) -> bool {
-        self.isolated
     }
 
     fn known(&self, now: Duration) -> Known {
@@ -487,11 +378,8 @@
     /// Routes and servers for the traffic threads, and when they change by time alone.
     pub fn snapshot(&mut self, now: Duration) -> (Snapshot, Option<Duration>) {
         self.roster.update(&self.catalog, now);
-        let known: Vec<Arc<str>> = self
-            .roster
-            .servers()
-            .map(|server| Arc::clone(&server.id))
-            .collect();
+        let known = self.roster.servers().map(|server| Arc::clone(&server.id));
+        let known: Vec<Arc<str>> = known.collect();
         self.detector
             .retain(|server| known.binary_search(server).is_ok());
         let isolated = self.detector.is_isolated(known.len());
@@ -507,28 +395,3 @@
         (snapshot, self.roster.next_change(now))
     }
 }
-
-fn describe(change: &Change) -> String {
-    match change {
-        Change::Config { revision, config } => format!(
-            "event=config revision={revision} version={} routes={}",
-            config.version,
-            config.routes.len()
-        ),
-        Change::Server {
-            id,
-            revision,
-            server: Some(server),
-        } => format!(
-            "event=server server={id} revision={revision} state={:?} service={} address={} warmup_ms={}",
-            server.state, server.service, server.address, server.warmup_ms
-        ),
-        Change::Server {
-            id,
-            revision,
-            server: None,
-        } => {
-            format!("event=server server={id} revision={revision} state=Removed")
-        }
-    }
-}
--- a/crates/node/src/cookie/daemon.rs
+++ b/crates/node/src/cookie/daemon.rs
@@ -10,9 +10,9 @@
     time::Duration,
 };
 
-use acacia_adapter::{probe, ready, store};
+use acacia_adapter::{ready, store};
 use acacia_code::Code;
-use acacia_cookie::{Notice, silence};
+use acacia_cookie::Notice;
 use acacia_kernel::{BoxError, Registry, Service, Stopper};
 use acacia_platform::{Client, Options, server};
 use tokio::{
@@ -26,7 +26,7 @@
 
 use super::{
     core::{Core, Outcome},
-    exchange, follow,
+    examine, exchange, follow,
     message::{Message, Parcel},
     rotation::Phase,
     settings::Settings,
@@ -44,11 +44,15 @@
 /// Notices of the traffic threads that wait. One a server and 100 ms is made, so this is room for a
 /// second of a whole fleet of servers; one that is lost is made again.
 const NOTICES: usize = 1_024;
-/// Least wait between two looks for probes that are due, against a busy loop.
+/// Least wait between two looks for servers to examine, against a busy loop.
 const SHORTEST: Duration = Duration::from_millis(1);
-/// Probes at a time. Load: a data centre with hundreds of servers is cut off. Harm: each probe takes
-/// a descriptor.
-const PROBES: usize = 256;
+/// Examinations at a time, each of one or more servers. Load: packets to many servers are lost on
+/// a bad link. Harm: each probe takes a descriptor.
+const EXAMINATIONS: usize = 16;
+/// How long news are gathered before routes and servers are published. Load: hundreds of servers
+/// report within a second when a deployment starts. Harm: each publication goes through all servers,
+/// which takes a small balancer's processor away from packets.
+const GATHER: Duration = Duration::from_millis(10);
 /// Between two looks at the settings file, which may change without a signal.
 const LOOK: Duration = Duration::from_secs(2);
 
@@ -175,7 +179,7 @@
     tasks.spawn(publish(one));
     tasks.spawn(reload(two, shared.path.clone()));
     tasks.spawn(leave(three, stopper));
-    tasks.spawn(probe_servers(Arc::clone(&control)));
+    tasks.spawn(examine_servers(Arc::clone(&control)));
     tasks.spawn(take_notices(Arc::clone(&control), notices));
     tasks.spawn(answer_routers(Arc::clone(&control), ready, stop.clone()));
     tasks.spawn(answer_peers(control, peers, stop.clone()));
@@ -224,7 +228,7 @@
         if outcome.changed {
             self.changed.notify_one();
         }
-        if outcome.probe {
+        if outcome.examine {
             self.doubt.notify_one();
         }
         self.advance();
@@ -311,7 +315,8 @@
     control: &Arc<Control>,
     message: Message,
 ) -> Option<impl Future<Output = ()> + use<>> {
-    let (from, centre) = (message.from.address, Arc::clone(&message.from.data_centre));
+    let from = message.from.address;
+    let source = control.core(|core, _| core.source(&message));
     let mut missing = false;
     control
         .take(|core, now| {
@@ -325,11 +330,11 @@
     }
     let control = Arc::clone(control);
     Some(async move {
-        let revision = control.core(|core, _| core.revision());
+        let revision = control.core(|core, _| core.wanted());
         match exchange::fetch(from, revision).await {
             Ok(difference) => {
                 control
-                    .take(|core, now| core.fetched(difference, &centre, now))
+                    .take(|core, now| core.fetched(difference, &source, now))
                     .await;
             }
             Err(error) => log::info!("event=fetch-failed peer={from} error=\"{error}\""),
@@ -363,7 +368,7 @@
             control.published.store(Some(Arc::new(snapshot)));
         }
         tokio::select! {
-            () = control.changed.notified() => {}
+            () = control.changed.notified() => time::sleep(GATHER).await,
             () = time::sleep(next.unwrap_or(IDLE)) => {}
         }
     }
@@ -382,29 +387,28 @@
     Ok(())
 }
 
-/// Probes servers under suspicion, and silent ones until they are back.
-async fn probe_servers(control: Arc<Control>) -> Result<(), BoxError> {
-    let mut probes = JoinSet::new();
+/// Examines servers under suspicion, and silent ones until they are back.
+async fn examine_servers(control: Arc<Control>) -> Result<(), BoxError> {
+    let mut examinations = JoinSet::new();
     loop {
-        let (due, next) = control.core(Core::probes);
-        for due in due {
-            if probes.len() >= PROBES {
-                break;
+        while examinations.try_join_next().is_some() {}
+        let next = if examinations.len() < EXAMINATIONS {
+            let (examination, next) = control.core(Core::examination);
+            if !examination.targets.is_empty() {
+                let control = Arc::clone(&control);
+                examinations.spawn(async move {
+                    let findings = examine::run(examination).await;
+                    control.take(|core, now| core.examined(findings, now)).await;
+                });
             }
-            let control = Arc::clone(&control);
-            probes.spawn(async move {
-                let reached = probe::reach(due.address, silence::WAIT).await;
-                let answered = reached.is_ok();
-                control
-                    .take(|core, now| core.probed(&due.server, answered, now))
-                    .await;
-            });
-        }
-        let wait = next.map(|at| at.saturating_sub(clock::now()));
+            next.map(|at| at.saturating_sub(clock::now()))
+        } else {
+            None
+        };
         tokio::select! {
             () = control.doubt.notified() => {}
-            () = time::sleep(wait.unwrap_or(ROUND).max(SHORTEST)) => {}
-            Some(_) = probes.join_next() => {}
+            () = time::sleep(next.unwrap_or(ROUND).max(SHORTEST)) => {}
+            Some(_) = examinations.join_next() => {}
         }
     }
 }
--- a/crates/node/src/cookie/exchange.rs
+++ b/crates/node/src/cookie/exchange.rs
@@ -32,7 +32,7 @@
 
 /// Sends parcels. One that can't be sent is lost, as any datagram may be.
 pub async fn send(socket: &UdpSocket, parcels: Vec<Parcel>, secret: &Secret) {
-    for Parcel { to, message } in parcels {
+    for Parcel { to, message } in parcels.into_iter().filter(|parcel| !parcel.to.is_empty()) {
         let envelope = Envelope {
             // Addresses tell these balancers apart, not numbers.
             sender: 0,
@@ -40,8 +40,10 @@
             sequence: message.from.beat,
         };
         let frame = control::seal(&envelope, &message, secret);
-        if let Err(error) = socket.send_to(&frame, to).await {
-            log::debug!("event=message-unsent peer={to} error={error:?}");
+        for to in to {
+            if let Err(error) = socket.send_to(&frame, to).await {
+                log::debug!("event=message-unsent peer={to} error={error:?}");
+            }
         }
     }
 }
--- a/crates/node/src/cookie/message.rs
+++ b/crates/node/src/cookie/message.rs
@@ -14,6 +14,8 @@
     pub known: Known,
     /// The revision that `changes` follow on.
     pub base: u64,
+    /// The balancer of the sender's data centre that had the news first.
+    pub root: SocketAddrV4,
     /// All changes from `base` to the sender's revision, if they fit; else none, and whoever needs
     /// them fetches them.
     pub changes: Vec<Change>,
@@ -55,12 +57,12 @@
 /// frame. What is longer is fetched over TCP.
 pub const LONGEST: usize = 1_000;
 
-/// Where a message goes.
+/// A message and where it goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Parcel {
-    /// The receiver's control address.
-    pub to: SocketAddrV4,
-    /// What it is told.
+    /// The receivers' control addresses.
+    pub to: Vec<SocketAddrV4>,
+    /// What they are told.
     pub message: Message,
 }
 
--- a/crates/node/src/cookie/mod.rs
+++ b/crates/node/src/cookie/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod core;
 pub mod daemon;
+pub mod examine;
 pub mod exchange;
 pub mod follow;
 pub mod message;
