--- a/crates/node/src/cookie/examine.rs
+++ b/crates/node/src/cookie/examine.rs
@@ -34,7 +34,9 @@
             }
         }
     }
-    let controlled = !probes.is_empty() && is_reached(control).await;
+    // A server that refuses connections has been found out by now, one that says nothing not yet.
+    let failed = results.iter().any(|(_, answered)| !answered);
+    let controlled = (failed || !probes.is_empty()) && is_reached(control).await;
     while let Some(joined) = probes.join_next().await {
         results.extend(joined.ok());
     }
