Log each decision on a flow, and serve metrics as text

One line for each opening, reset, ended flow and dropped packet, with the configuration's version and the store's revision it rests on; histograms of openings and answers by service and server.

--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     cookie::{self, Cookie},
-    flow::{Sign, Table},
+    flow::{Flow, Sign, Table},
     place::{Candidate, choose},
     snapshot::{Pool, Route, Server, Snapshot, Standing},
     speed::Speeds,
@@ -67,6 +67,36 @@
     Unanswered(Arc<str>),
 }
 
+/// A time that packets have shown, for the metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Timing {
+    /// From an opening to the caller's next packet.
+    Opening {
+        /// The server.
+        server: Arc<str>,
+        /// How long.
+        took: Duration,
+    },
+    /// From a caller's data to the first acknowledgement of the answer.
+    Answer {
+        /// The server.
+        server: Arc<str>,
+        /// How long.
+        took: Duration,
+    },
+}
+
+/// A flow that was ended as its server is lost.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// The flow.
+    pub key: Key,
+    /// Its server.
+    pub server: Arc<str>,
+    /// What its caller acknowledged last.
+    pub acknowledged: u32,
+}
+
 /// Resolves packets, one for each traffic thread.
 #[derive(Debug, Default)]
 pub struct Resolver {
@@ -79,6 +109,7 @@
     /// When each server was last noticed for not answering.
     noticed: Map<Arc<str>, Duration>,
     notices: Vec<Notice>,
+    timings: Vec<Timing>,
 }
 
 impl Resolver {
@@ -117,21 +148,28 @@
         std::mem::take(&mut self.notices)
     }
 
-    /// The flows of servers that are gone, each with what its caller acknowledged last: those
-    /// callers are told at once.
+    /// The times that were seen since the last time.
+    pub fn take_timings(&mut self) -> Vec<Timing> {
+        std::mem::take(&mut self.timings)
+    }
+
+    /// The flows of servers that are gone: their callers are told at once.
     ///
     /// Load: a server with hundreds of flows dies. Harm: each caller sends its next request into
     /// the void and waits out its deadline, though another server would answer in milliseconds. A
     /// caller whose flow has ended opens another.
-    pub fn end_lost(&mut self, snapshot: &Snapshot) -> Vec<(Key, u32)> {
+    pub fn end_lost(&mut self, snapshot: &Snapshot) -> Vec<Ended> {
         let is_gone = |server: &Arc<str>| {
             let server = snapshot.server(Cookie::of(server, 0));
             server.is_some_and(|server| server.standing == Standing::Gone)
         };
         let lost = self.flows.take_lost(is_gone);
-        lost.into_iter()
-            .map(|(key, flow)| (key, flow.acknowledged))
-            .collect()
+        let ended = |(key, flow): (Key, Flow)| Ended {
+            key,
+            server: flow.server,
+            acknowledged: flow.acknowledged,
+        };
+        lost.into_iter().map(ended).collect()
     }
 
     fn open(&mut self, snapshot: &Snapshot, packet: &Packet, isn: u32, now: Duration) -> Action {
@@ -243,10 +281,14 @@
             Sign::Opened(took) => {
                 self.lives(&server.id, now);
                 self.speeds.opened(&server.id, took);
+                let server = Arc::clone(&server.id);
+                self.timings.push(Timing::Opening { server, took });
             }
             Sign::Timed(took) => {
                 self.lives(&server.id, now);
                 self.speeds.answered(&server.id, took);
+                let server = Arc::clone(&server.id);
+                self.timings.push(Timing::Answer { server, took });
             }
         }
         Action::Forward {
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -179,6 +179,7 @@
             cookie: alone.unwrap_or(known.cookies[0]),
             tag: server.tag,
             address: server.address,
+            service: Arc::clone(&server.service),
             data_centre: Arc::clone(&server.data_centre),
             standing: self.standing(known, now),
             slots: server.slots.max(1),
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -36,6 +36,8 @@
     pub tag: u64,
     /// Where it takes datagrams.
     pub address: SocketAddrV4,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
     /// Its data centre.
     pub data_centre: Arc<str>,
     /// What it is good for.
--- a/crates/cookie/tests/it/resolver.rs
+++ b/crates/cookie/tests/it/resolver.rs
@@ -161,7 +161,7 @@
     let mut ended: Vec<u16> = resolver
         .end_lost(&after)
         .iter()
-        .map(|(key, _)| key.client_port)
+        .map(|ended| ended.key.client_port)
         .collect();
     ended.sort_unstable();
 
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -49,6 +49,23 @@
     },
 }
 
+/// What operators look at first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Standing {
+    /// The operators' number of the configuration in force; 0 for none.
+    pub version: u64,
+    /// The store's revision up to which everything is known.
+    pub revision: u64,
+    /// How long ago that was the store's newest; none if it never was.
+    pub age: Option<Duration>,
+    /// Other balancers known.
+    pub peers: usize,
+    /// Backend servers found silent.
+    pub silent: usize,
+    /// Whether this balancer watches the store for the others.
+    pub reads: bool,
+}
+
 /// The control thread's state.
 #[derive(Debug)]
 pub struct Core {
@@ -375,6 +392,19 @@
         }
     }
 
+    /// What operators look at first.
+    #[must_use]
+    pub fn standing(&self, now: Duration) -> Standing {
+        Standing {
+            version: self.version().unwrap_or_default(),
+            revision: self.catalog.revision(),
+            age: self.reading.fresh().map(|fresh| now.saturating_sub(fresh)),
+            peers: self.list.len(),
+            silent: self.detector.silent().len(),
+            reads: self.reads,
+        }
+    }
+
     /// Routes and servers for the traffic threads, and when they change by time alone.
     pub fn snapshot(&mut self, now: Duration) -> (Snapshot, Option<Duration>) {
         self.roster.update(&self.catalog, now);
--- a/crates/node/src/cookie/daemon.rs
+++ b/crates/node/src/cookie/daemon.rs
@@ -28,7 +28,9 @@
     core::{Core, Outcome},
     examine, exchange, follow,
     message::{Message, Parcel},
+    meters::Meters,
     rotation::Phase,
+    scrape,
     settings::Settings,
     traffic::{self, Published},
 };
@@ -62,6 +64,7 @@
     path: PathBuf,
     published: Published,
     counter: Arc<Counter>,
+    meters: Arc<Meters>,
 }
 
 /// The control thread's state, shared by its tasks.
@@ -72,6 +75,8 @@
     socket: tokio::net::UdpSocket,
     published: Published,
     counter: Arc<Counter>,
+    /// Metrics.
+    pub meters: Arc<Meters>,
     fetching: AtomicBool,
     /// Wakes the task that follows the store.
     pub wake: Notify,
@@ -99,6 +104,7 @@
         path,
         published: Published::default(),
         counter: Arc::default(),
+        meters: Arc::default(),
     });
     let (hand, stopper) = oneshot::channel();
     let (sender, notices) = mpsc::channel(NOTICES);
@@ -121,6 +127,7 @@
         let traffic = traffic::Context {
             published: Arc::clone(&shared.published),
             counter: Arc::clone(&shared.counter),
+            meters: Arc::clone(&shared.meters),
             port: shared.settings.traffic.port(),
             notices,
         };
@@ -181,6 +188,10 @@
     tasks.spawn(leave(three, stopper));
     tasks.spawn(examine_servers(Arc::clone(&control)));
     tasks.spawn(take_notices(Arc::clone(&control), notices));
+    if let Some(address) = settings.metrics {
+        let listener = TcpListener::bind(address).await?;
+        tasks.spawn(answer_scrapes(Arc::clone(&control), listener, stop.clone()));
+    }
     tasks.spawn(answer_routers(Arc::clone(&control), ready, stop.clone()));
     tasks.spawn(answer_peers(control, peers, stop.clone()));
     let ended = loop {
@@ -210,6 +221,7 @@
             socket: tokio::net::UdpSocket::from_std(socket)?,
             published: Arc::clone(&shared.published),
             counter: Arc::clone(&shared.counter),
+            meters: Arc::clone(&shared.meters),
             fetching: AtomicBool::new(false),
             wake: Notify::new(),
             changed: Notify::new(),
@@ -235,6 +247,12 @@
         self.send(outcome.parcels).await;
     }
 
+    /// All metrics as text.
+    fn text(&self) -> String {
+        let standing = self.core(|core, now| core.standing(now));
+        self.meters.text(&self.counter, &standing)
+    }
+
     /// Whether the routers should send packets here.
     fn is_ready(&self) -> bool {
         lock(&self.phase).is_ready() && !lock(&self.core).is_isolated()
@@ -255,7 +273,12 @@
         if *phase == Phase::Starting && core.is_informed() {
             *phase = Phase::Serving;
             let version = core.version().unwrap_or_default();
-            log::info!("event=ready revision={} version={version}", core.revision());
+            let took = self.meters.became_ready();
+            let revision = core.revision();
+            log::info!(
+                "event=ready revision={revision} version={version} took_ms={}",
+                took.as_millis()
+            );
             self.changed.notify_one();
         }
     }
@@ -478,6 +501,19 @@
     Ok(())
 }
 
+async fn answer_scrapes(
+    control: Arc<Control>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) -> Result<(), BoxError> {
+    server::listen(listener, stop, CONNECTIONS, move |stream| {
+        let control = Arc::clone(&control);
+        async move { scrape::serve(stream, || control.text()).await }
+    })
+    .await;
+    Ok(())
+}
+
 /// Waits for the request to end, leaves the rotation, and stops the process once the routers have
 /// noticed. A second request ends it at once.
 async fn leave(control: Arc<Control>, stopper: oneshot::Receiver<Stopper>) -> Result<(), BoxError> {
--- a/crates/node/src/cookie/follow.rs
+++ b/crates/node/src/cookie/follow.rs
@@ -7,7 +7,7 @@
 use acacia_platform::{Client, Error};
 use tokio::time;
 
-use super::daemon::Control;
+use super::{daemon::Control, meters::Call};
 use crate::clock;
 
 /// How long a watch waits that is only to answer at once. The store takes whole milliseconds.
@@ -30,10 +30,13 @@
             Turn::Poll => AT_ONCE,
         };
         let sent = clock::now();
-        let done = match whole || control.core(|core, _| core.revision()) == 0 {
+        whole |= control.core(|core, _| core.revision()) == 0;
+        let done = match whole {
             true => read(control, client, sent).await,
             false => watch(control, client, wait, sent).await,
         };
+        let kind = if whole { Call::Range } else { Call::Watch };
+        control.meters.called(kind, done.as_ref().err());
         match done {
             Ok(()) => whole = false,
             Err(Error::HistoryGone) => {
--- a/crates/node/src/cookie/mod.rs
+++ b/crates/node/src/cookie/mod.rs
@@ -7,7 +7,9 @@
 pub mod exchange;
 pub mod follow;
 pub mod message;
+pub mod meters;
 pub mod rotation;
+pub mod scrape;
 pub mod settings;
 pub mod traffic;
 
--- a/crates/node/src/cookie/settings.rs
+++ b/crates/node/src/cookie/settings.rs
@@ -32,6 +32,8 @@
     pub flow: Duration,
     /// How long after a request to end the process may live.
     pub grace: Duration,
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<SocketAddrV4>,
     /// Level of logs.
     pub log: log::LevelFilter,
 }
@@ -44,6 +46,7 @@
     ("ready", &["listen"]),
     ("platform", &["address"]),
     ("bounds", &["in_force_ms", "flow_s", "grace_s"]),
+    ("metrics", &["listen"]),
     ("log", &["level"]),
 ];
 
@@ -86,6 +89,7 @@
             reader.problem("bounds", key, "seconds");
         }
     }
+    let metrics = reader.optional("metrics", "listen", ADDRESS);
     let log = reader.optional("log", "level", "off, error, warn, info, debug or trace");
     Some(Settings {
         name: name?.into(),
@@ -99,6 +103,7 @@
         in_force: Duration::from_millis(in_force?),
         flow: seconds(flow?)?,
         grace: seconds(grace?)?,
+        metrics,
         log: log.unwrap_or(log::LevelFilter::Info),
     })
 }
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -7,7 +7,7 @@
 
 use acacia_adapter::packet::{self, Frame};
 use acacia_code::Code;
-use acacia_cookie::{Action, Notice, Resolver, Snapshot, cookie::Cookie};
+use acacia_cookie::{Action, Ended, Notice, Resolver, Snapshot, cookie::Cookie, snapshot::Server};
 use acacia_wire::{
     flow::Key,
     packet::{Error, Kind as PacketKind},
@@ -15,6 +15,7 @@
 use arc_swap::ArcSwapOption;
 use tokio::sync::mpsc;
 
+use super::meters::Meters;
 use crate::{
     clock,
     counter::{Counter, Kind},
@@ -38,6 +39,8 @@
     pub port: u16,
     /// What the control thread is told.
     pub notices: mpsc::Sender<Notice>,
+    /// Histograms of what packets show.
+    pub meters: Arc<Meters>,
 }
 
 /// Resolves and passes on packets until `stop` is raised.
@@ -55,13 +58,15 @@
             .as_ref()
             .is_none_or(|before| !Arc::ptr_eq(before, &snapshot))
         {
-            for (key, acknowledged) in resolver.end_lost(&snapshot) {
-                context.counter.kind(Kind::Ended, 1);
-                reset(&key, acknowledged, context, to_send);
+            for ended in resolver.end_lost(&snapshot) {
+                end(&ended, &snapshot, context, to_send);
             }
             before = Some(Arc::clone(&snapshot));
         }
         batch(&mut resolver, &snapshot, context, received, to_send);
+        for timing in resolver.take_timings() {
+            context.meters.time(&timing, &snapshot);
+        }
         for notice in resolver.take_notices() {
             // A full queue loses the notice; the next copy of the packet makes another.
             let _ = context.notices.try_send(notice);
@@ -106,12 +111,22 @@
             let server = &snapshot.servers[server as usize];
             let opens = matches!(frame.packet.kind, PacketKind::Opening { .. });
             let written = opens.then_some(cookie.bits());
+            if opens {
+                opened(frame, server, cookie, snapshot);
+            }
             context.counter.kind(Kind::Forwarded, 1);
             to_send.build(server.address, |out| {
                 packet::forward(bytes, server.tag, written, out);
             });
         }
         Action::Reset { code } => {
+            let cookie = frame.cookie;
+            say(
+                "flow-reset",
+                &frame.packet.key,
+                snapshot,
+                format_args!("code={code} cookie={cookie:08x}"),
+            );
             context.counter.kind(Kind::Refused, 1);
             context.counter.code(code);
             reset(
@@ -121,10 +136,53 @@
                 to_send,
             );
         }
-        Action::Drop { code } => context.counter.code(code),
+        Action::Drop { code } => {
+            let cookie = frame.cookie;
+            say(
+                "packet-dropped",
+                &frame.packet.key,
+                snapshot,
+                format_args!("code={code} cookie={cookie:08x}"),
+            );
+            context.counter.code(code);
+        }
     }
 }
 
+/// Tells of an opening that was sent on. A caller's complaint leads here by the caller's address and
+/// port, and from here by the cookie to all that happened to the flow's server.
+fn opened(frame: &Frame, server: &Server, cookie: Cookie, snapshot: &Snapshot) {
+    let (id, bits, copies) = (&server.id, cookie.bits(), frame.copies);
+    let what = format_args!("server={id} cookie={bits:08x} copies={copies}");
+    say("flow-opened", &frame.packet.key, snapshot, what);
+}
+
+/// Tells the caller of a lost server that its flow has ended.
+fn end(ended: &Ended, snapshot: &Snapshot, context: &Context, to_send: &mut ToSend) {
+    let (code, server) = (Code::FlowServerGone, &ended.server);
+    say(
+        "flow-ended",
+        &ended.key,
+        snapshot,
+        format_args!("code={code} server={server}"),
+    );
+    context.counter.kind(Kind::Ended, 1);
+    context.counter.code(code);
+    reset(&ended.key, ended.acknowledged, context, to_send);
+}
+
+/// A line on a decision: the flow, what was decided, and the age of what it rests on.
+fn say(event: &str, key: &Key, snapshot: &Snapshot, what: std::fmt::Arguments<'_>) {
+    let (version, revision) = (snapshot.version, snapshot.revision);
+    log::info!(
+        "event={event} caller={}:{} to={}:{} {what} version={version} revision={revision}",
+        key.client,
+        key.client_port,
+        key.service,
+        key.service_port,
+    );
+}
+
 fn reset(key: &Key, acknowledged: u32, context: &Context, to_send: &mut ToSend) {
     let caller = SocketAddrV4::new(key.client, context.port);
     to_send.build(caller, |out| out.extend(packet::reset(key, acknowledged)));
