--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -198,10 +198,14 @@
         })
     }
 
-    /// Names, addresses and data centres of all servers that may have flows and whose entries say
-    /// where they are.
+    /// The servers of which it may be in question whether they live: all that are known but for
+    /// those that announced their departure and have left. Probes of the latter, for as long as they
+    /// are known by their cookies, would cost and tell nothing.
     pub fn servers(&self) -> impl Iterator<Item = &Arc<server::Server>> {
-        self.servers.values().map(|known| &known.server)
+        let left =
+            |known: &&Known| known.missing.is_some() && known.server.state == State::Draining;
+        let others = self.servers.values().filter(move |known| !left(known));
+        others.map(|known| &known.server)
     }
 
     /// The servers whose entries stand.
--- a/crates/cookie/tests/it/roster.rs
+++ b/crates/cookie/tests/it/roster.rs
@@ -183,3 +183,22 @@
         Some(one.as_str())
     );
 }
+
+/// Servers that were released one after the other stay known by their cookies for a minute. Peers
+/// that name them as silent must not bring them under examination for all that time.
+#[test]
+fn a_server_that_has_left_is_in_question_no_more() {
+    let leaving = acacia_catalog::server::Server {
+        state: State::Draining,
+        ..server("h-1", "live")
+    };
+    let before = vec![present(leaving, 1), present(server("h-2", "live"), 2)];
+    let mut roster = Roster::default();
+    roster.update(&catalog(before.clone()), ms(0));
+    let gone = [absent("h-1", 3), absent("h-2", 4)];
+    roster.update(&catalog(before.into_iter().chain(gone)), ms(0));
+
+    let names: Vec<&str> = roster.servers().map(|server| &*server.id).collect();
+
+    assert_eq!(names, ["h-2"]);
+}
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -48,7 +48,8 @@
     /// A peer finds these servers silent. Whether there is something to examine.
     pub(super) fn doubt(&mut self, servers: &[Arc<str>], now: Duration) -> bool {
         let mut examine = false;
-        for server in servers {
+        let known: Vec<&Arc<str>> = self.roster.servers().map(|known| &known.id).collect();
+        for server in servers.iter().filter(|server| known.contains(server)) {
             if self.detector.suspect(server, PEER_TRUST, now) {
                 log::info!("event=server-suspected server={server} by=peer");
                 examine = true;
