--- /dev/null
+++ b/crates/cookie/src/resolver/open.rs
@@ -0,0 +1,158 @@
+//! Which server an opening goes to.
+
+use std::{sync::Arc, time::Duration};
+
+use acacia_catalog::route::Front;
+use acacia_code::Code;
+use acacia_wire::{flow::mix, packet::Packet};
+
+use super::{Action, Opening, Resolver};
+use crate::{
+    cookie::{self, Cookie},
+    place::{Candidate, choose},
+    snapshot::{Pool, Route, Server, Snapshot, Standing},
+};
+
+/// A copy of an opening that follows it within less has waited somewhere before this balancer.
+const PATIENCE: Duration = Duration::from_millis(120);
+
+impl Resolver {
+    /// Decides on an opening.
+    pub(super) fn open(
+        &mut self,
+        snapshot: &Snapshot,
+        packet: &Packet,
+        isn: u32,
+        now: Duration,
+    ) -> Action {
+        self.sweep(snapshot, now);
+        let front = Front {
+            address: packet.key.service,
+            port: packet.key.service_port,
+        };
+        let Some(route) = snapshot.routes.get(&front) else {
+            return Action::Reset {
+                code: Code::ServiceUnknown,
+            };
+        };
+        let before = self
+            .openings
+            .get(&packet.key)
+            .filter(|opening| opening.isn == isn)
+            .cloned();
+        let position = match &before {
+            Some(opening) => self.open_again(snapshot, route, packet, opening, now),
+            None => self.place(snapshot, route, packet.key.hash(), None),
+        };
+        let Some(position) = position else {
+            return Action::Reset {
+                code: Code::ServerNone,
+            };
+        };
+        let server = &snapshot.servers[position as usize];
+        let at = before.map_or(now, |opening| opening.at);
+        let opening = Opening {
+            isn,
+            at,
+            server: Arc::clone(&server.id),
+        };
+        self.openings.insert(packet.key, opening);
+        self.flows.opened(packet, server.cookie, &server.id, now);
+        Action::Forward {
+            server: position,
+            cookie: server.cookie,
+        }
+    }
+
+    /// Where a copy of an opening goes: to the same server, so that no two answer it, unless that
+    /// one has shown no life since the opening was sent there or takes flows no more.
+    fn open_again(
+        &mut self,
+        snapshot: &Snapshot,
+        route: &Route,
+        packet: &Packet,
+        opening: &Opening,
+        now: Duration,
+    ) -> Option<u32> {
+        let same = position(snapshot, &opening.server);
+        let waited = now >= opening.at + PATIENCE;
+        let lives = self
+            .answered
+            .get(&opening.server)
+            .is_some_and(|at| *at > opening.at);
+        if waited && !lives {
+            self.notice(&opening.server, now);
+        }
+        let usable = same.filter(|position| {
+            matches!(
+                snapshot.servers[*position as usize].standing,
+                Standing::Ready | Standing::Missing
+            )
+        });
+        if usable.is_some() && (lives || !waited) {
+            return usable;
+        }
+        let other = self.place(snapshot, route, packet.key.hash(), Some(&opening.server));
+        other.or(same)
+    }
+
+    /// The server for a new flow, another than `except` where there is one.
+    fn place(
+        &self,
+        snapshot: &Snapshot,
+        route: &Route,
+        flow: u64,
+        except: Option<&Arc<str>>,
+    ) -> Option<u32> {
+        let pool = split(snapshot, route, flow)?;
+        let server = |position: &u32| &snapshot.servers[*position as usize];
+        let factors = self
+            .speeds
+            .factors(pool.open.iter().map(|position| &*server(position).id));
+        let candidates: Vec<Candidate> = pool
+            .open
+            .iter()
+            .zip(factors)
+            .filter(|(position, _)| Some(&server(position).id) != except)
+            .map(|(position, factor)| self.candidate(server(position), *position, factor))
+            .collect();
+        choose(flow, &candidates)
+    }
+
+    fn candidate(&self, server: &Server, position: u32, factor: f64) -> Candidate {
+        let flows = self.flows.count(&server.id);
+        let weight = server.weight * factor;
+        Candidate {
+            position,
+            name: cookie::hash(&server.id),
+            weight,
+            load: f64::from(flows + 1) / weight,
+        }
+    }
+}
+
+fn position(snapshot: &Snapshot, id: &Arc<str>) -> Option<u32> {
+    let position = *snapshot.cookies.get(&Cookie::of(id, 0))?;
+    let server = snapshot.servers.get(position as usize)?;
+    (server.id == *id).then_some(position)
+}
+
+/// The pool that takes the flow by the route's weights, among those that have a server open.
+fn split<'a>(snapshot: &'a Snapshot, route: &Route, flow: u64) -> Option<&'a Pool> {
+    let pool = |position: u32| &snapshot.pools[position as usize];
+    let open = || {
+        route
+            .pools
+            .iter()
+            .filter(|(position, weight)| *weight > 0 && !pool(*position).open.is_empty())
+    };
+    let total: u64 = open().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut draw = mix(flow) % total.max(1);
+    for (position, weight) in open() {
+        if draw < u64::from(*weight) {
+            return Some(pool(*position));
+        }
+        draw -= u64::from(*weight);
+    }
+    None
+}
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -327,7 +327,7 @@
     }
 
     fn apply(&mut self, change: Change) -> bool {
-        let line = describe::change(&change);
+        let line = describe::change(&change, self.catalog.config());
         let applied = self.catalog.apply(change);
         if applied {
             log::info!("{line}");
--- a/crates/node/src/cookie/core/describe.rs
+++ b/crates/node/src/cookie/core/describe.rs
@@ -1,20 +1,26 @@
 //! Lines for the log.
 
-use acacia_catalog::Change;
+use std::sync::Arc;
 
-/// A change as key=value pairs.
-pub fn change(change: &Change) -> String {
+use acacia_catalog::{
+    Change, Item,
+    route::{Config, Patch},
+};
+
+/// A change as key=value pairs. A configuration is told by what it changes in the one before, however
+/// it came: operators look for the version that removed a route.
+pub fn change(change: &Change, before: Option<&Item<Arc<Config>>>) -> String {
     match change {
         Change::Config { revision, config } => {
-            let (version, routes) = (config.version, config.routes.len());
-            format!("event=config revision={revision} version={version} routes={routes}")
-        }
-        Change::Patch { revision, patch } => {
-            let (version, put, removed) = (patch.version, patch.put.len(), patch.remove.len());
-            format!(
-                "event=config revision={revision} version={version} put={put} removed={removed}"
-            )
+            let empty = Config {
+                version: 0,
+                routes: Vec::new(),
+                idle: None,
+            };
+            let old = before.map_or(&empty, |item| &item.value);
+            step(*revision, &Patch::between(old, 0, config))
         }
+        Change::Patch { revision, patch } => step(*revision, patch),
         Change::Server {
             id,
             revision,
@@ -30,3 +36,8 @@
         } => format!("event=server server={id} revision={revision} state=Removed"),
     }
 }
+
+fn step(revision: u64, patch: &Patch) -> String {
+    let (version, put, removed) = (patch.version, patch.put.len(), patch.remove.len());
+    format!("event=config revision={revision} version={version} put={put} removed={removed}")
+}
--- a/crates/node/src/cookie/examine.rs
+++ b/crates/node/src/cookie/examine.rs
@@ -1,12 +1,28 @@
-//! Probes of servers under suspicion.
+//! Examination of servers under suspicion.
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use acacia_adapter::probe;
-use acacia_cookie::silence::{APART, Finding, WAIT};
-use tokio::{task::JoinSet, time};
+use acacia_cookie::{
+    Notice,
+    silence::{APART, Finding, WAIT},
+};
+use acacia_kernel::BoxError;
+use tokio::{sync::mpsc, task::JoinSet, time};
 
-use super::core::{Examination, Target};
+use super::{
+    control::Control,
+    core::{Core, Examination, Target},
+};
+use crate::clock;
+
+/// Between two looks for servers to examine where none is due.
+const IDLE: Duration = Duration::from_millis(500);
+/// Least wait between two looks for servers to examine, against a busy loop.
+const SHORTEST: Duration = Duration::from_millis(1);
+/// Examinations at a time, each of one or more servers. Load: packets to many servers are lost on
+/// a bad link. Harm: each probe takes a descriptor.
+const EXAMINATIONS: usize = 16;
 
 /// When the control is probed: just after the last probe of the servers, so that whatever held
 /// those up holds it up as well.
@@ -68,3 +84,48 @@
         None => false,
     }
 }
+
+/// Tells the core what the traffic threads have noticed.
+///
+/// # Errors
+/// When a socket or a signal fails.
+pub async fn take_notices(
+    control: Arc<Control>,
+    mut notices: mpsc::Receiver<Notice>,
+) -> Result<(), BoxError> {
+    while let Some(Notice::Unanswered(server)) = notices.recv().await {
+        if control.core(|core, now| core.unanswered(&server, now)) {
+            control.doubt.notify_one();
+        }
+    }
+    Ok(())
+}
+
+/// Examines servers under suspicion, and silent ones until they are back.
+///
+/// # Errors
+/// When a socket or a signal fails.
+pub async fn examine_servers(control: Arc<Control>) -> Result<(), BoxError> {
+    let mut examinations = JoinSet::new();
+    loop {
+        while examinations.try_join_next().is_some() {}
+        let next = if examinations.len() < EXAMINATIONS {
+            let (examination, next) = control.core(Core::examination);
+            if !examination.targets.is_empty() {
+                let control = Arc::clone(&control);
+                examinations.spawn(async move {
+                    let findings = run(examination).await;
+                    control.take(|core, now| core.examined(findings, now)).await;
+                });
+            }
+            next.map(|at| at.saturating_sub(clock::now()))
+        } else {
+            None
+        };
+        tokio::select! {
+            () = control.doubt.notified() => {}
+            () = time::sleep(next.unwrap_or(IDLE).max(SHORTEST)) => {}
+            Some(_) = examinations.join_next() => {}
+        }
+    }
+}
--- a/crates/node/src/cookie/follow.rs
+++ b/crates/node/src/cookie/follow.rs
@@ -1,20 +1,34 @@
 //! Reading of the store, when the core says so.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
-use acacia_adapter::entry;
+use acacia_adapter::{entry, store};
 use acacia_catalog::{Change, spread::Turn};
-use acacia_platform::{Client, Error};
+use acacia_kernel::BoxError;
+use acacia_platform::{Client, Error, Options};
 use tokio::time;
 
-use super::{daemon::Control, meters::Call};
+use super::{control::Control, meters::Call};
 use crate::clock;
 
 /// How long a watch waits that is only to answer at once. The store takes whole milliseconds.
 const AT_ONCE: Duration = Duration::from_millis(1);
 
-/// Follows the store until the task is dropped.
-pub async fn run(control: &Control, client: &Client) {
+/// Follows the store at `address` until the task is dropped.
+///
+/// # Errors
+/// None; it has the form of the other tasks.
+pub async fn run(control: Arc<Control>, address: SocketAddrV4) -> Result<(), BoxError> {
+    let options = Options {
+        seed: control.core(|core, _| core.own().incarnation),
+        ..Options::default()
+    };
+    let client = Client::with_transport(address.into(), options, store::transport());
+    follow(&control, &client).await;
+    Ok(())
+}
+
+async fn follow(control: &Control, client: &Client) {
     let mut whole = true;
     loop {
         let turn = control.core(|core, now| core.turn(now));
--- /dev/null
+++ b/crates/node/src/cookie/leave.rs
@@ -0,0 +1,55 @@
+//! The end of the process, asked for by a signal.
+
+use std::sync::Arc;
+
+use acacia_code::Code;
+use acacia_kernel::{BoxError, Stopper};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::oneshot,
+    time,
+};
+
+use super::{
+    control::{Control, lock},
+    core::Core,
+    rotation::Phase,
+};
+use crate::clock;
+
+/// Waits for the request to end, leaves the rotation, and stops the process once the routers have
+/// noticed. A second request ends it at once.
+///
+/// # Errors
+/// When a socket or a signal fails.
+pub async fn run(
+    control: Arc<Control>,
+    stopper: oneshot::Receiver<Stopper>,
+) -> Result<(), BoxError> {
+    let mut terms = signal(SignalKind::terminate())?;
+    let mut interrupts = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terms.recv() => {}
+        _ = interrupts.recv() => {}
+    }
+    let phase = Phase::Leaving {
+        since: clock::now(),
+    };
+    *lock(&control.phase) = phase;
+    log::info!("event=leaving");
+    let parcels = control.core(Core::leave);
+    control.send(parcels).await;
+    let grace = lock(&control.settings).grace;
+    let end = phase.end(grace).unwrap_or_default();
+    tokio::select! {
+        () = time::sleep(end.saturating_sub(clock::now())) => stopper.await?.stop(),
+        _ = terms.recv() => force(),
+        _ = interrupts.recv() => force(),
+    }
+    Ok(())
+}
+
+fn force() {
+    log::error!("event=forced code={}", Code::Forced);
+    std::process::exit(i32::from(Code::Forced.exit_status()));
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -311,6 +311,17 @@
         }
     }
 
+    /// Ends the server that has run a request since this was last asked, without a word: its entry
+    /// stands. Gives its name.
+    pub fn lose_server_in_use(&mut self) -> Option<String> {
+        let ran = |server: &Server| !server.host.take_seen().ran.is_empty();
+        let number = self
+            .servers
+            .iter()
+            .find_map(|(number, server)| ran(server).then_some(*number))?;
+        self.servers.remove(&number).map(|server| server.id)
+    }
+
     /// Ends a server, and its entry.
     pub fn remove_server(&mut self, number: u8) {
         if let Some(server) = self.servers.remove(&number) {
--- a/crates/soak/tests/it/path.rs
+++ b/crates/soak/tests/it/path.rs
@@ -105,17 +105,10 @@
         caller.ask(&mut flow, b"0-before", DEADLINE).await,
         End::Answered
     );
-    let served = |server: &acacia_soak::fleet::Server| !server.host.take_seen().ran.is_empty();
-    let dead = fleet
-        .servers
-        .iter()
-        .find(|(_, server)| served(server))
-        .map(|(number, _)| *number);
 
     // Its process is gone: nothing answers at its address any more.
-    fleet
-        .servers
-        .remove(&dead.expect("a server that ran the request"));
+    let lost = fleet.lose_server_in_use();
+    assert!(lost.is_some(), "a server that ran the request");
     let start = std::time::Instant::now();
     let end = caller.ask(&mut flow, b"0-after", DEADLINE).await;
 
