--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -122,21 +122,21 @@
     }
 
     /// What to do now. `reads` tells whether this balancer is the reader; `share` in 0..1 is its
-    /// own place in the spread.
+    /// own place in the spread; `blind` is how many other balancers don't see the store either.
     ///
     /// ```
     /// use std::time::Duration;
     /// use acacia_catalog::spread::{Pace, Reading, Turn};
     /// let mut reading = Reading::new(Pace::within(Duration::from_secs(3)));
-    /// assert_eq!(reading.turn(Duration::ZERO, false, 0.0), Turn::Poll);
+    /// assert_eq!(reading.turn(Duration::ZERO, false, 0.0, 0), Turn::Poll);
     /// reading.answered(Duration::ZERO);
-    /// assert_eq!(reading.turn(Duration::ZERO, true, 0.0), Turn::Watch);
-    /// assert!(matches!(reading.turn(Duration::ZERO, false, 0.0), Turn::Wait(_)));
-    /// assert_eq!(reading.turn(Duration::from_secs(2), false, 0.0), Turn::Poll);
+    /// assert_eq!(reading.turn(Duration::ZERO, true, 0.0, 0), Turn::Watch);
+    /// assert!(matches!(reading.turn(Duration::ZERO, false, 0.0, 0), Turn::Wait(_)));
+    /// assert_eq!(reading.turn(Duration::from_secs(2), false, 0.0, 0), Turn::Poll);
     /// ```
     #[must_use]
-    pub fn turn(&self, now: Duration, reads: bool, share: f64) -> Turn {
-        let wait = self.pause(now, share);
+    pub fn turn(&self, now: Duration, reads: bool, share: f64, blind: usize) -> Turn {
+        let wait = self.pause(now, share, blind);
         if !wait.is_zero() {
             return Turn::Wait(wait);
         }
@@ -154,17 +154,27 @@
     }
 
     /// How long to leave the store alone after failures. It doubles from an eighth of the longest
-    /// wait: a store that is down is asked by the whole fleet, and what it refuses counts too.
-    fn pause(&self, now: Duration, share: f64) -> Duration {
+    /// wait, and grows with the number of balancers that wait as well.
+    ///
+    /// Load: the store is away, and nobody's knowledge is fresh. Harm: the whole fleet asks it, what it
+    /// refuses counts too, and it is run over when it comes back. Whoever reaches it first tells the
+    /// others at once, so it is enough that the fleet as a whole asks a few times a second.
+    fn pause(&self, now: Duration, share: f64, blind: usize) -> Duration {
         if self.failures == 0 {
             return Duration::ZERO;
         }
         let doubled = (self.pace.backoff / 8) * (1 << (self.failures - 1).min(3));
-        let pause = doubled.mul_f64(0.75 + share / 2.0);
+        let crowd = (blind as f64 / CROWD).clamp(1.0, MOST_CROWDED);
+        let pause = doubled.mul_f64((0.75 + share / 2.0) * crowd);
         (self.failed + pause).saturating_sub(now)
     }
 }
 
+/// Balancers that may each keep to their own pace towards a store that is away.
+const CROWD: f64 = 8.0;
+/// Largest factor on that pace: at 64 balancers and a longest wait of 1.7 s, 13 s.
+const MOST_CROWDED: f64 = 8.0;
+
 /// Whether `own` is the first in rank among those that can see the store.
 #[must_use]
 pub fn is_reader(own: &Member, list: &List) -> bool {
--- a/crates/catalog/tests/it/spread.rs
+++ b/crates/catalog/tests/it/spread.rs
@@ -116,21 +116,19 @@
     reading.confirmed(Duration::ZERO);
     let mut now = Duration::ZERO;
 
-    while let Turn::Wait(wait) = reading.turn(now, false, share) {
+    while let Turn::Wait(wait) = reading.turn(now, false, share, 0) {
         now += wait;
     }
 
     assert!(now <= BOUND * 3 / 4, "read after {now:?}");
 }
 
-/// The store is down for long, and each of 61 balancers asks it. What is refused counts as well, and
-/// would run over the store just when it comes back.
-#[test]
-fn a_store_that_fails_is_asked_less_and_less() {
+/// Calls of one balancer in 20 s of a store that is away, while so many others don't see it either.
+fn calls(blind: usize) -> usize {
     let mut reading = Reading::new(Pace::within(BOUND));
     let (mut now, mut calls) = (Duration::ZERO, 0);
-    while now < Duration::from_secs(10) {
-        match reading.turn(now, false, 0.5) {
+    while now < Duration::from_secs(20) {
+        match reading.turn(now, false, 0.5, blind) {
             Turn::Wait(wait) => now += wait,
             Turn::Watch | Turn::Poll => {
                 calls += 1;
@@ -138,8 +136,21 @@
             }
         }
     }
+    calls
+}
 
-    assert!((10..=14).contains(&calls), "{calls} calls in 10 s");
+/// The store is down for long, and each of 61 balancers asks it. What is refused counts as well, and
+/// would run over the store just when it comes back: the fleet as a whole must not ask more often the
+/// larger it is.
+#[test]
+fn a_store_that_is_away_is_asked_as_often_by_sixty_balancers_as_by_eight() {
+    let (few, many) = (9 * calls(8), 61 * calls(60));
+
+    assert!(
+        (150..=250).contains(&few),
+        "{few} calls of 9 balancers in 20 s"
+    );
+    assert!(many < few * 2, "{many} calls of 61 balancers, {few} of 9");
 }
 
 /// A balancer that a peer has just told is as well informed as the peer, and has no reason to read.
@@ -150,6 +161,6 @@
         let now = Duration::from_secs(second);
         reading.confirmed(now);
 
-        assert!(matches!(reading.turn(now, false, 0.0), Turn::Wait(_)));
+        assert!(matches!(reading.turn(now, false, 0.0, 0), Turn::Wait(_)));
     }
 }
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -183,7 +183,8 @@
             self.reads = reads;
             log::info!("event=reader reads={reads} peers={}", self.list.len());
         }
-        self.reading.turn(now, reads, self.share)
+        let blind = self.list.iter().filter(|member| !member.sighted).count();
+        self.reading.turn(now, reads, self.share, blind)
     }
 
     /// The store has answered a call that left at `sent` with `changes` up to `revision`.
