Let the store answer before a newborn fetches from its peers

A test failed once with an address in use (path, line 17): a process that another test was starting held a copy of the closed socket; the harness now tries again for a moment.

--- a/crates/node/src/cookie/control.rs
+++ b/crates/node/src/cookie/control.rs
@@ -54,7 +54,7 @@
         let socket = UdpSocket::bind(settings.control)?;
         socket.set_nonblocking(true)?;
         Ok(Control {
-            core: Mutex::new(Core::new(&settings, incarnation)),
+            core: Mutex::new(Core::new(&settings, incarnation, clock::now())),
             phase: Mutex::new(Phase::Starting),
             settings: Mutex::new(settings),
             socket: tokio::net::UdpSocket::from_std(socket)?,
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -22,6 +22,10 @@
     settings::Settings,
 };
 
+/// How long a balancer that has just started waits for the store before it turns to its peers. 250 ms:
+/// sixty times what an answer takes, and short against the time in which the routers notice.
+const FIRST: Duration = Duration::from_millis(250);
+
 /// What to do about a piece of news.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Outcome {
@@ -70,6 +74,8 @@
 #[derive(Debug)]
 pub struct Core {
     own: Member,
+    /// When the process started.
+    born: Duration,
     seeds: Vec<SocketAddrV4>,
     list: List,
     catalog: Catalog,
@@ -86,9 +92,9 @@
 }
 
 impl Core {
-    /// A balancer that has just started. `incarnation` is higher than in any former life.
+    /// A balancer that starts at `now`. `incarnation` is higher than in any former life.
     #[must_use]
-    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+    pub fn new(settings: &Settings, incarnation: u64, now: Duration) -> Self {
         let seed = incarnation ^ u64::from(settings.control.ip().to_bits());
         let mut random = Pcg64::seed_from_u64(seed);
         Core {
@@ -100,6 +106,7 @@
                 sighted: true,
                 leaving: false,
             },
+            born: now,
             seeds: settings.seeds.clone(),
             list: List::default(),
             catalog: Catalog::default(),
@@ -262,7 +269,8 @@
         if base <= self.catalog.revision() {
             outcome = self.learn(known, changes, &source, now);
         }
-        outcome.fetch = self.missed || known.revision > self.catalog.revision();
+        let behind = self.missed || known.revision > self.catalog.revision();
+        outcome.fetch = behind && !self.is_reading_first(now);
         outcome.examine |= self.doubt(&silent, now);
         if wants {
             let message = self.gossip_message(false, now);
@@ -274,6 +282,16 @@
         outcome
     }
 
+    /// Whether this balancer has just started and the store may still answer its first call.
+    ///
+    /// Load: a whole fleet starts at once, and each of it hears from the same three seeds that they
+    /// know more. Harm: hundreds of whole catalogs are fetched from those three (995 connections at
+    /// one of 300 balancers), while the store answers everybody in milliseconds.
+    fn is_reading_first(&self, now: Duration) -> bool {
+        let waits = self.reading.fresh().is_none() && self.reading.is_sighted();
+        waits && now < self.born + FIRST
+    }
+
     /// Where a message's news come from. For one from another data centre, this balancer is the
     /// first of its own.
     pub fn source(&self, message: &Message) -> Source {
--- a/crates/node/tests/it/cookie/core.rs
+++ b/crates/node/tests/it/cookie/core.rs
@@ -78,6 +78,32 @@
     assert_eq!((core.version(), core.revision()), (Some(5), 5));
 }
 
+/// A whole fleet starts at once and hears from the same seeds that they know more. While the store
+/// answers everybody in milliseconds, nobody may fetch the whole catalog from a seed; where it doesn't,
+/// everybody must.
+#[test]
+fn a_balancer_that_starts_gives_the_store_a_moment_before_it_asks_a_peer() {
+    let mut fleet = Fleet::new(3, &["a"]);
+    let first = fleet.first();
+    fleet.tell(first, vec![config(5, 3)], 5);
+    let new = fleet.join(20, "a");
+    let now = fleet.now;
+    let word = fleet
+        .cores
+        .get_mut(&first)
+        .expect("a balancer")
+        .gossip(now)
+        .remove(0)
+        .message;
+
+    let core = fleet.cores.get_mut(&new).expect("a balancer");
+    let early = core.hear(word.clone(), now + ms(50));
+    let late = core.hear(word.clone(), now + ms(300));
+
+    assert!(!early.fetch);
+    assert!(late.fetch);
+}
+
 /// A balancer is cut off while the configuration changes several times, and comes back among peers
 /// that send each other only the steps.
 #[test]
@@ -169,7 +195,7 @@
 #[test]
 fn the_neighbours_of_a_silent_server_are_examined() {
     let settings = settings(1, "a");
-    let mut core = acacia_node::cookie::core::Core::new(&settings, 1);
+    let mut core = acacia_node::cookie::core::Core::new(&settings, 1, ms(0));
     let servers: Vec<Change> = (1..=5)
         .map(|number| server(&format!("i-{number}"), number))
         .collect();
--- a/crates/node/tests/it/cookie/fixture.rs
+++ b/crates/node/tests/it/cookie/fixture.rs
@@ -108,8 +108,10 @@
     pub fn join(&mut self, number: u8, centre: &str) -> SocketAddrV4 {
         let settings = settings(number, centre);
         let incarnation = self.now.as_millis() as u64 + 1;
-        self.cores
-            .insert(settings.control, Core::new(&settings, incarnation));
+        self.cores.insert(
+            settings.control,
+            Core::new(&settings, incarnation, self.now),
+        );
         settings.control
     }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -34,6 +34,8 @@
 const BALANCERS: u8 = 10;
 const SERVERS: u8 = 100;
 const CALLERS: u8 = 200;
+/// How long an address that is taken is tried for.
+const BINDING: Duration = Duration::from_secs(2);
 /// Misses after which the routers send a balancer no more packets.
 const MISSES: u32 = 2;
 /// Each service's address and port, as callers use them.
@@ -342,16 +344,26 @@
 
     /// A caller of a service, at an address of its own.
     ///
+    /// A process that is just being started holds copies of all sockets until its program runs, also
+    /// of one that was closed here meanwhile; so an address that is taken is tried again for a moment.
+    ///
     /// # Errors
-    /// When its address is taken.
+    /// When its address stays taken.
     pub async fn caller(&self, number: u8, service: usize) -> anyhow::Result<Caller> {
         let address: Ipv4Addr = self.network.host(CALLERS + number);
-        let balancers = self
+        let rotation = self
             .rotation
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
-        Ok(Caller::new(address, TRAFFIC, FRONTS[service], balancers).await?)
+        let deadline = time::Instant::now() + BINDING;
+        loop {
+            match Caller::new(address, TRAFFIC, FRONTS[service], rotation.clone()).await {
+                Ok(caller) => return Ok(caller),
+                Err(error) if time::Instant::now() >= deadline => return Err(error.into()),
+                Err(_) => time::sleep(Duration::from_millis(10)).await,
+            }
+        }
     }
 }
 
