--- a/crates/bench/src/speed.rs
+++ b/crates/bench/src/speed.rs
@@ -1,6 +1,8 @@
 //! Subcommand `speed`: what one packet costs a traffic thread, from the decision alone to a
 //! datagram forwarded.
 
+/// Decisions where packets carry a cookie.
+pub mod cookie;
 /// Processor time of the calling thread.
 pub mod cpu;
 /// Decisions without sockets.
@@ -43,6 +45,7 @@
 /// Runs the cases and prints their lines.
 pub fn run(options: &Options) -> anyhow::Result<()> {
     for &seed in &options.seeds {
+        cookie::run(options, seed);
         decide::run(options, seed)?;
         shared::run(options, seed)?;
         forward::run(options, seed)?;
--- /dev/null
+++ b/crates/bench/src/speed/cookie.rs
@@ -0,0 +1,157 @@
+use std::{
+    fmt::Write as _,
+    hint::black_box,
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
+
+use acacia_catalog::{
+    Catalog, Change,
+    route::{Config, Front, Route, Target},
+    server::{Server, State},
+};
+use acacia_cookie::{Action, Resolver, Roster, Snapshot, cookie::Cookie, silence::Detector};
+use acacia_wire::{
+    flow::{Key, Protocol},
+    packet::{Kind, Packet},
+};
+
+use super::{Options, cpu, spread};
+
+/// Open flows of a balancer at the largest deployment.
+const FLOWS: u32 = 10_000;
+/// Packets of one measurement.
+const PACKETS: u32 = 200_000;
+/// Where all flows go.
+const FRONT: Front = Front {
+    address: Ipv4Addr::new(198, 18, 0, 1),
+    port: 443,
+};
+
+/// Measures decisions where packets carry a cookie, before 15 and 150 servers of one service.
+pub fn run(options: &Options, seed: u64) {
+    for servers in [15, 150] {
+        let case = format!("cookie-{servers}");
+        if !options.wants(&case) {
+            continue;
+        }
+        let snapshot = snapshot(servers);
+        let measured = (0..options.rounds).map(|_| measure(&snapshot));
+        let (openings, packets): (Vec<f64>, Vec<f64>) = measured.unzip();
+        let lines = (0..options.rounds).map(|_| line()).collect();
+        let mut shown = format!("speed case={case} seed={seed} flows={FLOWS}");
+        for (name, values) in [("opening", openings), ("packet", packets), ("line", lines)] {
+            let [middle, least, most] = spread(values);
+            // Writing into a string can't fail.
+            let _ = write!(shown, " {name}_ns={middle:.0} ({least:.0} to {most:.0})");
+        }
+        println!("{shown}");
+    }
+}
+
+/// Nanoseconds of an opening, and of a packet in mid-flow.
+fn measure(snapshot: &Snapshot) -> (f64, f64) {
+    let mut resolver = Resolver::default();
+    let mut cookies = Vec::with_capacity(FLOWS as usize);
+    let now = Duration::from_secs(1);
+    let start = cpu::thread();
+    for flow in 0..FLOWS {
+        let packet = packet(flow, Kind::Opening { isn: flow }, 0);
+        match resolver.resolve(snapshot, &packet, None, now) {
+            Action::Forward { cookie, .. } => cookies.push(cookie),
+            Action::Reset { .. } | Action::Drop { .. } => cookies.push(Cookie::of("none", 0)),
+        }
+    }
+    let opening = per(cpu::thread().saturating_sub(start), FLOWS);
+    let start = cpu::thread();
+    for number in 0..PACKETS {
+        let flow = number % FLOWS;
+        let packet = packet(flow, Kind::Middle, number / FLOWS + 1);
+        let cookie = Some(cookies[flow as usize]);
+        black_box(resolver.resolve(snapshot, &packet, cookie, now));
+        black_box(resolver.take_timings());
+    }
+    (opening, per(cpu::thread().saturating_sub(start), PACKETS))
+}
+
+/// Nanoseconds of the text of one line of the log, as it is made for each opening.
+fn line() -> f64 {
+    let mut text = String::new();
+    let start = cpu::thread();
+    for number in 0..PACKETS {
+        text.clear();
+        let (address, port) = (Ipv4Addr::from_bits(number), number % 60_000);
+        // Writing into a string can't fail.
+        let _ = write!(
+            text,
+            "event=flow-opened caller={address}:{port} to={}:{} server=i-7f3a91c2 \
+             cookie={number:08x} copies=0 version=7 revision=412",
+            FRONT.address, FRONT.port
+        );
+        black_box(&text);
+    }
+    per(cpu::thread().saturating_sub(start), PACKETS)
+}
+
+fn per(time: Duration, number: u32) -> f64 {
+    time.as_nanos() as f64 / f64::from(number)
+}
+
+fn packet(flow: u32, kind: Kind, step: u32) -> Packet {
+    Packet {
+        key: Key {
+            client: Ipv4Addr::from_bits(0x0a00_0000 + flow),
+            service: FRONT.address,
+            client_port: 40_000,
+            service_port: FRONT.port,
+            protocol: Protocol::Tcp,
+        },
+        kind,
+        payload: 200,
+        sequence: flow + 1 + 200 * step,
+        acknowledgement: 1_000 * step,
+    }
+}
+
+fn snapshot(servers: u32) -> Snapshot {
+    let mut catalog = Catalog::default();
+    for number in 1..=servers {
+        let server = Server {
+            id: format!("i-{number:x}").into(),
+            tag: number.into(),
+            service: "live".into(),
+            address: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a80_0000 + number), 8080),
+            data_centre: "a".into(),
+            slots: 2,
+            state: State::Ready,
+            warmup_ms: 0,
+            started_ms: 0,
+        };
+        catalog.apply(Change::Server {
+            id: Arc::clone(&server.id),
+            revision: number.into(),
+            server: Some(Arc::new(server)),
+        });
+    }
+    let route = Route {
+        name: "r".into(),
+        front: FRONT,
+        targets: vec![Target {
+            service: "live".into(),
+            weight: 1,
+        }],
+    };
+    let config = Config {
+        version: 1,
+        routes: vec![route],
+        idle: None,
+    };
+    catalog.apply(Change::Config {
+        revision: u64::from(servers) + 1,
+        config: Arc::new(config),
+    });
+    let mut roster = Roster::default();
+    roster.update(&catalog, Duration::ZERO);
+    roster.snapshot(&Detector::default(), Duration::ZERO)
+}
