--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -20,6 +20,8 @@
 /// Between the two probes of an examination. They overlap, as each of them waits for next to nothing
 /// where the server lives; one after the other, the same proof took 115 ms longer.
 pub const APART: Duration = Duration::from_millis(25);
+/// Servers examined together.
+pub const TOGETHER: usize = 64;
 /// Between two probes of a silent server.
 const AGAIN: Duration = Duration::from_millis(400);
 /// After this long an examination without a result is given up: it was never made, as too many were
@@ -96,10 +98,16 @@
         }
     }
 
-    /// The servers to examine now.
+    /// The servers to examine now, [`TOGETHER`] at most; the others wait for the next time.
+    ///
+    /// Load: a cut puts a thousand servers of a data centre out of reach. Harm: probed together, they
+    /// take a thousand descriptors, of which a small balancer has three thousand in all.
     pub fn due(&mut self, now: Duration) -> Vec<Arc<str>> {
         let mut due = Vec::new();
         for (server, state) in &mut self.states {
+            if due.len() == TOGETHER {
+                break;
+            }
             match state {
                 State::Doubted(_) => *state = State::Examined(now),
                 State::Silent(at) if now >= *at => *at = now + AGAIN,
--- a/crates/cookie/tests/it/silence.rs
+++ b/crates/cookie/tests/it/silence.rs
@@ -108,6 +108,25 @@
     assert_eq!(detector.due(ms(1_000)), [id()]);
 }
 
+/// A cut puts a thousand servers out of reach. Each must be examined, and no more than some dozens
+/// together: their probes would take the descriptors that flows need.
+#[test]
+fn many_servers_are_examined_a_few_dozen_at_a_time() {
+    let mut detector = Detector::default();
+    for number in 0..1_000 {
+        detector.suspect(&format!("i-{number}").into(), ms(300), ms(0));
+    }
+
+    let mut examined = 0;
+    for round in 0..16 {
+        let due = detector.due(ms(round));
+        assert!(due.len() <= 64);
+        examined += due.len();
+    }
+
+    assert_eq!(examined, 1_000);
+}
+
 /// A balancer is cut off from all servers but for one that served as the control. Every other looks
 /// silent from there, and none is: it must end no flow and send its callers to another balancer.
 #[test]
--- a/crates/node/src/cookie/examine.rs
+++ b/crates/node/src/cookie/examine.rs
@@ -20,9 +20,9 @@
 const IDLE: Duration = Duration::from_millis(500);
 /// Least wait between two looks for servers to examine, against a busy loop.
 const SHORTEST: Duration = Duration::from_millis(1);
-/// Examinations at a time, each of one or more servers. Load: packets to many servers are lost on
-/// a bad link. Harm: each probe takes a descriptor.
-const EXAMINATIONS: usize = 16;
+/// Examinations at a time, of up to [`TOGETHER`](acacia_cookie::silence::TOGETHER) servers each: with
+/// two probes a server, 512 descriptors at most.
+const EXAMINATIONS: usize = 4;
 
 /// When the control is probed: just after the last probe of the servers, so that whatever held
 /// those up holds it up as well.
