--- a/justfile
+++ b/justfile
@@ -23,3 +23,8 @@
 # Measure broken flows, imbalance, speed and control traffic.
 bench kind="flows" *options:
     cargo run --release -q -p acacia-bench -- {{kind}} {{options}}
+
+# Play random faults against real balancers.
+soak *options:
+    cargo build --release -q -p acacia-node -p acacia-soak
+    target/release/acacia-soak {{options}}
