--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 
 use acacia_soak::run::{Plan, Report, play};
 use clap::Parser;
+use tokio::signal::unix::{SignalKind, signal};
 
 #[derive(Debug, Parser)]
 #[command(
@@ -55,7 +56,13 @@
             faults: arguments.faults,
             ..Plan::usual(seed)
         };
-        let report = runtime.block_on(play(plan))?;
+        // Asked to end, the run is dropped, and with it every process that it started.
+        let report = runtime.block_on(async {
+            tokio::select! {
+                report = play(plan) => report,
+                ended = asked_to_end() => Err(ended.err().unwrap_or_else(|| anyhow::anyhow!("interrupted"))),
+            }
+        })?;
         print(seed, &report);
         failed += usize::from(!report.breaches.is_empty());
     }
@@ -67,6 +74,15 @@
     })
 }
 
+/// Waits for an interrupt or a request to end.
+async fn asked_to_end() -> anyhow::Result<()> {
+    let mut terms = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terms.recv() => Ok(()),
+        interrupt = tokio::signal::ctrl_c() => Ok(interrupt?),
+    }
+}
+
 fn fresh() -> u64 {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
