Know a server that has turned slow from what all balancers see, within seconds

Cause: each balancer measured servers' speeds by the answers that pass through it. One of nine sees three answers a second of a server, and a measurement takes 25: new flows went to servers four times as slow for ten seconds and more.

Traffic threads now only count; the control thread judges their counts and those of eight peers, which come with the gossip (some 30 bytes a server, every half second at most). A server that starts again under its name is measured and examined anew: its start was decoded and used by nothing.

--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -15,7 +15,7 @@
     cookie::Cookie,
     flow::{Flow, Sign, Table},
     snapshot::{Snapshot, Standing},
-    speed::Speeds,
+    speed::{Counts, Seen},
 };
 
 /// What to do with a packet.
@@ -59,10 +59,12 @@
 }
 
 /// What a traffic thread tells the control thread.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Notice {
     /// A packet to the server went unanswered.
     Unanswered(Arc<str>),
+    /// What the servers were seen to do.
+    Seen(Vec<Seen>),
 }
 
 /// A time that packets have shown, for the metrics.
@@ -100,7 +102,7 @@
 pub struct Resolver {
     openings: Map<Key, Opening>,
     flows: Table,
-    speeds: Speeds,
+    counts: Counts,
     swept: Duration,
     /// When each server last answered something here.
     answered: Map<Arc<str>, Duration>,
@@ -142,7 +144,11 @@
     }
 
     /// What the control thread is to be told since the last time.
-    pub fn take_notices(&mut self) -> Vec<Notice> {
+    pub fn take_notices(&mut self, now: Duration) -> Vec<Notice> {
+        let seen = self.counts.take(now);
+        if !seen.is_empty() {
+            self.notices.push(Notice::Seen(seen));
+        }
         std::mem::take(&mut self.notices)
     }
 
@@ -201,18 +207,18 @@
         }
         match self.flows.passed(packet, cookie, &server.id, now) {
             Sign::None => {}
-            Sign::Asked => self.speeds.asked(&server.id),
+            Sign::Asked => self.counts.asked(&server.id),
             Sign::Unanswered => self.notice(&server.id, now),
             Sign::Answered => self.lives(&server.id, now),
             Sign::Opened(took) => {
                 self.lives(&server.id, now);
-                self.speeds.opened(&server.id, took);
+                self.counts.opened(&server.id, took);
                 let server = Arc::clone(&server.id);
                 self.timings.push(Timing::Opening { server, took });
             }
             Sign::Timed(took) => {
                 self.lives(&server.id, now);
-                self.speeds.answered(&server.id, took);
+                self.counts.answered(&server.id, took);
                 let server = Arc::clone(&server.id);
                 self.timings.push(Timing::Answer { server, took });
             }
@@ -239,12 +245,7 @@
     }
 
     /// Forgets what is too old to matter, now and then.
-    fn sweep(&mut self, snapshot: &Snapshot, now: Duration) {
-        let visible = 1.0 / snapshot.balancers.max(1) as f64;
-        self.speeds.tick(now, visible, |id| {
-            let server = snapshot.server(Cookie::of(id, 0))?;
-            Some(server.slots.into())
-        });
+    fn sweep(&mut self, now: Duration) {
         if now < self.swept + OPENING {
             return;
         }
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -25,7 +25,7 @@
         isn: u32,
         now: Duration,
     ) -> Action {
-        self.sweep(snapshot, now);
+        self.sweep(now);
         let front = Front {
             address: packet.key.service,
             port: packet.key.service_port,
@@ -106,26 +106,22 @@
     ) -> Option<u32> {
         let pool = split(snapshot, route, flow)?;
         let server = |position: &u32| &snapshot.servers[*position as usize];
-        let factors = self
-            .speeds
-            .factors(pool.open.iter().map(|position| &*server(position).id));
         let candidates: Vec<Candidate> = pool
             .open
             .iter()
-            .zip(factors)
-            .filter(|(position, _)| Some(&server(position).id) != except)
-            .map(|(position, factor)| {
+            .filter(|position| Some(&server(position).id) != except)
+            .map(|position| {
                 let server = server(position);
                 let near = server.data_centre == snapshot.data_centre;
-                self.candidate(server, *position, factor, near)
+                self.candidate(server, *position, near)
             })
             .collect();
         choose(flow, &candidates)
     }
 
-    fn candidate(&self, server: &Server, position: u32, factor: f64, near: bool) -> Candidate {
+    fn candidate(&self, server: &Server, position: u32, near: bool) -> Candidate {
         let flows = self.flows.count(&server.id);
-        let weight = server.weight * factor;
+        let weight = server.weight;
         Candidate {
             position,
             name: cookie::hash(&server.id),
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -59,6 +59,7 @@
     servers: BTreeMap<Arc<str>, Known>,
     config: Option<Arc<Config>>,
     revision: u64,
+    restarted: Vec<Arc<str>>,
 }
 
 impl Roster {
@@ -108,6 +109,9 @@
         match self.servers.get_mut(id) {
             Some(known) if Arc::ptr_eq(&known.server, server) => known.missing = None,
             Some(known) => {
+                if known.server.started_ms != server.started_ms {
+                    self.restarted.push(Arc::clone(id));
+                }
                 known.server = Arc::clone(server);
                 known.missing = None;
                 known.warm = warm;
@@ -125,6 +129,15 @@
         }
     }
 
+    /// The servers that have started again under their names since the last time.
+    ///
+    /// What was learned of such a server no longer holds: it was silent or slow in its former life,
+    /// perhaps on another VM. Without this it would get no flow until a probe finds it, and too few
+    /// for as long as its old speed is remembered.
+    pub fn take_restarted(&mut self) -> Vec<Arc<str>> {
+        std::mem::take(&mut self.restarted)
+    }
+
     /// When the standing of some server changes by time alone, if nothing else happens before.
     #[must_use]
     pub fn next_change(&self, now: Duration) -> Option<Duration> {
@@ -143,7 +156,6 @@
     pub fn snapshot(&self, detector: &Detector, now: Duration) -> Snapshot {
         let mut snapshot = Snapshot {
             revision: self.revision,
-            balancers: 1,
             ..Snapshot::default()
         };
         // Older ones first: they keep the cookies that younger ones turn out to share.
@@ -208,6 +220,12 @@
         others.map(|known| &known.server)
     }
 
+    /// A server that is known by its name.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Arc<server::Server>> {
+        self.servers.get(id).map(|known| &known.server)
+    }
+
     /// The servers whose entries stand.
     pub fn present(&self) -> impl Iterator<Item = &Arc<server::Server>> {
         let present = self
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -177,6 +177,11 @@
         silent.map(|(server, _)| Arc::clone(server)).collect()
     }
 
+    /// Forgets what is known of a server: it has started anew.
+    pub fn forget(&mut self, server: &str) {
+        self.states.remove(server);
+    }
+
     /// Forgets servers that `is_known` doesn't name.
     pub fn retain(&mut self, is_known: impl Fn(&Arc<str>) -> bool) {
         self.states.retain(|server, _| is_known(server));
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -75,8 +75,6 @@
     pub revision: u64,
     /// The data centre that this is seen from.
     pub data_centre: Arc<str>,
-    /// Balancers that callers' packets are spread over, this one included.
-    pub balancers: usize,
     /// The routes by what callers use.
     pub routes: Map<Front, Route>,
     /// The pools of all services that routes name.
--- a/crates/cookie/src/speed.rs
+++ b/crates/cookie/src/speed.rs
@@ -1,48 +1,55 @@
 //! How fast each server is, as far as callers' packets show it.
 //!
 //! Load: servers bought over the years, whose speeds differ by more than two to one and are told by
-//! nobody. Harm: with equal parts the slow ones are nearly full while the fast ones idle, and their
-//! callers wait. The times from a caller's data to the acknowledgement of the answer show the speed;
-//! [`Speed`] turns them into a capacity that doesn't depend on how busy the server was.
+//! nobody, and servers that turn slow. Harm: with equal parts the slow
+//! ones are nearly full while the fast ones idle, and their callers wait. The times from a caller's
+//! data to the acknowledgement of the answer show the speed; [`Speed`] turns them into a capacity
+//! that doesn't depend on how busy the server was.
+//!
+//! Traffic threads count ([`Counts`]), and the control thread judges ([`Speeds`]) what they and its
+//! peers have counted: one balancer of nine sees too few answers of a server to tell its speed within
+//! ten seconds.
 
 use std::{sync::Arc, time::Duration};
 
 use acacia_load::{limits::Limits, signal::Window, speed::Speed, tally::Count};
 use acacia_wire::collections::Map;
 
-/// Between two evaluations.
+use crate::snapshot::Snapshot;
+
+/// Between two evaluations, and between two reports of counts.
 const TICK: Duration = Duration::from_secs(1);
 /// Largest ratio between a server's weight and the mean of its service. Beyond it, an estimate is
 /// more likely wrong than true.
 const MOST: f64 = 2.5;
+/// Factors that have changed by less are not worth publishing.
+const STEP: f64 = 0.05;
 
-/// One server.
-#[derive(Debug, Default)]
-struct Entry {
-    count: Count,
-    speed: Speed,
-    slots: u32,
+/// What some server was seen to do. What several balancers have seen adds up.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seen {
+    /// The server.
+    pub server: Arc<str>,
+    /// Its counts.
+    pub count: Count,
 }
 
-/// The servers' speeds, as one traffic thread sees them.
+/// What one traffic thread has seen of the servers since it last told.
 #[derive(Debug, Default)]
-pub struct Speeds {
-    servers: Map<Arc<str>, Entry>,
-    /// Counts of all servers, for the network's part of a time.
-    all: Window,
-    limits: Limits,
-    ticked: Duration,
+pub struct Counts {
+    servers: Map<Arc<str>, Count>,
+    told: Duration,
 }
 
-impl Speeds {
+impl Counts {
     /// Data went to a server that had nothing to answer on the flow before.
     pub fn asked(&mut self, server: &Arc<str>) {
-        self.entry(server).asked += 1;
+        self.count(server).asked += 1;
     }
 
     /// The first part of the answer was acknowledged after `took`.
     pub fn answered(&mut self, server: &Arc<str>, took: Duration) {
-        let count = self.entry(server);
+        let count = self.count(server);
         count.answered += 1;
         count.timed += 1;
         count.answering += took;
@@ -50,41 +57,131 @@
 
     /// An opening was answered after `took`, which is the network's time.
     pub fn opened(&mut self, server: &Arc<str>, took: Duration) {
-        let count = self.entry(server);
+        let count = self.count(server);
         count.completed += 1;
         count.opening += took;
     }
 
-    fn entry(&mut self, server: &Arc<str>) -> &mut Count {
-        &mut self.servers.entry(Arc::clone(server)).or_default().count
+    fn count(&mut self, server: &Arc<str>) -> &mut Count {
+        self.servers.entry(Arc::clone(server)).or_default()
     }
 
-    /// Evaluates what came since the last time, once a second. `slots` gives a server's, or nothing
-    /// where it is not known any more; `visible` is the part of all answers that is seen here.
-    pub fn tick(&mut self, now: Duration, visible: f64, slots: impl Fn(&str) -> Option<u32>) {
-        let passed = now.saturating_sub(self.ticked);
-        if passed < TICK {
-            return;
+    /// What was seen since the last time, once a second; nothing between.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_cookie::speed::Counts;
+    /// let mut counts = Counts::default();
+    /// counts.asked(&"host-1".into());
+    /// assert_eq!(counts.take(Duration::from_millis(200)), []);
+    /// assert_eq!(counts.take(Duration::from_secs(1))[0].count.asked, 1);
+    /// ```
+    pub fn take(&mut self, now: Duration) -> Vec<Seen> {
+        if now < self.told + TICK {
+            return Vec::new();
         }
+        self.told = now;
+        let counts = self.servers.drain();
+        counts
+            .map(|(server, count)| Seen { server, count })
+            .collect()
+    }
+}
+
+/// One server.
+#[derive(Debug, Default)]
+struct Entry {
+    count: Count,
+    speed: Speed,
+    slots: u32,
+    /// The worth that was last published.
+    published: f64,
+}
+
+impl Entry {
+    /// Requests a second that it answers with each slot; nothing before the first measurement.
+    fn worth(&self) -> Option<f64> {
+        Some(self.speed.questions()? / f64::from(self.slots.max(1)))
+    }
+}
+
+/// The servers' speeds, by all that this balancer and its peers have seen.
+#[derive(Debug, Default)]
+pub struct Speeds {
+    servers: Map<Arc<str>, Entry>,
+    /// Counts of all servers, for the network's part of a time.
+    all: Window,
+    limits: Limits,
+    ticked: Duration,
+}
+
+impl Speeds {
+    /// Takes in what was seen of a server, here or at a peer.
+    pub fn add(&mut self, seen: &Seen) {
+        let entry = self.servers.entry(Arc::clone(&seen.server)).or_default();
+        entry.count.add(&seen.count);
+    }
+
+    /// Whether [`Speeds::tick`] would evaluate anything.
+    #[must_use]
+    pub fn is_due(&self, now: Duration) -> bool {
+        now.saturating_sub(self.ticked) >= TICK
+    }
+
+    /// Evaluates what came since the last time, once a second; true if factors have changed. `slots`
+    /// gives a server's, or nothing where it is not known any more; `visible` is the part of all
+    /// answers that was taken in.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        visible: f64,
+        slots: impl Fn(&str) -> Option<u32>,
+    ) -> bool {
+        if !self.is_due(now) {
+            return false;
+        }
+        let passed = now.saturating_sub(self.ticked);
         self.ticked = now;
         let mut sum = Count::default();
         for entry in self.servers.values() {
-            sum.completed += entry.count.completed;
-            sum.opening += entry.count.opening;
+            sum.add(&entry.count);
         }
         self.all.add(&sum, passed, self.limits.slow);
         let network = self.all.network().unwrap_or_default();
-        self.servers.retain(|server, entry| match slots(server) {
-            Some(slots) => {
-                entry.slots = slots;
-                let count = std::mem::take(&mut entry.count);
-                entry
-                    .speed
-                    .learn(&count, passed, network, visible, slots, &self.limits);
-                true
+        let mut changed = false;
+        self.servers.retain(|server, entry| {
+            let Some(slots) = slots(server) else {
+                return false;
+            };
+            entry.slots = slots;
+            let count = std::mem::take(&mut entry.count);
+            entry
+                .speed
+                .learn(&count, passed, network, visible, slots, &self.limits);
+            let worth = entry.worth().unwrap_or_default();
+            if (worth - entry.published).abs() > STEP * entry.published {
+                entry.published = worth;
+                changed = true;
             }
-            None => false,
+            true
         });
+        changed
+    }
+
+    /// Forgets a server that has started anew: it may run on another VM.
+    pub fn forget(&mut self, server: &str) {
+        self.servers.remove(server);
+    }
+
+    /// Puts what is known into the weights of a snapshot's servers.
+    pub fn apply(&self, snapshot: &mut Snapshot) {
+        for pool in &snapshot.pools {
+            let open = || pool.open.iter().map(|position| *position as usize);
+            let factors = self.factors(open().map(|position| &*snapshot.servers[position].id));
+            for (position, factor) in open().zip(factors) {
+                snapshot.servers[position].weight *= factor;
+            }
+        }
     }
 
     /// Factors on the weights of some servers of one service, in their order: their speed a slot in
@@ -95,19 +192,14 @@
     /// assert_eq!(Speeds::default().factors(["a", "b"]), [1.0, 1.0]);
     /// ```
     pub fn factors<'a>(&self, servers: impl IntoIterator<Item = &'a str>) -> Vec<f64> {
-        let speeds = servers.into_iter().map(|server| self.speed(server));
-        let speeds: Vec<Option<f64>> = speeds.collect();
-        let known = speeds.iter().flatten();
+        let entries = servers.into_iter().map(|server| self.servers.get(server));
+        let entries: Vec<Option<&Entry>> = entries.collect();
+        let known = entries.iter().filter_map(|entry| entry.as_ref()?.worth());
         let mean = known.clone().sum::<f64>() / known.count().max(1) as f64;
-        let factor = |speed: &Option<f64>| match speed {
-            Some(speed) if mean > 0.0 => (speed / mean).clamp(1.0 / MOST, MOST),
+        let factor = |entry: &Option<&Entry>| match entry.and_then(Entry::worth) {
+            Some(worth) if mean > 0.0 => (worth / mean).clamp(1.0 / MOST, MOST),
             _ => 1.0,
         };
-        speeds.iter().map(factor).collect()
-    }
-
-    fn speed(&self, server: &str) -> Option<f64> {
-        let entry = self.servers.get(server)?;
-        Some(entry.speed.questions()? / f64::from(entry.slots.max(1)))
+        entries.iter().map(factor).collect()
     }
 }
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -23,6 +23,28 @@
     pub closed: u32,
 }
 
+impl Count {
+    /// Adds what was counted elsewhere, which may come from a peer: an absurd number must not
+    /// overflow.
+    ///
+    /// ```
+    /// use acacia_load::tally::Count;
+    /// let mut sum = Count { asked: 1, ..Count::default() };
+    /// sum.add(&Count { asked: 2, ..Count::default() });
+    /// assert_eq!(sum.asked, 3);
+    /// ```
+    pub fn add(&mut self, other: &Count) {
+        self.opened = self.opened.saturating_add(other.opened);
+        self.completed = self.completed.saturating_add(other.completed);
+        self.opening = self.opening.saturating_add(other.opening);
+        self.asked = self.asked.saturating_add(other.asked);
+        self.answered = self.answered.saturating_add(other.answered);
+        self.timed = self.timed.saturating_add(other.timed);
+        self.answering = self.answering.saturating_add(other.answering);
+        self.closed = self.closed.saturating_add(other.closed);
+    }
+}
+
 /// Counts of one class.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -96,14 +118,7 @@
     /// Adds the counts of another thread.
     pub fn add(&mut self, other: &Tally) {
         for (to, from) in self.servers.iter_mut().zip(&other.servers) {
-            to.opened += from.opened;
-            to.completed += from.completed;
-            to.opening += from.opening;
-            to.asked += from.asked;
-            to.answered += from.answered;
-            to.timed += from.timed;
-            to.answering += from.answering;
-            to.closed += from.closed;
+            to.add(from);
         }
         for (to, from) in self.classes.iter_mut().zip(&other.classes) {
             to.admitted += from.admitted;
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -3,6 +3,7 @@
 mod describe;
 mod examine;
 mod gossip;
+mod speed;
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
@@ -11,7 +12,12 @@
     member::{List, Member},
     spread::{Pace, Reading, Turn, audience, branches, is_reader},
 };
-use acacia_cookie::{Roster, Snapshot, roster::Limits, silence::Detector};
+use acacia_cookie::{
+    Roster, Snapshot,
+    roster::Limits,
+    silence::Detector,
+    speed::{Seen, Speeds},
+};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 
@@ -82,6 +88,11 @@
     reading: Reading,
     roster: Roster,
     detector: Detector,
+    speeds: Speeds,
+    /// What was seen of servers here and not told to peers yet.
+    untold: Vec<Seen>,
+    /// Peers that have told what they saw since the speeds were last evaluated.
+    reports: usize,
     isolated: bool,
     /// Whether a step of the configuration was missed, so that the whole is to be fetched.
     missed: bool,
@@ -116,6 +127,9 @@
                 ..Limits::default()
             }),
             detector: Detector::default(),
+            speeds: Speeds::default(),
+            untold: Vec::new(),
+            reports: 0,
             isolated: false,
             missed: false,
             share: random.random(),
@@ -251,6 +265,7 @@
             return Outcome::default();
         }
         let (sender, source) = (message.from.address, self.source(&message));
+        self.hear_seen(&message);
         let Message {
             from,
             known,
@@ -390,6 +405,7 @@
             changes: Vec::new(),
             others: Vec::new(),
             silent: Vec::new(),
+            seen: Vec::new(),
             wants: false,
         }
     }
@@ -427,6 +443,11 @@
     /// Routes and servers for the traffic threads, and when they change by time alone.
     pub fn snapshot(&mut self, now: Duration) -> (Snapshot, Option<Duration>) {
         self.roster.update(&self.catalog, now);
+        for id in self.roster.take_restarted() {
+            log::info!("event=server-restarted server={id}");
+            self.detector.forget(&id);
+            self.speeds.forget(&id);
+        }
         let known = self.roster.servers().map(|server| Arc::clone(&server.id));
         let known: Vec<Arc<str>> = known.collect();
         self.detector
@@ -440,7 +461,7 @@
         let none = Detector::default();
         let detector = if isolated { &none } else { &self.detector };
         let mut snapshot = self.roster.snapshot(detector, now);
-        snapshot.balancers = self.list.len() + 1;
+        self.speeds.apply(&mut snapshot);
         snapshot.data_centre = Arc::clone(&self.own.data_centre);
         (snapshot, self.roster.next_change(now))
     }
--- a/crates/node/src/cookie/core/gossip.rs
+++ b/crates/node/src/cookie/core/gossip.rs
@@ -43,7 +43,11 @@
             _ => to.extend(strangers.nth(self.own.beat as usize % self.seeds.len().max(1))),
         }
         let message = self.gossip_message(others.is_empty(), now);
-        vec![Parcel { to, message }]
+        let round = Parcel { to, message };
+        [Some(round), self.tell_seen(now)]
+            .into_iter()
+            .flatten()
+            .collect()
     }
 
     /// Tells all of the own data centre that this balancer leaves.
--- /dev/null
+++ b/crates/node/src/cookie/core/speed.rs
@@ -0,0 +1,69 @@
+//! What servers were seen to do, here and at peers, and what follows for their weights.
+
+use std::time::Duration;
+
+use acacia_cookie::speed::Seen;
+use rand::seq::IndexedRandom as _;
+
+use super::Core;
+use crate::cookie::message::{self, Message, Parcel};
+
+/// Servers named in one message: with 30 bytes each, it stays below an Ethernet frame.
+const NAMED: usize = 32;
+/// Peers told in one round. Eight: all in a small fleet. In a large one each balancer hears from as
+/// many others a second, whatever its size, and passes a few hundred bytes to each.
+const TOLD: usize = 8;
+
+impl Core {
+    /// What the traffic threads have seen of the servers.
+    pub fn seen(&mut self, seen: Vec<Seen>) {
+        for seen in seen {
+            self.speeds.add(&seen);
+            match self.untold.iter_mut().find(|old| old.server == seen.server) {
+                Some(old) => old.count.add(&seen.count),
+                None => self.untold.push(seen),
+            }
+        }
+    }
+
+    /// A peer has seen this.
+    pub(super) fn hear_seen(&mut self, message: &Message) {
+        if message.seen.is_empty() {
+            return;
+        }
+        self.reports += 1;
+        for seen in &message.seen {
+            self.speeds.add(&Seen::from(seen));
+        }
+    }
+
+    /// Evaluates the speeds; true if weights have changed.
+    pub fn judge(&mut self, now: Duration) -> bool {
+        let balancers = self.list.len() + 1;
+        let visible = (self.reports + 1).min(balancers) as f64 / balancers as f64;
+        let roster = &self.roster;
+        let slots = |id: &str| Some(roster.get(id)?.slots.max(1).into());
+        let ticked = self.speeds.is_due(now);
+        let changed = self.speeds.tick(now, visible, slots);
+        if ticked {
+            self.reports = 0;
+        }
+        changed
+    }
+
+    /// Tells some peers what was seen here since the last time. Servers that don't fit come next.
+    pub(super) fn tell_seen(&mut self, now: Duration) -> Option<Parcel> {
+        let count = self.untold.len().min(NAMED);
+        if count == 0 {
+            return None;
+        }
+        let seen: Vec<message::Seen> = self.untold.drain(..count).map(Into::into).collect();
+        let others: Vec<_> = self.list.iter().map(|member| member.address).collect();
+        let to = others.sample(&mut self.random, TOLD).copied().collect();
+        let message = Message {
+            seen,
+            ..self.message(now)
+        };
+        Some(Parcel { to, message })
+    }
+}
--- a/crates/node/src/cookie/examine.rs
+++ b/crates/node/src/cookie/examine.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Tells the core what the traffic threads have noticed.
+/// Tells the core what the traffic threads have noticed and counted.
 ///
 /// # Errors
 /// When a socket or a signal fails.
@@ -93,9 +93,14 @@
     control: Arc<Control>,
     mut notices: mpsc::Receiver<Notice>,
 ) -> Result<(), BoxError> {
-    while let Some(Notice::Unanswered(server)) = notices.recv().await {
-        if control.core(|core, now| core.unanswered(&server, now)) {
-            control.doubt.notify_one();
+    while let Some(notice) = notices.recv().await {
+        match notice {
+            Notice::Unanswered(server) => {
+                if control.core(|core, now| core.unanswered(&server, now)) {
+                    control.doubt.notify_one();
+                }
+            }
+            Notice::Seen(seen) => control.core(|core, _| core.seen(seen)),
         }
     }
     Ok(())
--- a/crates/node/src/cookie/message.rs
+++ b/crates/node/src/cookie/message.rs
@@ -3,6 +3,8 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use acacia_catalog::{Change, member::Member};
+use acacia_cookie::speed;
+use acacia_load::tally::Count;
 use serde::{Deserialize, Serialize};
 
 /// A datagram between balancers: who sends it, how much it knows, and news.
@@ -23,10 +25,60 @@
     pub others: Vec<Member>,
     /// Backend servers that the sender finds silent.
     pub silent: Vec<Arc<str>>,
+    /// What the sender saw servers do since it last told.
+    pub seen: Vec<Seen>,
     /// Whether the sender asks for a message in return.
     pub wants: bool,
 }
 
+/// What a balancer saw a server do. About 30 bytes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// The server.
+    pub server: Arc<str>,
+    /// Data of callers, where nothing was unanswered before.
+    pub asked: u32,
+    /// Those of them that were answered.
+    pub answered: u32,
+    /// Time from the data to the acknowledgement of the answer, summed, in microseconds.
+    pub answering_us: u64,
+    /// Openings that were answered.
+    pub completed: u32,
+    /// Time from the opening to the caller's next packet, summed, in microseconds.
+    pub opening_us: u64,
+}
+
+impl From<speed::Seen> for Seen {
+    fn from(seen: speed::Seen) -> Self {
+        let speed::Seen { server, count } = seen;
+        Seen {
+            server,
+            asked: count.asked,
+            answered: count.answered,
+            answering_us: count.answering.as_micros() as u64,
+            completed: count.completed,
+            opening_us: count.opening.as_micros() as u64,
+        }
+    }
+}
+
+impl From<&Seen> for speed::Seen {
+    fn from(seen: &Seen) -> Self {
+        speed::Seen {
+            server: Arc::clone(&seen.server),
+            count: Count {
+                asked: seen.asked,
+                answered: seen.answered,
+                timed: seen.answered,
+                answering: Duration::from_micros(seen.answering_us),
+                completed: seen.completed,
+                opening: Duration::from_micros(seen.opening_us),
+                ..Count::default()
+            },
+        }
+    }
+}
+
 /// How much a balancer knows of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Known {
--- a/crates/node/src/cookie/receive.rs
+++ b/crates/node/src/cookie/receive.rs
@@ -11,7 +11,6 @@
 
 use super::{
     control::{Control, lock},
-    core::Core,
     exchange,
     message::Message,
 };
@@ -27,7 +26,10 @@
 /// When a socket or a signal fails.
 pub async fn gossip(control: Arc<Control>) -> Result<(), BoxError> {
     loop {
-        let parcels = control.core(Core::gossip);
+        let (parcels, weighed) = control.core(|core, now| (core.gossip(now), core.judge(now)));
+        if weighed {
+            control.changed.notify_one();
+        }
         control.send(parcels).await;
         time::sleep(ROUND).await;
     }
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -67,7 +67,7 @@
         for timing in resolver.take_timings() {
             context.meters.time(&timing, &snapshot);
         }
-        for notice in resolver.take_notices() {
+        for notice in resolver.take_notices(clock::now()) {
             // A full queue loses the notice; the next copy of the packet makes another.
             let _ = context.notices.try_send(notice);
         }
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -4,3 +4,4 @@
 mod examine;
 mod fixture;
 mod settings;
+mod speed;
