Let acaciactl tell of the balancers on the users' platform, and of flows that were ended

status and burn through any one balancer; the others are found through it. Flows count as opened well, opened slowly (a second copy was needed), refused and ended.

New lines in the log: routers' checks lost and regained, speeds that changed with how many peers' counts went in, and what was known when a balancer began to leave.

--- a/crates/cookie/src/speed.rs
+++ b/crates/cookie/src/speed.rs
@@ -88,19 +88,28 @@
     }
 }
 
+/// A server whose speed has changed by enough to be told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Measure {
+    /// The server.
+    pub server: Arc<str>,
+    /// Requests a second that it answers with each slot.
+    pub speed: f64,
+}
+
 /// One server.
 #[derive(Debug, Default)]
 struct Entry {
     count: Count,
     speed: Speed,
     slots: u32,
-    /// The worth that was last published.
+    /// The speed that was last told.
     published: f64,
 }
 
 impl Entry {
     /// Requests a second that it answers with each slot; nothing before the first measurement.
-    fn worth(&self) -> Option<f64> {
+    fn speed_a_slot(&self) -> Option<f64> {
         Some(self.speed.questions()? / f64::from(self.slots.max(1)))
     }
 }
@@ -128,17 +137,17 @@
         now.saturating_sub(self.ticked) >= TICK
     }
 
-    /// Evaluates what came since the last time, once a second; true if factors have changed. `slots`
-    /// gives a server's, or nothing where it is not known any more; `visible` is the part of all
-    /// answers that was taken in.
+    /// Evaluates what came since the last time, once a second; gives the servers whose speed has
+    /// changed. `slots` gives a server's, or nothing where it is not known any more; `visible` is the
+    /// part of all answers that was taken in.
     pub fn tick(
         &mut self,
         now: Duration,
         visible: f64,
         slots: impl Fn(&str) -> Option<u32>,
-    ) -> bool {
+    ) -> Vec<Measure> {
         if !self.is_due(now) {
-            return false;
+            return Vec::new();
         }
         let passed = now.saturating_sub(self.ticked);
         self.ticked = now;
@@ -148,7 +157,7 @@
         }
         self.all.add(&sum, passed, self.limits.slow);
         let network = self.all.network().unwrap_or_default();
-        let mut changed = false;
+        let mut changed = Vec::new();
         self.servers.retain(|server, entry| {
             let Some(slots) = slots(server) else {
                 return false;
@@ -158,10 +167,13 @@
             entry
                 .speed
                 .learn(&count, passed, network, visible, slots, &self.limits);
-            let worth = entry.worth().unwrap_or_default();
-            if (worth - entry.published).abs() > STEP * entry.published {
-                entry.published = worth;
-                changed = true;
+            let speed = entry.speed_a_slot().unwrap_or_default();
+            if (speed - entry.published).abs() > STEP * entry.published {
+                entry.published = speed;
+                changed.push(Measure {
+                    server: Arc::clone(server),
+                    speed,
+                });
             }
             true
         });
@@ -194,10 +206,12 @@
     pub fn factors<'a>(&self, servers: impl IntoIterator<Item = &'a str>) -> Vec<f64> {
         let entries = servers.into_iter().map(|server| self.servers.get(server));
         let entries: Vec<Option<&Entry>> = entries.collect();
-        let known = entries.iter().filter_map(|entry| entry.as_ref()?.worth());
+        let known = entries
+            .iter()
+            .filter_map(|entry| entry.as_ref()?.speed_a_slot());
         let mean = known.clone().sum::<f64>() / known.count().max(1) as f64;
-        let factor = |entry: &Option<&Entry>| match entry.and_then(Entry::worth) {
-            Some(worth) if mean > 0.0 => (worth / mean).clamp(1.0 / MOST, MOST),
+        let factor = |entry: &Option<&Entry>| match entry.and_then(Entry::speed_a_slot) {
+            Some(speed) if mean > 0.0 => (speed / mean).clamp(1.0 / MOST, MOST),
             _ => 1.0,
         };
         entries.iter().map(factor).collect()
--- a/crates/node/src/cookie/answer.rs
+++ b/crates/node/src/cookie/answer.rs
@@ -1,6 +1,6 @@
 //! What routers, peers and scrapers are answered over TCP.
 
-use std::sync::Arc;
+use std::{net::SocketAddrV4, sync::Arc};
 
 use acacia_adapter::ready;
 use acacia_kernel::BoxError;
@@ -8,7 +8,8 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::{control::Control, exchange, scrape};
+use super::{control::Control, exchange, scrape, status};
+use crate::ledger::Ledger;
 
 /// Connections of routers or scrapers at a time. Load: each asks twice a second or less. Harm: each
 /// takes memory and a descriptor.
@@ -29,7 +30,7 @@
 ) -> Result<(), BoxError> {
     server::listen(listener, stop, CONNECTIONS, move |stream| {
         let control = Arc::clone(&control);
-        async move { ready::serve(stream, || control.is_ready()).await }
+        async move { ready::serve(stream, || control.check()).await }
     })
     .await;
     Ok(())
@@ -54,6 +55,24 @@
     Ok(())
 }
 
+/// Answers operators at `address` until told to stop. There is no document to show: the operators
+/// write the configuration to the platform themselves, in its form.
+///
+/// # Errors
+/// None; it has the form of the other tasks.
+pub async fn operators(
+    control: Arc<Control>,
+    ledger: Arc<Ledger>,
+    address: SocketAddrV4,
+    listener: TcpListener,
+    stop: CancellationToken,
+) -> Result<(), BoxError> {
+    let status = move || status::status(&control, address);
+    let counts = move || ledger.snapshot();
+    acacia_api::serve(listener, stop, status, || None, counts).await;
+    Ok(())
+}
+
 /// Answers scrapers until told to stop.
 ///
 /// # Errors
--- a/crates/node/src/cookie/control.rs
+++ b/crates/node/src/cookie/control.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use super::{
+    checks::Checks,
     core::{Core, Outcome},
     exchange,
     message::Parcel,
@@ -24,6 +25,7 @@
 pub struct Control {
     core: Mutex<Core>,
     pub(super) phase: Mutex<Phase>,
+    checks: Mutex<Checks>,
     pub(super) settings: Mutex<Settings>,
     pub(super) socket: tokio::net::UdpSocket,
     pub(super) published: Published,
@@ -56,6 +58,7 @@
         Ok(Control {
             core: Mutex::new(Core::new(&settings, incarnation, clock::now())),
             phase: Mutex::new(Phase::Starting),
+            checks: Mutex::default(),
             settings: Mutex::new(settings),
             socket: tokio::net::UdpSocket::from_std(socket)?,
             published,
@@ -97,6 +100,21 @@
         lock(&self.phase).is_ready() && !lock(&self.core).is_isolated()
     }
 
+    /// Answers a router's check.
+    pub fn check(&self) -> bool {
+        if let Some(change) = lock(&self.checks).came(clock::now()) {
+            change.log();
+        }
+        self.is_ready()
+    }
+
+    /// Looks whether the routers still ask.
+    pub(super) fn look_for_checks(&self) {
+        if let Some(change) = lock(&self.checks).look(clock::now()) {
+            change.log();
+        }
+    }
+
     /// Sends messages to peers.
     pub async fn send(&self, parcels: Vec<Parcel>) {
         if parcels.is_empty() {
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -74,6 +74,8 @@
     pub silent: usize,
     /// Whether this balancer watches the store for the others.
     pub reads: bool,
+    /// How long the version has been in force; none before the first.
+    pub enforced: Option<Duration>,
 }
 
 /// The control thread's state.
@@ -100,6 +102,8 @@
     /// This balancer's place in the spread of readings.
     share: f64,
     reads: bool,
+    /// The version in force, and since when.
+    enforced: Option<(u64, Duration)>,
 }
 
 impl Core {
@@ -135,6 +139,7 @@
             share: random.random(),
             random,
             reads: false,
+            enforced: None,
         }
     }
 
@@ -437,6 +442,7 @@
             peers: self.list.len(),
             silent: self.detector.silent().len(),
             reads: self.reads,
+            enforced: self.enforced.map(|(_, since)| now.saturating_sub(since)),
         }
     }
 
@@ -461,6 +467,11 @@
         let none = Detector::default();
         let detector = if isolated { &none } else { &self.detector };
         let mut snapshot = self.roster.snapshot(detector, now);
+        if let Some(version) = self.version()
+            && self.enforced.is_none_or(|(before, _)| before != version)
+        {
+            self.enforced = Some((version, now));
+        }
         self.speeds.apply(&mut snapshot);
         snapshot.data_centre = Arc::clone(&self.own.data_centre);
         (snapshot, self.roster.next_change(now))
--- a/crates/node/src/cookie/core/speed.rs
+++ b/crates/node/src/cookie/core/speed.rs
@@ -1,8 +1,8 @@
 //! What servers were seen to do, here and at peers, and what follows for their weights.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
-use acacia_cookie::speed::Seen;
+use acacia_cookie::speed::{Measure, Seen};
 use rand::seq::IndexedRandom as _;
 
 use super::Core;
@@ -13,6 +13,8 @@
 /// Peers told in one round. Eight: all in a small fleet. In a large one each balancer hears from as
 /// many others a second, whatever its size, and passes a few hundred bytes to each.
 const TOLD: usize = 8;
+/// Servers shown in one line of the log.
+const SHOWN: usize = 8;
 
 impl Core {
     /// What the traffic threads have seen of the servers.
@@ -45,10 +47,13 @@
         let slots = |id: &str| Some(roster.get(id)?.slots.max(1).into());
         let ticked = self.speeds.is_due(now);
         let changed = self.speeds.tick(now, visible, slots);
+        if !changed.is_empty() {
+            log::info!("event=speeds reports={} {}", self.reports, Told(&changed));
+        }
         if ticked {
             self.reports = 0;
         }
-        changed
+        !changed.is_empty()
     }
 
     /// Tells some peers what was seen here since the last time. Servers that don't fit come next.
@@ -67,3 +72,18 @@
         Some(Parcel { to, message })
     }
 }
+
+/// The servers' speeds in a line of the log: requests a second that each answers with a slot.
+struct Told<'a>(&'a [Measure]);
+
+impl fmt::Display for Told<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shown = self.0.iter().take(SHOWN);
+        f.write_str("servers=")?;
+        for (number, Measure { server, speed }) in shown.enumerate() {
+            let comma = if number > 0 { "," } else { "" };
+            write!(f, "{comma}{server}:{speed:.1}")?;
+        }
+        write!(f, " more={}", self.0.len().saturating_sub(SHOWN))
+    }
+}
--- a/crates/node/src/cookie/daemon.rs
+++ b/crates/node/src/cookie/daemon.rs
@@ -27,7 +27,7 @@
     settings::Settings,
     traffic::{self, Published},
 };
-use crate::{counter::Counter, daemon, journal};
+use crate::{counter::Counter, daemon, journal, ledger::Ledger};
 
 /// Notices of the traffic threads that wait. One a server and 100 ms is made, so this is room for a
 /// second of a whole fleet of servers; one that is lost is made again.
@@ -40,6 +40,7 @@
     published: Published,
     counter: Arc<Counter>,
     meters: Arc<Meters>,
+    ledger: Arc<Ledger>,
 }
 
 /// Runs the balancer until it is asked to end or a service of it dies. The settings are read again
@@ -55,12 +56,15 @@
         settings.traffic,
         settings.control
     );
+    // Counts are told apart by balancer and start; addresses are unique, numbers are not given.
+    let id = acacia_cookie::cookie::hash(&settings.control.to_string()) as u16;
     let shared = Arc::new(Shared {
         settings,
         path,
         published: Published::default(),
         counter: Arc::default(),
         meters: Arc::default(),
+        ledger: Arc::new(Ledger::new(id)),
     });
     let (hand, stopper) = oneshot::channel();
     let (sender, notices) = mpsc::channel(NOTICES);
@@ -84,6 +88,7 @@
             published: Arc::clone(&shared.published),
             counter: Arc::clone(&shared.counter),
             meters: Arc::clone(&shared.meters),
+            ledger: Arc::clone(&shared.ledger),
             port: shared.settings.traffic.port(),
             notices,
         };
@@ -138,6 +143,17 @@
         let scrapers = TcpListener::bind(address).await?;
         tasks.spawn(answer::scrapes(own(), scrapers, stop.clone()));
     }
+    if let Some(address) = settings.admin {
+        let operators = TcpListener::bind(address).await?;
+        let ledger = Arc::clone(&shared.ledger);
+        tasks.spawn(answer::operators(
+            own(),
+            ledger,
+            address,
+            operators,
+            stop.clone(),
+        ));
+    }
     tasks.spawn_local(follow::run(own(), settings.platform));
     tasks.spawn(receive::gossip(own()));
     tasks.spawn(receive::receive(own()));
--- a/crates/node/src/cookie/leave.rs
+++ b/crates/node/src/cookie/leave.rs
@@ -12,7 +12,6 @@
 
 use super::{
     control::{Control, lock},
-    core::Core,
     rotation::Phase,
 };
 use crate::clock;
@@ -28,16 +27,17 @@
 ) -> Result<(), BoxError> {
     let mut terms = signal(SignalKind::terminate())?;
     let mut interrupts = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terms.recv() => {}
-        _ = interrupts.recv() => {}
-    }
+    let cause = tokio::select! {
+        _ = terms.recv() => "terminate",
+        _ = interrupts.recv() => "interrupt",
+    };
     let phase = Phase::Leaving {
         since: clock::now(),
     };
     *lock(&control.phase) = phase;
-    log::info!("event=leaving");
-    let parcels = control.core(Core::leave);
+    let (parcels, standing) = control.core(|core, now| (core.leave(now), core.standing(now)));
+    let (version, revision, peers) = (standing.version, standing.revision, standing.peers);
+    log::info!("event=leaving signal={cause} version={version} revision={revision} peers={peers}");
     control.send(parcels).await;
     let grace = lock(&control.settings).grace;
     let end = phase.end(grace).unwrap_or_default();
--- a/crates/node/src/cookie/mod.rs
+++ b/crates/node/src/cookie/mod.rs
@@ -2,6 +2,8 @@
 //! servers, and control threads only spread the two documents that all must know.
 
 pub mod answer;
+mod burn;
+pub mod checks;
 pub mod control;
 pub mod core;
 pub mod daemon;
@@ -17,6 +19,7 @@
 pub mod rotation;
 pub mod scrape;
 pub mod settings;
+mod status;
 pub mod traffic;
 
 pub use settings::Settings;
--- a/crates/node/src/cookie/settings.rs
+++ b/crates/node/src/cookie/settings.rs
@@ -34,6 +34,8 @@
     pub grace: Duration,
     /// Where metrics are served, if anywhere.
     pub metrics: Option<SocketAddrV4>,
+    /// Where operators' requests come in, if anywhere.
+    pub admin: Option<SocketAddrV4>,
     /// Level of logs.
     pub log: log::LevelFilter,
 }
@@ -47,6 +49,7 @@
     ("platform", &["address"]),
     ("bounds", &["in_force_ms", "flow_s", "grace_s"]),
     ("metrics", &["listen"]),
+    ("admin", &["listen"]),
     ("log", &["level"]),
 ];
 
@@ -90,6 +93,7 @@
         }
     }
     let metrics = reader.optional("metrics", "listen", ADDRESS);
+    let admin = reader.optional("admin", "listen", ADDRESS);
     let log = reader.optional("log", "level", "off, error, warn, info, debug or trace");
     Some(Settings {
         name: name?.into(),
@@ -104,6 +108,7 @@
         flow: seconds(flow?)?,
         grace: seconds(grace?)?,
         metrics,
+        admin,
         log: log.unwrap_or(log::LevelFilter::Info),
     })
 }
--- /dev/null
+++ b/crates/node/src/cookie/status.rs
@@ -0,0 +1,46 @@
+//! What operators are told of a balancer where packets carry a cookie.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use acacia_api::{Status, status};
+
+use super::{control::Control, core::Standing, rotation::Phase};
+use crate::cookie::control::lock;
+
+/// The balancer's account of itself. `admin` is where it answers; peers answer on the same port.
+pub fn status(control: &Control, admin: SocketAddrV4) -> Status {
+    let (standing, own, list) = control.core(|core, now| {
+        let list: Vec<SocketAddrV4> = core.list().iter().map(|member| member.address).collect();
+        (core.standing(now), core.own().clone(), list)
+    });
+    let phase = *lock(&control.phase);
+    let peer = |address: &SocketAddrV4| status::Peer {
+        id: 0,
+        name: address.to_string().into(),
+        admin: SocketAddr::from((*address.ip(), admin.port())),
+        heard_ms: None,
+        revision: None,
+    };
+    Status {
+        name: lock(&control.settings).name.clone(),
+        data_centre: own.data_centre,
+        phase: shown(phase),
+        revision: (standing.version > 0).then_some(standing.version),
+        enforced_ms: enforced_ms(&standing),
+        store_ms: standing.age.map(|age| age.as_millis() as u64),
+        peers: list.iter().map(peer).collect(),
+        ..Status::default()
+    }
+}
+
+fn enforced_ms(standing: &Standing) -> u64 {
+    standing.enforced.map_or(0, |age| age.as_millis() as u64)
+}
+
+const fn shown(phase: Phase) -> status::Phase {
+    match phase {
+        Phase::Starting => status::Phase::Starting,
+        Phase::Serving => status::Phase::Serving,
+        Phase::Leaving { .. } => status::Phase::Leaving,
+    }
+}
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -15,10 +15,11 @@
 use arc_swap::ArcSwapOption;
 use tokio::sync::mpsc;
 
-use super::meters::Meters;
+use super::{burn, meters::Meters};
 use crate::{
     clock,
     counter::{Counter, Kind},
+    ledger::Ledger,
     traffic::{
         batch::{Received, ToSend},
         worker,
@@ -41,6 +42,8 @@
     pub notices: mpsc::Sender<Notice>,
     /// Histograms of what packets show.
     pub meters: Arc<Meters>,
+    /// How flows ended, for the report on service-level burn.
+    pub ledger: Arc<Ledger>,
 }
 
 /// Resolves and passes on packets until `stop` is raised.
@@ -66,6 +69,7 @@
         batch(&mut resolver, &snapshot, context, received, to_send);
         for timing in resolver.take_timings() {
             context.meters.time(&timing, &snapshot);
+            burn::opened(&context.ledger, &timing, &snapshot);
         }
         for notice in resolver.take_notices(clock::now()) {
             // A full queue loses the notice; the next copy of the packet makes another.
@@ -129,6 +133,9 @@
             );
             context.counter.kind(Kind::Refused, 1);
             context.counter.code(code);
+            if code == Code::ServerNone {
+                burn::refused(&context.ledger, &frame.packet.key, snapshot);
+            }
             reset(
                 &frame.packet.key,
                 frame.packet.acknowledgement,
@@ -160,6 +167,7 @@
 /// Tells the caller of a lost server that its flow has ended.
 fn end(ended: &Ended, snapshot: &Snapshot, context: &Context, to_send: &mut ToSend) {
     let (code, server) = (Code::FlowServerGone, &ended.server);
+    burn::ended(&context.ledger, ended, snapshot);
     say(
         "flow-ended",
         &ended.key,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -14,7 +14,7 @@
     store::{Route, Store},
 };
 use acacia_e2e::{
-    net::{CONTROL, Network, PLATFORM, TRAFFIC},
+    net::{ADMIN, CONTROL, Network, PLATFORM, TRAFFIC},
     process::Process,
 };
 use anyhow::Context as _;
@@ -188,7 +188,7 @@
         format!(
             "[balancer]\nname = entry-{number}\ndata_centre = {}\n[traffic]\ntransport = cookie\n\
              listen = {}\n[control]\nlisten = {}\nkey = {}\nseeds = {}\n[ready]\nlisten = {}\n\
-             [metrics]\nlisten = {}\n[platform]\naddress = {}\n[bounds]\nin_force_ms = 3000\nflow_s = 60\ngrace_s = 6\n",
+             [metrics]\nlisten = {}\n[admin]\nlisten = {}\n[platform]\naddress = {}\n[bounds]\nin_force_ms = 3000\nflow_s = 60\ngrace_s = 6\n",
             CENTRES[usize::from(number) % CENTRES.len()],
             port(TRAFFIC),
             port(CONTROL),
@@ -196,6 +196,7 @@
             seeds.join(","),
             port(READY),
             port(METRICS),
+            port(ADMIN),
             port(PLATFORM),
         )
     }
@@ -257,6 +258,12 @@
         self.network.port(BALANCERS + number, METRICS)
     }
 
+    /// Where balancer `number` answers operators.
+    #[must_use]
+    pub fn admin(&self, number: u8) -> SocketAddrV4 {
+        self.network.port(BALANCERS + number, ADMIN)
+    }
+
     /// Where balancer `number` takes callers' packets.
     #[must_use]
     pub fn traffic(&self, number: u8) -> SocketAddrV4 {
--- a/crates/soak/tests/it/main.rs
+++ b/crates/soak/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod explain;
 mod metrics;
+mod operators;
 mod output;
 mod path;
 mod seeds;
