Play trouble between balancers in the soak

Each balancer is reached by its peers through a relay of its own that cuts, loses, repeats and delays what comes, for one balancer or a data centre; balancers advertise its address ([control] advertise). These faults are drawn apart, so that kept seeds play as they always have.

--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -110,11 +110,11 @@
     /// A balancer that starts at `now`. `incarnation` is higher than in any former life.
     #[must_use]
     pub fn new(settings: &Settings, incarnation: u64, now: Duration) -> Self {
-        let seed = incarnation ^ u64::from(settings.control.ip().to_bits());
+        let seed = incarnation ^ u64::from(settings.advertised.ip().to_bits());
         let mut random = Pcg64::seed_from_u64(seed);
         Core {
             own: Member {
-                address: settings.control,
+                address: settings.advertised,
                 data_centre: Arc::clone(&settings.data_centre),
                 incarnation,
                 beat: 0,
--- a/crates/node/src/cookie/daemon.rs
+++ b/crates/node/src/cookie/daemon.rs
@@ -57,7 +57,7 @@
         settings.control
     );
     // Counts are told apart by balancer and start; addresses are unique, numbers are not given.
-    let id = acacia_cookie::cookie::hash(&settings.control.to_string()) as u16;
+    let id = acacia_cookie::cookie::hash(&settings.advertised.to_string()) as u16;
     let shared = Arc::new(Shared {
         settings,
         path,
--- a/crates/node/src/cookie/settings.rs
+++ b/crates/node/src/cookie/settings.rs
@@ -16,8 +16,10 @@
     /// Where callers' packets come in. Packets for a caller go to the caller's address on the same
     /// port.
     pub traffic: SocketAddrV4,
-    /// Where other balancers' messages come in, by UDP and TCP: this balancer's identity.
+    /// Where other balancers' messages come in, by UDP and TCP.
     pub control: SocketAddrV4,
+    /// Where the other balancers reach that: this balancer's identity.
+    pub advertised: SocketAddrV4,
     /// Keys of the messages between balancers.
     pub secret: Secret,
     /// Control addresses of a few balancers to begin with. They may be out of date.
@@ -44,7 +46,10 @@
 pub const KEYS: &[(&str, &[&str])] = &[
     ("balancer", &["name", "data_centre"]),
     ("traffic", &["transport", "listen"]),
-    ("control", &["listen", "key", "previous_key", "seeds"]),
+    (
+        "control",
+        &["listen", "advertise", "key", "previous_key", "seeds"],
+    ),
     ("ready", &["listen"]),
     ("platform", &["address"]),
     ("bounds", &["in_force_ms", "flow_s", "grace_s"]),
@@ -76,6 +81,7 @@
     reader.optional::<Transport>("traffic", "transport", "ip or cookie");
     let traffic = reader.required("traffic", "listen", ADDRESS);
     let control = reader.required("control", "listen", ADDRESS);
+    let advertised = reader.optional("control", "advertise", ADDRESS);
     let key = reader.key("key", true);
     let previous = reader.key("previous_key", false);
     let seeds = seeds(reader);
@@ -100,6 +106,7 @@
         data_centre: data_centre?.into(),
         traffic: traffic?,
         control: control?,
+        advertised: advertised.or(control)?,
         secret: Secret::new(&key?, previous.as_ref()),
         seeds: seeds?,
         ready: ready?,
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     fleet::Fleet,
+    mesh,
     proxy::{self, Proxy},
 };
 
@@ -27,6 +28,11 @@
     KillAll,
     /// A balancer's way to the store fails.
     Path(u8, proxy::Trouble),
+    /// The other balancers' way to a balancer fails.
+    Mesh(u8, mesh::Trouble),
+    /// The other balancers' ways to every third balancer are cut, as of a data centre: these hear
+    /// nobody, and the others still hear them.
+    Cut,
     /// The store fails for everybody.
     Store(store::Trouble),
     /// The store drops its history.
@@ -60,16 +66,43 @@
     servers: u8,
 ) -> Vec<Entry> {
     let mut entries: Vec<Entry> = (0..count)
-        .map(|_| Entry {
-            fault: one(random, balancers, servers),
-            at: span.mul_f64(random.random()),
-            lasts: Duration::from_millis(random.random_range(300..3_000)),
+        .map(|_| {
+            let fault = one(random, balancers, servers);
+            entry(random, fault, span)
         })
         .collect();
     entries.sort_by_key(|entry| entry.at);
     entries
 }
 
+/// Draws `count` faults between balancers, in addition to others.
+#[must_use]
+pub fn draw_mesh(random: &mut Pcg64, count: usize, span: Duration, balancers: u8) -> Vec<Entry> {
+    let one = |random: &mut Pcg64| {
+        let balancer = random.random_range(0..balancers);
+        match random.random_range(0..4) {
+            0 => Fault::Mesh(balancer, mesh::Trouble::Cut),
+            1 => Fault::Mesh(balancer, mesh::Trouble::Lossy),
+            2 => Fault::Mesh(balancer, mesh::Trouble::Late),
+            _ => Fault::Cut,
+        }
+    };
+    (0..count)
+        .map(|_| {
+            let fault = one(random);
+            entry(random, fault, span)
+        })
+        .collect()
+}
+
+fn entry(random: &mut Pcg64, fault: Fault, span: Duration) -> Entry {
+    Entry {
+        fault,
+        at: span.mul_f64(random.random()),
+        lasts: Duration::from_millis(random.random_range(300..3_000)),
+    }
+}
+
 fn one(random: &mut Pcg64, balancers: u8, servers: u8) -> Fault {
     let balancer = random.random_range(0..balancers);
     let server = random.random_range(0..servers);
@@ -123,6 +156,8 @@
                 .into_iter()
                 .for_each(|number| fleet.kill(number)),
             Fault::Path(balancer, trouble) => set(fleet.proxy(*balancer), *trouble),
+            Fault::Mesh(balancer, trouble) => set_mesh(fleet, *balancer, *trouble),
+            Fault::Cut => cut(fleet, mesh::Trouble::Cut),
             Fault::Store(trouble) => fleet.store.set_trouble(trouble.clone()),
             Fault::Compact => fleet.store.compact(),
             Fault::Drain(server) => fleet.drain(*server),
@@ -147,6 +182,8 @@
                 }
             }
             Fault::Path(balancer, _) => set(fleet.proxy(*balancer), proxy::Trouble::None),
+            Fault::Mesh(balancer, _) => set_mesh(fleet, *balancer, mesh::Trouble::None),
+            Fault::Cut => cut(fleet, mesh::Trouble::None),
             Fault::Store(_) => fleet.store.set_trouble(store::Trouble::None),
             Fault::Drain(server) => fleet.resume(*server),
             Fault::Mute(server) => mute(fleet, *server, false),
@@ -168,6 +205,21 @@
     }
 }
 
+fn set_mesh(fleet: &Fleet, balancer: u8, trouble: mesh::Trouble) {
+    if let Some(relay) = fleet.relay(balancer) {
+        relay.set_trouble(trouble);
+    }
+}
+
+/// Balancers are dealt out over three data centres in turn.
+fn cut(fleet: &Fleet, trouble: mesh::Trouble) {
+    let centre = fleet
+        .balancers()
+        .into_iter()
+        .filter(|number| number % 3 == 1);
+    centre.for_each(|number| set_mesh(fleet, number, trouble));
+}
+
 fn mute(fleet: &Fleet, server: u8, silent: bool) {
     if let Some(server) = fleet.servers.get(&server) {
         server.host.set_silent(silent);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -21,10 +21,12 @@
 use nix::sys::signal::Signal;
 use tokio::{task::JoinSet, time};
 
-use crate::proxy::Proxy;
+use crate::{mesh::Relay, proxy::Proxy};
 
 /// Port of the routers' checks.
 const READY: u16 = 6_084;
+/// Port at which other balancers reach a balancer's control port, by its relay.
+const MESH: u16 = 6_086;
 /// Port of metrics.
 const METRICS: u16 = 6_085;
 /// Port of backend servers.
@@ -63,6 +65,7 @@
 struct Balancer {
     process: Option<Process>,
     proxy: Proxy,
+    relay: Relay,
 }
 
 /// The balancers that the routers send packets to.
@@ -120,11 +123,17 @@
                 target,
             )
             .await?;
+            let relay = Relay::start(
+                SocketAddr::V4(network.port(BALANCERS + number, MESH)),
+                SocketAddr::V4(network.port(BALANCERS + number, CONTROL)),
+            )
+            .await?;
             fleet.balancers.insert(
                 number,
                 Balancer {
                     process: None,
                     proxy,
+                    relay,
                 },
             );
             fleet.launch(number)?;
@@ -183,15 +192,16 @@
         let own = BALANCERS + number;
         let port = |port| self.network.port(own, port);
         let seeds: Vec<String> = (0..3)
-            .map(|seed| self.network.port(BALANCERS + seed, CONTROL).to_string())
+            .map(|seed| self.network.port(BALANCERS + seed, MESH).to_string())
             .collect();
         format!(
             "[balancer]\nname = entry-{number}\ndata_centre = {}\n[traffic]\ntransport = cookie\n\
-             listen = {}\n[control]\nlisten = {}\nkey = {}\nseeds = {}\n[ready]\nlisten = {}\n\
+             listen = {}\n[control]\nlisten = {}\nadvertise = {}\nkey = {}\nseeds = {}\n[ready]\nlisten = {}\n\
              [metrics]\nlisten = {}\n[admin]\nlisten = {}\n[platform]\naddress = {}\n[bounds]\nin_force_ms = 3000\nflow_s = 60\ngrace_s = 6\n",
             CENTRES[usize::from(number) % CENTRES.len()],
             port(TRAFFIC),
             port(CONTROL),
+            port(MESH),
             "4d".repeat(32),
             seeds.join(","),
             port(READY),
@@ -276,6 +286,12 @@
         self.balancers.get(&number).map(|balancer| &balancer.proxy)
     }
 
+    /// The other balancers' way to a balancer.
+    #[must_use]
+    pub fn relay(&self, number: u8) -> Option<&Relay> {
+        self.balancers.get(&number).map(|balancer| &balancer.relay)
+    }
+
     /// Starts a server and announces it.
     ///
     /// # Errors
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod fault;
 pub mod fleet;
+pub mod mesh;
 pub mod proxy;
 pub mod run;
 pub mod watch;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -31,6 +31,9 @@
     /// Faults of each run.
     #[arg(long, default_value_t = 10)]
     faults: usize,
+    /// Faults between balancers of each run, besides.
+    #[arg(long, default_value_t = 4)]
+    mesh: usize,
 }
 
 fn main() -> anyhow::Result<ExitCode> {
@@ -54,6 +57,7 @@
         let plan = Plan {
             balancers: arguments.balancers,
             faults: arguments.faults,
+            mesh: arguments.mesh,
             ..Plan::usual(seed)
         };
         // Asked to end, the run is dropped, and with it every process that it started.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -33,8 +33,10 @@
     pub servers: u8,
     /// Callers of each service.
     pub callers: u8,
-    /// Faults.
+    /// Faults of balancers, of the store and the ways to it, and of servers.
     pub faults: usize,
+    /// Faults between balancers, drawn apart, so that a seed without them plays as it always has.
+    pub mesh: usize,
     /// How long faults begin.
     pub span: Duration,
 }
@@ -49,6 +51,7 @@
             servers: 4,
             callers: 4,
             faults: 10,
+            mesh: 0,
             span: Duration::from_secs(6),
         }
     }
@@ -69,6 +72,8 @@
     pub logs: Vec<String>,
 }
 
+/// Tells the draw of faults between balancers from that of the others.
+const MESH: u64 = 0x6d65_7368;
 /// How long a server works on a request.
 const WORK: Duration = Duration::from_millis(5);
 /// How long a caller waits for an answer.
@@ -96,13 +101,21 @@
 pub async fn play(plan: Plan) -> anyhow::Result<Report> {
     let mut fleet = Fleet::start(plan.balancers, plan.servers, WORK).await?;
     let mut random = Pcg64::seed_from_u64(plan.seed);
-    let faults = fault::draw(
+    let mut faults = fault::draw(
         &mut random,
         plan.faults,
         plan.span,
         plan.balancers,
         2 * plan.servers,
     );
+    let mut apart = Pcg64::seed_from_u64(plan.seed ^ MESH);
+    faults.extend(fault::draw_mesh(
+        &mut apart,
+        plan.mesh,
+        plan.span,
+        plan.balancers,
+    ));
+    faults.sort_by_key(|entry| entry.at);
     let disturbed = begin_calls(&fleet, plan, "d").await?;
     carry_out(&mut fleet, &faults, &disturbed.shared).await?;
     time::sleep(SETTLE).await;
