Measure placement by cookie in acacia-bench balance

Beside the other policies and the all-knowing bound, around the decision code that the balancers use.

--- a/crates/bench/src/balance.rs
+++ b/crates/bench/src/balance.rs
@@ -5,6 +5,8 @@
 pub mod arrival;
 /// What a run is made of: demand, faults, sizes.
 pub mod case;
+/// Balancers that place flows by cookie.
+pub mod cookie;
 /// What happens in a run, in order of time.
 pub mod event;
 /// Balancers with stale counts of each other, around the product's decision code.
@@ -32,7 +34,7 @@
     /// Cases; all if none is named.
     #[arg(long, value_delimiter = ',')]
     pub cases: Vec<String>,
-    /// Policies: equal, static, least, ours, ideal; all if none is named.
+    /// Policies: equal, static, least, ours, cookie, ideal; all if none is named.
     #[arg(long, value_delimiter = ',')]
     pub policies: Vec<String>,
     /// Sites: tampere, lima; both if none is named.
--- a/crates/bench/src/balance/arrival.rs
+++ b/crates/bench/src/balance/arrival.rs
@@ -119,6 +119,7 @@
         let (server, first) = match self.policy {
             Policy::Equal | Policy::Static => (self.table.ranked(bucket)[0].into(), true),
             Policy::Least => (self.least(ingress, now), true),
+            Policy::Cookie => (self.by_cookie(ingress, now), true),
             Policy::Ideal => (self.soonest(work, now), true),
             Policy::Ours => match self.fleet.decide(ingress, class, bucket, now) {
                 Ok(choice) => choice,
@@ -161,6 +162,13 @@
             .unwrap_or(0)
     }
 
+    fn by_cookie(&mut self, ingress: usize, now: f64) -> usize {
+        let flow = self.chance.random();
+        let open = &self.local[ingress];
+        self.cookie
+            .place(ingress, flow, open, |server| self.usable(server, now))
+    }
+
     fn soonest(&self, work: f64, now: f64) -> usize {
         let done = |index: usize| {
             let server = &self.servers[index];
--- /dev/null
+++ b/crates/bench/src/balance/cookie.rs
@@ -0,0 +1,106 @@
+use std::{sync::Arc, time::Duration};
+
+use acacia_cookie::{
+    place::{Candidate, choose},
+    speed::{Seen, Speeds},
+};
+use acacia_load::tally::Tally;
+
+use super::fleet::BALANCERS;
+
+/// One balancer.
+#[derive(Debug)]
+struct Balancer {
+    tally: Tally,
+    speeds: Speeds,
+    /// Factors on the servers' weights.
+    factors: Vec<f64>,
+}
+
+/// Balancers that place flows as they do where packets carry a cookie, around the product's decision
+/// code: by flows in hand, and by speeds that all balancers' counts go into.
+#[derive(Debug)]
+pub struct Cookie {
+    names: Vec<Arc<str>>,
+    slots: u32,
+    balancers: Vec<Balancer>,
+}
+
+impl Cookie {
+    /// Balancers that know nothing yet of so many servers.
+    #[must_use]
+    pub fn new(servers: usize, slots: u32) -> Self {
+        let balancer = || Balancer {
+            tally: Tally::new(servers, 2),
+            speeds: Speeds::default(),
+            factors: vec![1.0; servers],
+        };
+        Cookie {
+            names: (0..servers).map(|n| format!("server-{n}").into()).collect(),
+            slots,
+            balancers: (0..BALANCERS).map(|_| balancer()).collect(),
+        }
+    }
+
+    /// Feeds what the balancer `at` has seen of a flow.
+    pub fn saw(&mut self, at: usize, event: impl FnOnce(&mut Tally)) {
+        event(&mut self.balancers[at].tally);
+    }
+
+    /// A second has passed: the balancers tell each other what they have seen, unless they are `cut`
+    /// off from each other.
+    pub fn tick(&mut self, cut: bool, now: f64) {
+        let seen: Vec<Vec<Seen>> = self
+            .balancers
+            .iter_mut()
+            .map(|b| drain(b, &self.names))
+            .collect();
+        for (at, balancer) in self.balancers.iter_mut().enumerate() {
+            let heard = |from: &usize| *from == at || !cut;
+            let heard = (0..BALANCERS).filter(heard);
+            let visible = heard.clone().count() as f64 / BALANCERS as f64;
+            for seen in heard.flat_map(|from| &seen[from]) {
+                balancer.speeds.add(seen);
+            }
+            let now = Duration::from_secs_f64(now);
+            balancer.speeds.tick(now, visible, |_| Some(self.slots));
+            let names = self.names.iter().map(|name| &**name);
+            balancer.factors = balancer.speeds.factors(names);
+        }
+    }
+
+    /// The server of the flow with that hash, among those that are `usable`. `open` is how many flows
+    /// the balancer has at each.
+    #[must_use]
+    pub fn place(
+        &self,
+        at: usize,
+        flow: u64,
+        open: &[u32],
+        usable: impl Fn(usize) -> bool,
+    ) -> usize {
+        let factors = &self.balancers[at].factors;
+        let candidate = |server: usize| Candidate {
+            position: server as u32,
+            name: acacia_cookie::cookie::hash(&self.names[server]),
+            weight: factors[server],
+            load: f64::from(open[server] + 1) / factors[server],
+            near: true,
+        };
+        let candidates: Vec<Candidate> = (0..factors.len())
+            .filter(|s| usable(*s))
+            .map(candidate)
+            .collect();
+        choose(flow, &candidates).unwrap_or(0) as usize
+    }
+}
+
+fn drain(balancer: &mut Balancer, names: &[Arc<str>]) -> Vec<Seen> {
+    let empty = Tally::new(names.len(), 2);
+    let tally = std::mem::replace(&mut balancer.tally, empty);
+    let seen = |(server, count): (&Arc<str>, _)| Seen {
+        server: Arc::clone(server),
+        count,
+    };
+    names.iter().zip(tally.servers).map(seen).collect()
+}
--- a/crates/bench/src/balance/simulation.rs
+++ b/crates/bench/src/balance/simulation.rs
@@ -1,11 +1,12 @@
 use std::rc::Rc;
 
-use acacia_load::{limits::Limits, pool, report::Report};
+use acacia_load::{limits::Limits, pool, report::Report, tally::Tally};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 
 use super::{
     case::{BEGIN, END, Fault, HEAL, Scene},
+    cookie::Cookie,
     event::{Event, Queue},
     fleet::{BALANCERS, Fleet, Update},
     model::{Job, Server, VICTIM, able, factor},
@@ -35,17 +36,20 @@
     Least,
     /// The product's decision code.
     Ours,
+    /// The product's decision code where packets carry a cookie; all let in.
+    Cookie,
     /// Knows every queue, speed and fault: soonest done. A bound.
     Ideal,
 }
 
 impl Policy {
     /// Every policy.
-    pub const ALL: [Policy; 5] = [
+    pub const ALL: [Policy; 6] = [
         Policy::Equal,
         Policy::Static,
         Policy::Least,
         Policy::Ours,
+        Policy::Cookie,
         Policy::Ideal,
     ];
 
@@ -57,6 +61,7 @@
             Policy::Static => "static",
             Policy::Least => "least",
             Policy::Ours => "ours",
+            Policy::Cookie => "cookie",
             Policy::Ideal => "ideal",
         }
     }
@@ -85,6 +90,7 @@
     /// Open flows by balancer and server, for [`Policy::Least`].
     pub(super) local: Vec<Vec<u32>>,
     pub(super) fleet: Fleet,
+    pub(super) cookie: Cookie,
     pub(super) table: Rc<Table>,
     pub(super) base: Rc<Table>,
     pub(super) events: Queue,
@@ -125,6 +131,7 @@
             servers,
             flows: Vec::new(),
             fleet,
+            cookie: Cookie::new(scene.speeds.len(), scene.slots),
             base: Rc::clone(&table),
             table,
             events: Queue::default(),
@@ -149,6 +156,9 @@
                 self.at(balancer as f64 / BALANCERS as f64, Event::Tick(balancer));
             }
         }
+        if self.policy == Policy::Cookie {
+            self.at(1.0, Event::Tick(0));
+        }
         match self.scene.case.fault {
             Fault::Balancer => self.at(BEGIN + NOTICE, Event::Notice),
             Fault::Cold => {
@@ -206,10 +216,9 @@
         let ingress = usize::from(flow.ingress);
         if ingress == acknowledged || ingress == asked {
             let took = std::time::Duration::from_secs_f64(self.scene.round_trip);
-            self.fleet
-                .saw(ingress, |tally| tally.completed(server, took));
+            self.saw(ingress, |tally| tally.completed(server, took));
         }
-        self.fleet.saw(asked, |tally| tally.asked(server));
+        self.saw(asked, |tally| tally.asked(server));
         self.flows[index].asked = asked as u8;
         if let Some(job) = self.servers[server.index()].take(job) {
             self.start(job, now);
@@ -259,7 +268,7 @@
             let timed = acknowledged == asked && !delayed;
             let time = timed.then(|| std::time::Duration::from_secs_f64(took));
             if took <= DEADLINE {
-                self.fleet.saw(asked, |tally| {
+                self.saw(asked, |tally| {
                     tally.answered(pool::Server(flow.server), time)
                 });
             }
@@ -280,11 +289,28 @@
         self.local[usize::from(flow.ingress)][server] -= 1;
         let seen = self.spray(now);
         let class = usize::from(flow.class & !FEED);
-        self.fleet
-            .saw(seen, |tally| tally.closed(pool::Server(flow.server), class));
+        self.saw(seen, |tally| tally.closed(pool::Server(flow.server), class));
+    }
+
+    fn saw(&mut self, at: usize, event: impl FnOnce(&mut Tally)) {
+        match self.policy {
+            Policy::Cookie => self.cookie.saw(at, event),
+            _ => self.fleet.saw(at, event),
+        }
+    }
+
+    fn is_silent(&self, now: f64) -> bool {
+        self.scene.case.fault == Fault::Silence && (BEGIN..HEAL).contains(&now)
     }
 
     fn tick(&mut self, balancer: usize, now: f64) {
+        if self.policy == Policy::Cookie {
+            if now <= END {
+                self.cookie.tick(self.is_silent(now), now);
+                self.at(now + 1.0, Event::Tick(balancer));
+            }
+            return;
+        }
         if self.dead(balancer, now) || now > END {
             return;
         }
@@ -311,7 +337,7 @@
     }
 
     fn mail(&mut self, mail: &(usize, Report), now: f64) {
-        let cut = self.scene.case.fault == Fault::Silence && (BEGIN..HEAL).contains(&now);
+        let cut = self.is_silent(now);
         for to in (0..BALANCERS).filter(|to| *to != mail.0 && !cut) {
             self.fleet.deliver(mail.0, to, &mail.1, now);
         }
