Model placement by cookie with flows that stay at one balancer

The model sprayed each packet, so that a balancer took one answer of eight for all and its speeds were wrong (busiest over mean 1.27, p99 1,287 ms).

--- a/crates/bench/src/balance/simulation.rs
+++ b/crates/bench/src/balance/simulation.rs
@@ -208,11 +208,21 @@
         self.chance.random_range(first..BALANCERS)
     }
 
+    /// The balancer that a further packet of a flow passes. Where packets carry a cookie, routers
+    /// send all packets of a flow to one balancer while the set of balancers stays.
+    fn passes(&mut self, flow: &Flow, now: f64) -> usize {
+        let ingress = usize::from(flow.ingress);
+        match self.policy {
+            Policy::Cookie if !self.dead(ingress, now) => ingress,
+            _ => self.spray(now),
+        }
+    }
+
     fn reach(&mut self, job: Job, now: f64) {
         let index = job.flow as usize;
         let flow = self.flows[index];
         let server = pool::Server(flow.server);
-        let (acknowledged, asked) = (self.spray(now), self.spray(now));
+        let (acknowledged, asked) = (self.passes(&flow, now), self.passes(&flow, now));
         let ingress = usize::from(flow.ingress);
         if ingress == acknowledged || ingress == asked {
             let took = std::time::Duration::from_secs_f64(self.scene.round_trip);
@@ -259,7 +269,7 @@
         let asked = usize::from(flow.asked);
         // The acknowledgement of the answer's first part tells its time, unless it is delayed; the
         // caller's FIN only tells that there was an answer.
-        let (acknowledged, closed) = (self.spray(now), self.spray(now));
+        let (acknowledged, closed) = (self.passes(flow, now), self.passes(flow, now));
         if acknowledged == asked || closed == asked {
             let whole = now - flow.started;
             let first = flow.started + if flow.long { FIRST_BYTE * whole } else { whole };
@@ -287,7 +297,7 @@
         let server = usize::from(flow.server);
         self.servers[server].open -= 1;
         self.local[usize::from(flow.ingress)][server] -= 1;
-        let seen = self.spray(now);
+        let seen = self.passes(&flow, now);
         let class = usize::from(flow.class & !FEED);
         self.saw(seen, |tally| tally.closed(pool::Server(flow.server), class));
     }
