--- a/crates/cookie/src/speed.rs
+++ b/crates/cookie/src/speed.rs
@@ -131,25 +131,19 @@
         entry.count.add(&seen.count);
     }
 
-    /// Whether [`Speeds::tick`] would evaluate anything.
-    #[must_use]
-    pub fn is_due(&self, now: Duration) -> bool {
-        now.saturating_sub(self.ticked) >= TICK
-    }
-
     /// Evaluates what came since the last time, once a second; gives the servers whose speed has
-    /// changed. `slots` gives a server's, or nothing where it is not known any more; `visible` is the
+    /// changed, or nothing between. `slots` gives a server's, or nothing where it is not known any more; `visible` is the
     /// part of all answers that was taken in.
     pub fn tick(
         &mut self,
         now: Duration,
         visible: f64,
         slots: impl Fn(&str) -> Option<u32>,
-    ) -> Vec<Measure> {
-        if !self.is_due(now) {
-            return Vec::new();
-        }
+    ) -> Option<Vec<Measure>> {
         let passed = now.saturating_sub(self.ticked);
+        if passed < TICK {
+            return None;
+        }
         self.ticked = now;
         let mut sum = Count::default();
         for entry in self.servers.values() {
@@ -177,7 +171,7 @@
             }
             true
         });
-        changed
+        Some(changed)
     }
 
     /// Forgets a server that has started anew: it may run on another VM.
--- a/crates/node/src/cookie/answer.rs
+++ b/crates/node/src/cookie/answer.rs
@@ -5,7 +5,7 @@
 use acacia_adapter::ready;
 use acacia_kernel::BoxError;
 use acacia_platform::server;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use super::{control::Control, exchange, scrape, status};
@@ -28,12 +28,11 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
-    server::listen(listener, stop, CONNECTIONS, move |stream| {
+    listen(listener, stop, CONNECTIONS, |stream| {
         let control = Arc::clone(&control);
         async move { ready::serve(stream, || control.check()).await }
     })
-    .await;
-    Ok(())
+    .await
 }
 
 /// Answers peers until told to stop.
@@ -45,47 +44,59 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
-    server::listen(listener, stop, PEERS, move |stream| {
+    listen(listener, stop, PEERS, |stream| {
         let control = Arc::clone(&control);
         exchange::serve(stream, move |revision| {
             control.core(|core, now| core.difference(revision, now))
         })
     })
-    .await;
-    Ok(())
+    .await
 }
 
-/// Answers operators at `address` until told to stop. There is no document to show: the operators
-/// write the configuration to the platform themselves, in its form.
+/// Answers scrapers until told to stop.
 ///
 /// # Errors
 /// None; it has the form of the other tasks.
-pub async fn operators(
+pub async fn scrapes(
     control: Arc<Control>,
-    ledger: Arc<Ledger>,
-    address: SocketAddrV4,
     listener: TcpListener,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
-    let status = move || status::status(&control, address);
-    let counts = move || ledger.snapshot();
-    acacia_api::serve(listener, stop, status, || None, counts).await;
+    listen(listener, stop, CONNECTIONS, |stream| {
+        let control = Arc::clone(&control);
+        async move { scrape::serve(stream, || control.text()).await }
+    })
+    .await
+}
+
+/// Serves each connection, up to `most` at a time, until told to stop.
+async fn listen<F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    most: usize,
+    serve: impl Fn(TcpStream) -> F,
+) -> Result<(), BoxError>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    server::listen(listener, stop, most, serve).await;
     Ok(())
 }
 
-/// Answers scrapers until told to stop.
+/// Answers operators at `address` until told to stop. There is no document to show: the operators
+/// write the configuration to the platform themselves, in its form.
 ///
 /// # Errors
 /// None; it has the form of the other tasks.
-pub async fn scrapes(
+pub async fn operators(
     control: Arc<Control>,
+    ledger: Arc<Ledger>,
+    address: SocketAddrV4,
     listener: TcpListener,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
-    server::listen(listener, stop, CONNECTIONS, move |stream| {
-        let control = Arc::clone(&control);
-        async move { scrape::serve(stream, || control.text()).await }
-    })
-    .await;
+    let status = move || status::status(&control, address);
+    let counts = move || ledger.snapshot();
+    acacia_api::serve(listener, stop, status, || None, counts).await;
     Ok(())
 }
--- a/crates/node/src/cookie/core/speed.rs
+++ b/crates/node/src/cookie/core/speed.rs
@@ -45,13 +45,12 @@
         let visible = (self.reports + 1).min(balancers) as f64 / balancers as f64;
         let roster = &self.roster;
         let slots = |id: &str| Some(roster.get(id)?.slots.max(1).into());
-        let ticked = self.speeds.is_due(now);
-        let changed = self.speeds.tick(now, visible, slots);
+        let Some(changed) = self.speeds.tick(now, visible, slots) else {
+            return false;
+        };
+        let reports = std::mem::take(&mut self.reports);
         if !changed.is_empty() {
-            log::info!("event=speeds reports={} {}", self.reports, Told(&changed));
-        }
-        if ticked {
-            self.reports = 0;
+            log::info!("event=speeds reports={reports} {}", Told(&changed));
         }
         !changed.is_empty()
     }
--- a/crates/node/src/cookie/status.rs
+++ b/crates/node/src/cookie/status.rs
@@ -4,8 +4,11 @@
 
 use acacia_api::{Status, status};
 
-use super::{control::Control, core::Standing, rotation::Phase};
-use crate::cookie::control::lock;
+use super::{
+    control::{Control, lock},
+    core::Standing,
+    rotation::Phase,
+};
 
 /// The balancer's account of itself. `admin` is where it answers; peers answer on the same port.
 pub fn status(control: &Control, admin: SocketAddrV4) -> Status {
