--- a/crates/cookie/src/speed.rs
+++ b/crates/cookie/src/speed.rs
@@ -1,10 +1,10 @@
 //! How fast each server is, as far as callers' packets show it.
 //!
 //! Load: servers bought over the years, whose speeds differ by more than two to one and are told by
-//! nobody, and servers that turn slow. Harm: with equal parts the slow
-//! ones are nearly full while the fast ones idle, and their callers wait. The times from a caller's
-//! data to the acknowledgement of the answer show the speed; [`Speed`] turns them into a capacity
-//! that doesn't depend on how busy the server was.
+//! nobody, and servers that turn slow. Harm: with equal parts the slow ones are nearly full while the
+//! fast ones idle, and their callers wait. The times from a caller's data to the acknowledgement of
+//! the answer show the speed; [`Speed`] turns them into a capacity that doesn't depend on how busy
+//! the server was.
 //!
 //! Traffic threads count ([`Counts`]), and the control thread judges ([`Speeds`]) what they and its
 //! peers have counted: one balancer of nine sees too few answers of a server to tell its speed within
@@ -132,8 +132,8 @@
     }
 
     /// Evaluates what came since the last time, once a second; gives the servers whose speed has
-    /// changed, or nothing between. `slots` gives a server's, or nothing where it is not known any more; `visible` is the
-    /// part of all answers that was taken in.
+    /// changed, or nothing between. `slots` gives a server's, or nothing where it is not known any
+    /// more; `visible` is the part of all answers that was taken in.
     pub fn tick(
         &mut self,
         now: Duration,
@@ -198,16 +198,14 @@
     /// assert_eq!(Speeds::default().factors(["a", "b"]), [1.0, 1.0]);
     /// ```
     pub fn factors<'a>(&self, servers: impl IntoIterator<Item = &'a str>) -> Vec<f64> {
-        let entries = servers.into_iter().map(|server| self.servers.get(server));
-        let entries: Vec<Option<&Entry>> = entries.collect();
-        let known = entries
-            .iter()
-            .filter_map(|entry| entry.as_ref()?.speed_a_slot());
+        let speed = |server: &str| self.servers.get(server)?.speed_a_slot();
+        let speeds: Vec<Option<f64>> = servers.into_iter().map(speed).collect();
+        let known = speeds.iter().flatten();
         let mean = known.clone().sum::<f64>() / known.count().max(1) as f64;
-        let factor = |entry: &Option<&Entry>| match entry.and_then(Entry::speed_a_slot) {
+        let factor = |speed: &Option<f64>| match speed {
             Some(speed) if mean > 0.0 => (speed / mean).clamp(1.0 / MOST, MOST),
             _ => 1.0,
         };
-        entries.iter().map(factor).collect()
+        speeds.iter().map(factor).collect()
     }
 }
