--- a/crates/soak/src/mesh.rs
+++ b/crates/soak/src/mesh.rs
@@ -93,11 +93,13 @@
                 let (socket, bytes) = (Arc::clone(&socket), buffer[..length].to_vec());
                 late.spawn(async move {
                     time::sleep(LATE).await;
+                    // One that can't be sent is lost, as any datagram may be.
                     let _ = socket.send_to(&bytes, target).await;
                 });
             }
             Trouble::None | Trouble::Lossy => {}
         }
+        // As above.
         let _ = socket.send_to(&buffer[..length], target).await;
     }
 }
