--- a/crates/bench/src/balance/cookie.rs
+++ b/crates/bench/src/balance/cookie.rs
@@ -8,6 +8,9 @@
 
 use super::fleet::BALANCERS;
 
+/// Marks that flows are counted by: paying and trial.
+const MARKS: usize = 2;
+
 /// One balancer.
 #[derive(Debug)]
 struct Balancer {
@@ -31,7 +34,7 @@
     #[must_use]
     pub fn new(servers: usize, slots: u32) -> Self {
         let balancer = || Balancer {
-            tally: Tally::new(servers, 2),
+            tally: Tally::new(servers, MARKS),
             speeds: Speeds::default(),
             factors: vec![1.0; servers],
         };
@@ -96,7 +99,7 @@
 }
 
 fn drain(balancer: &mut Balancer, names: &[Arc<str>]) -> Vec<Seen> {
-    let empty = Tally::new(names.len(), 2);
+    let empty = Tally::new(names.len(), MARKS);
     let tally = std::mem::replace(&mut balancer.tally, empty);
     let seen = |(server, count): (&Arc<str>, _)| Seen {
         server: Arc::clone(server),
--- a/crates/cookie/src/speed.rs
+++ b/crates/cookie/src/speed.rs
@@ -22,7 +22,8 @@
 /// Largest ratio between a server's weight and the mean of its service. Beyond it, an estimate is
 /// more likely wrong than true.
 const MOST: f64 = 2.5;
-/// Factors that have changed by less are not worth publishing.
+/// Part of a speed by which it must have changed to be told: each change makes a new snapshot, which
+/// goes through all servers, and 5 % more or less moves next to no flow.
 const STEP: f64 = 0.05;
 
 /// What some server was seen to do. What several balancers have seen adds up.
@@ -104,7 +105,7 @@
     speed: Speed,
     slots: u32,
     /// The speed that was last told.
-    published: f64,
+    told: f64,
 }
 
 impl Entry {
@@ -162,8 +163,8 @@
                 .speed
                 .learn(&count, passed, network, visible, slots, &self.limits);
             let speed = entry.speed_a_slot().unwrap_or_default();
-            if (speed - entry.published).abs() > STEP * entry.published {
-                entry.published = speed;
+            if (speed - entry.told).abs() > STEP * entry.told {
+                entry.told = speed;
                 changed.push(Measure {
                     server: Arc::clone(server),
                     speed,
--- a/crates/soak/src/mesh.rs
+++ b/crates/soak/src/mesh.rs
@@ -99,7 +99,7 @@
             }
             Trouble::None | Trouble::Lossy => {}
         }
-        // As above.
+        // Likewise.
         let _ = socket.send_to(&buffer[..length], target).await;
     }
 }
