Count a flow among its server's only until its caller has closed it

Cause: the acknowledgement that follows a caller's FIN was taken for a flow from elsewhere, so each short flow stayed in its server's count for 20 s more, and its request seemed to wait. Found by the packets of downloads in a log of all packets; a lost or reordered packet was ruled out (the sequence is complete).

--- a/crates/cookie/src/flow.rs
+++ b/crates/cookie/src/flow.rs
@@ -20,6 +20,14 @@
 /// A copy that follows its original within less has waited somewhere before this balancer, which
 /// was frozen or overrun; the server had no time to answer. Callers send again after 200 ms.
 const PATIENCE: Duration = Duration::from_millis(120);
+/// How long a closed flow is remembered. Its last acknowledgements come within some round trips; if
+/// they were taken for those of a flow that passed through another balancer so far, every short flow
+/// would count among its server's for as long as idle ones are remembered.
+const CLOSED: Duration = Duration::from_secs(3);
+/// After this long without a packet, a request counts as given up: the caller has left, or the server
+/// has ended the flow, which no balancer sees. Callers pause for 1.6 s at most between two copies of a
+/// packet.
+const GIVEN_UP: Duration = Duration::from_secs(2);
 
 /// One flow.
 #[derive(Debug, Clone)]
@@ -36,6 +44,8 @@
     sent: Option<Duration>,
     /// Whether that is the opening.
     opening: bool,
+    /// Whether the caller has closed it.
+    closed: bool,
     /// When the last packet passed.
     pub seen: Duration,
 }
@@ -55,24 +65,47 @@
     Asked,
     /// The packet was sent before, and the server had time to answer.
     Unanswered,
+    /// The caller ends the flow although its request has not been answered.
+    Abandoned,
 }
 
 /// The flows of one traffic thread.
 #[derive(Debug, Default)]
 pub struct Table {
     flows: Map<Key, Flow>,
-    counts: Map<Arc<str>, u32>,
+    held: Map<Arc<str>, Held>,
+}
+
+/// What this balancer sees of a server's work in hand.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Flows that their callers have not closed.
+    pub flows: u32,
+    /// Those of them on which a request waits for its answer.
+    pub pending: u32,
+}
+
+impl Held {
+    fn add(&mut self, flow: &Flow) {
+        self.flows += 1;
+        self.pending += u32::from(flow.is_pending());
+    }
+
+    fn remove(&mut self, flow: &Flow) {
+        self.flows -= 1;
+        self.pending -= u32::from(flow.is_pending());
+    }
 }
 
 impl Table {
-    /// How many flows a server has through here.
+    /// What a server has in hand through here.
     ///
     /// ```
-    /// assert_eq!(acacia_cookie::flow::Table::default().count("host-1"), 0);
+    /// assert_eq!(acacia_cookie::flow::Table::default().held("host-1").flows, 0);
     /// ```
     #[must_use]
-    pub fn count(&self, server: &str) -> u32 {
-        self.counts.get(server).copied().unwrap_or(0)
+    pub fn held(&self, server: &str) -> Held {
+        self.held.get(server).copied().unwrap_or_default()
     }
 
     /// How many flows are known.
@@ -96,6 +129,7 @@
             end: packet.sequence.wrapping_add(1),
             sent: Some(now),
             opening: true,
+            closed: false,
             seen: now,
         };
         self.insert(packet.key, flow);
@@ -110,8 +144,9 @@
         now: Duration,
     ) -> Sign {
         if packet.kind == Kind::Reset {
-            self.remove(&packet.key);
-            return Sign::None;
+            let flow = self.remove(&packet.key);
+            let pending = flow.is_some_and(|flow| !flow.closed && flow.is_pending());
+            return if pending { Sign::Abandoned } else { Sign::None };
         }
         let known = self
             .flows
@@ -122,9 +157,22 @@
             return Sign::Answered;
         };
         flow.seen = now;
+        if flow.closed {
+            return Sign::None;
+        }
+        let held = self.held.entry(Arc::clone(&flow.server)).or_default();
+        held.remove(flow);
         let sign = flow.take(packet, now);
-        if packet.kind == Kind::Closing {
-            self.remove(&packet.key);
+        if packet.kind != Kind::Closing {
+            held.add(flow);
+            return sign;
+        }
+        flow.closed = true;
+        if held.flows == 0 {
+            self.held.remove(&flow.server);
+        }
+        if flow.is_pending() {
+            return Sign::Abandoned;
         }
         sign
     }
@@ -134,48 +182,69 @@
         if full {
             return;
         }
-        *self.counts.entry(Arc::clone(&flow.server)).or_default() += 1;
+        if !flow.closed {
+            let held = self.held.entry(Arc::clone(&flow.server)).or_default();
+            held.add(&flow);
+        }
         if let Some(before) = self.flows.insert(key, flow) {
-            self.uncount(&before.server);
+            self.release(&before);
         }
     }
 
-    fn remove(&mut self, key: &Key) {
-        if let Some(flow) = self.flows.remove(key) {
-            self.uncount(&flow.server);
-        }
+    fn remove(&mut self, key: &Key) -> Option<Flow> {
+        let flow = self.flows.remove(key)?;
+        self.release(&flow);
+        Some(flow)
     }
 
-    fn uncount(&mut self, server: &Arc<str>) {
-        if let Some(count) = self.counts.get_mut(server) {
-            *count -= 1;
-            if *count == 0 {
-                self.counts.remove(server);
+    fn release(&mut self, flow: &Flow) {
+        if flow.closed {
+            return;
+        }
+        if let Some(held) = self.held.get_mut(&flow.server) {
+            held.remove(flow);
+            if held.flows == 0 {
+                self.held.remove(&flow.server);
             }
         }
     }
 
     /// Takes out the flows of the servers that `is_lost` names, so that their callers are told.
     pub fn take_lost(&mut self, is_lost: impl Fn(&Arc<str>) -> bool) -> Vec<(Key, Flow)> {
-        let lost: Vec<(Key, Flow)> = self
+        let mut lost: Vec<(Key, Flow)> = self
             .flows
             .extract_if(|_, flow| is_lost(&flow.server))
             .collect();
         for (_, flow) in &lost {
-            self.uncount(&flow.server);
+            self.release(flow);
         }
+        lost.retain(|(_, flow)| !flow.closed);
         lost
     }
 
-    /// Forgets flows without a packet since `before`.
-    pub fn sweep(&mut self, before: Duration) {
-        let old: Vec<(Key, Flow)> = self
-            .flows
-            .extract_if(|_, flow| flow.seen < before)
-            .collect();
+    /// Forgets what is too old to matter: flows without a packet for `idle`, closed ones and
+    /// requests without an answer sooner. Gives the servers of those requests.
+    pub fn sweep(&mut self, idle: Duration, now: Duration) -> Vec<Arc<str>> {
+        let is_old = |flow: &Flow| {
+            let kept = if flow.closed { CLOSED } else { idle };
+            flow.seen + kept < now
+        };
+        let old: Vec<(Key, Flow)> = self.flows.extract_if(|_, flow| is_old(flow)).collect();
         for (_, flow) in &old {
-            self.uncount(&flow.server);
+            self.release(flow);
+        }
+        let mut given_up = Vec::new();
+        for flow in self.flows.values_mut() {
+            if flow.closed || !flow.is_pending() || flow.seen + GIVEN_UP >= now {
+                continue;
+            }
+            flow.sent = None;
+            if let Some(held) = self.held.get_mut(&flow.server) {
+                held.pending -= 1;
+            }
+            given_up.push(Arc::clone(&flow.server));
         }
+        given_up
     }
 }
 
@@ -188,15 +257,21 @@
         end: end(packet),
         sent: (packet.payload > 0).then_some(now),
         opening: false,
+        closed: packet.kind == Kind::Closing,
         seen: now,
     }
 }
 
 impl Flow {
+    /// Whether a request waits for its answer.
+    fn is_pending(&self) -> bool {
+        self.sent.is_some() && !self.opening
+    }
+
     fn take(&mut self, packet: &Packet, now: Duration) -> Sign {
         let end = end(packet);
         let advanced = self.opening || is_before(self.acknowledged, packet.acknowledgement);
-        let fresh = is_before(self.end, end);
+        let fresh = packet.payload > 0 && is_before(self.end, end);
         if advanced {
             return self.advance(packet, end, now);
         }
@@ -219,7 +294,7 @@
         let opened = std::mem::take(&mut self.opening);
         self.acknowledged = packet.acknowledgement;
         self.sent = None;
-        if is_before(self.end, end) {
+        if packet.payload > 0 && is_before(self.end, end) {
             self.end = end;
             self.sent = Some(now);
         }
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -50,6 +50,9 @@
 /// the server when they come back.
 const IDLE: Duration = Duration::from_secs(20);
 
+/// Between two sweeps of what is too old to matter. Each goes through all flows.
+const SWEEP: Duration = Duration::from_secs(1);
+
 /// An opening that was passed on here.
 #[derive(Debug, Clone)]
 struct Opening {
@@ -206,7 +209,7 @@
             };
         }
         match self.flows.passed(packet, cookie, &server.id, now) {
-            Sign::None => {}
+            Sign::None | Sign::Abandoned => {}
             Sign::Asked => self.counts.asked(&server.id),
             Sign::Unanswered => self.notice(&server.id, now),
             Sign::Answered => self.lives(&server.id, now),
@@ -246,13 +249,13 @@
 
     /// Forgets what is too old to matter, now and then.
     fn sweep(&mut self, now: Duration) {
-        if now < self.swept + OPENING {
+        if now < self.swept + SWEEP {
             return;
         }
         self.swept = now;
         self.openings
             .retain(|_, opening| opening.at + OPENING > now);
-        self.flows.sweep(now.saturating_sub(IDLE));
+        self.flows.sweep(IDLE, now);
         self.answered.retain(|_, at| *at + IDLE > now);
         self.noticed.retain(|_, at| *at + IDLE > now);
     }
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -120,7 +120,7 @@
     }
 
     fn candidate(&self, server: &Server, position: u32, near: bool) -> Candidate {
-        let flows = self.flows.count(&server.id);
+        let flows = self.flows.held(&server.id).flows;
         let weight = server.weight;
         Candidate {
             position,
