Place new flows by requests in hand and by how long answers take at present

Cause: flows in hand count an idle flow like a request at work, and a server that answers nothing or whose queue is full like one that is free. Estimate: mean time of recent answers (0.4 s), drawn to the service's where a balancer sees few; requests that callers gave up on count against a server.

--- a/crates/bench/src/balance/cookie.rs
+++ b/crates/bench/src/balance/cookie.rs
@@ -87,14 +87,14 @@
             position: server as u32,
             name: acacia_cookie::cookie::hash(&self.names[server]),
             weight: factors[server],
-            load: f64::from(open[server] + 1) / factors[server],
             near: true,
         };
-        let candidates: Vec<Candidate> = (0..factors.len())
-            .filter(|s| usable(*s))
-            .map(candidate)
-            .collect();
-        choose(flow, &candidates).unwrap_or(0) as usize
+        let candidates = (0..factors.len()).filter(|s| usable(*s)).map(candidate);
+        let load = |server: u32| {
+            let server = server as usize;
+            f64::from(open[server] + 1) / factors[server]
+        };
+        choose(flow, candidates, load).unwrap_or(0) as usize
     }
 }
 
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -11,8 +11,6 @@
     pub name: u64,
     /// Its part of new flows, in proportion to the others.
     pub weight: f64,
-    /// What it has to do at present, seen from here, in proportion to its weight.
-    pub load: f64,
     /// Whether it is in the balancer's own data centre.
     pub near: bool,
 }
@@ -34,7 +32,8 @@
 /// the first [`CHOICES`] are near: nine of ten where five of fourteen servers are.
 const FAR: f64 = 0.05;
 
-/// Picks the server for the flow with that hash.
+/// Picks the server for the flow with that hash. `load` tells what a server has to do at present, by
+/// its position; it is asked of the first [`CHOICES`] alone.
 ///
 /// Load: flows that stay for many requests, so that one placed badly is felt for a minute, and
 /// servers of unequal speed. Harm: by chance alone some servers get twice the flows of others, and
@@ -44,31 +43,37 @@
 ///
 /// ```
 /// use acacia_cookie::place::{Candidate, choose};
-/// let server = |position, load| Candidate {
-///     position, name: position.into(), weight: 1.0, load, near: true,
+/// let server = |position| Candidate {
+///     position, name: position.into(), weight: 1.0, near: true,
 /// };
-/// assert_eq!(choose(7, &[server(0, 5.0), server(1, 1.0)]), Some(1));
-/// assert_eq!(choose(7, &[]), None);
+/// let load = |position| [5.0, 1.0][position as usize];
+/// assert_eq!(choose(7, [server(0), server(1)], load), Some(1));
+/// assert_eq!(choose(7, [], load), None);
 /// ```
 #[must_use]
-pub fn choose(flow: u64, candidates: &[Candidate]) -> Option<u32> {
-    let mut first: [Option<(f64, &Candidate)>; CHOICES] = [None; CHOICES];
+pub fn choose(
+    flow: u64,
+    candidates: impl IntoIterator<Item = Candidate>,
+    load: impl Fn(u32) -> f64,
+) -> Option<u32> {
+    let mut first: [Option<(f64, Candidate)>; CHOICES] = [None; CHOICES];
     for candidate in candidates {
-        let mut entry = Some((cost(flow, candidate), candidate));
+        let mut entry = Some((cost(flow, &candidate), candidate));
         for place in &mut first {
             if precedes(&entry, place) {
                 std::mem::swap(place, &mut entry);
             }
         }
     }
-    first
-        .into_iter()
-        .flatten()
-        .min_by(|(_, one), (_, other)| burden(one).total_cmp(&burden(other)))
-        .map(|(_, candidate)| candidate.position)
+    let weighed = first.into_iter().flatten().map(|(_, candidate)| {
+        let distance = if candidate.near { 1.0 } else { DISTANCE };
+        (load(candidate.position) * distance, candidate.position)
+    });
+    let least = weighed.min_by(|(one, _), (other, _)| one.total_cmp(other));
+    least.map(|(_, position)| position)
 }
 
-fn precedes(one: &Option<(f64, &Candidate)>, other: &Option<(f64, &Candidate)>) -> bool {
+fn precedes(one: &Option<(f64, Candidate)>, other: &Option<(f64, Candidate)>) -> bool {
     match (one, other) {
         (Some(one), Some(other)) => one.0 < other.0,
         (one, other) => one.is_some() && other.is_none(),
@@ -83,9 +88,3 @@
     let part = if candidate.near { 1.0 } else { FAR };
     -uniform.ln() / (candidate.weight * part).max(f64::MIN_POSITIVE)
 }
-
-/// What speaks against a candidate.
-fn burden(candidate: &Candidate) -> f64 {
-    let distance = if candidate.near { 1.0 } else { DISTANCE };
-    candidate.load * distance
-}
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -5,6 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use acacia_code::Code;
+use acacia_load::delay::Delays;
 use acacia_wire::{
     collections::Map,
     flow::Key,
@@ -14,7 +15,7 @@
 use crate::{
     cookie::Cookie,
     flow::{Flow, Sign, Table},
-    snapshot::{Snapshot, Standing},
+    snapshot::{Server, Snapshot, Standing},
     speed::{Counts, Seen},
 };
 
@@ -106,6 +107,7 @@
     openings: Map<Key, Opening>,
     flows: Table,
     counts: Counts,
+    delays: Delays,
     swept: Duration,
     /// When each server last answered something here.
     answered: Map<Arc<str>, Duration>,
@@ -208,10 +210,24 @@
                 },
             };
         }
-        match self.flows.passed(packet, cookie, &server.id, now) {
-            Sign::None | Sign::Abandoned => {}
-            Sign::Asked => self.counts.asked(&server.id),
+        let sign = self.flows.passed(packet, cookie, &server.id, now);
+        self.learn(sign, server, now);
+        Action::Forward {
+            server: position,
+            cookie,
+        }
+    }
+
+    /// Takes in what a packet has shown of its server.
+    fn learn(&mut self, sign: Sign, server: &Server, now: Duration) {
+        match sign {
+            Sign::None => {}
+            Sign::Asked => {
+                self.counts.asked(&server.id);
+                self.delays.asked(&server.id, now);
+            }
             Sign::Unanswered => self.notice(&server.id, now),
+            Sign::Abandoned => self.delays.unanswered(&server.id, now),
             Sign::Answered => self.lives(&server.id, now),
             Sign::Opened(took) => {
                 self.lives(&server.id, now);
@@ -222,17 +238,15 @@
             Sign::Timed(took) => {
                 self.lives(&server.id, now);
                 self.counts.answered(&server.id, took);
+                self.delays.answered(&server.id, &server.service, took, now);
                 let server = Arc::clone(&server.id);
                 self.timings.push(Timing::Answer { server, took });
             }
         }
-        Action::Forward {
-            server: position,
-            cookie,
-        }
     }
 
     fn lives(&mut self, server: &Arc<str>, now: Duration) {
+        self.delays.lives(server);
         self.answered.insert(Arc::clone(server), now);
     }
 
@@ -255,7 +269,9 @@
         self.swept = now;
         self.openings
             .retain(|_, opening| opening.at + OPENING > now);
-        self.flows.sweep(IDLE, now);
+        for server in self.flows.sweep(IDLE, now) {
+            self.delays.unanswered(&server, now);
+        }
         self.answered.retain(|_, at| *at + IDLE > now);
         self.noticed.retain(|_, at| *at + IDLE > now);
     }
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -8,7 +8,7 @@
 
 use super::{Action, Opening, Resolver};
 use crate::{
-    cookie::{self, Cookie},
+    cookie::Cookie,
     place::{Candidate, choose},
     snapshot::{Pool, Route, Server, Snapshot, Standing},
 };
@@ -42,7 +42,7 @@
             .cloned();
         let position = match &before {
             Some(opening) => self.open_again(snapshot, route, packet, opening, now),
-            None => self.place(snapshot, route, packet.key.hash(), None),
+            None => self.place(snapshot, route, packet.key.hash(), None, now),
         };
         let Some(position) = position else {
             return Action::Reset {
@@ -92,7 +92,13 @@
         if usable.is_some() && (lives || !waited) {
             return usable;
         }
-        let other = self.place(snapshot, route, packet.key.hash(), Some(&opening.server));
+        let other = self.place(
+            snapshot,
+            route,
+            packet.key.hash(),
+            Some(&opening.server),
+            now,
+        );
         other.or(same)
     }
 
@@ -103,32 +109,40 @@
         route: &Route,
         flow: u64,
         except: Option<&Arc<str>>,
+        now: Duration,
     ) -> Option<u32> {
         let pool = split(snapshot, route, flow)?;
-        let server = |position: &u32| &snapshot.servers[*position as usize];
-        let candidates: Vec<Candidate> = pool
-            .open
-            .iter()
-            .filter(|position| Some(&server(position).id) != except)
-            .map(|position| {
-                let server = server(position);
-                let near = server.data_centre == snapshot.data_centre;
-                self.candidate(server, *position, near)
-            })
-            .collect();
-        choose(flow, &candidates)
+        let server = |position: u32| &snapshot.servers[position as usize];
+        let others = pool.open.iter().copied();
+        let others = others.filter(|position| Some(&server(*position).id) != except);
+        let candidates = others.map(|position| candidate(snapshot, position));
+        choose(flow, candidates, |position| {
+            self.load(server(position), now)
+        })
     }
 
-    fn candidate(&self, server: &Server, position: u32, near: bool) -> Candidate {
-        let flows = self.flows.held(&server.id).flows;
-        let weight = server.weight;
-        Candidate {
-            position,
-            name: cookie::hash(&server.id),
-            weight,
-            load: f64::from(flows + 1) / weight,
-            near,
-        }
+    /// What a server has to do, in proportion to its weight.
+    ///
+    /// Load: requests that open a flow each beside flows that stay for many, servers whose queues fill
+    /// within a fraction of a second, and servers that leave requests unanswered. Harm: by flows in
+    /// hand alone, an idle flow counts like a request at work, a full queue like an empty one, and a
+    /// server that answers nothing like one that does. So requests in hand count, by how long an answer
+    /// takes at present and by how many were given up on lately.
+    fn load(&self, server: &Server, now: Duration) -> f64 {
+        let pending = self.flows.held(&server.id).pending;
+        let expected = self.delays.expected(&server.id, &server.service, now);
+        let given_up = self.delays.given_up(&server.id, now);
+        f64::from(pending + 1) * (given_up + 1.0) * expected / server.weight
+    }
+}
+
+fn candidate(snapshot: &Snapshot, position: u32) -> Candidate {
+    let server = &snapshot.servers[position as usize];
+    Candidate {
+        position,
+        name: server.hash,
+        weight: server.weight,
+        near: server.data_centre == snapshot.data_centre,
     }
 }
 
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -10,7 +10,7 @@
 use acacia_wire::collections::Map;
 
 use crate::{
-    cookie::{Cookie, VARIANTS},
+    cookie::{self, Cookie, VARIANTS},
     silence::Detector,
     snapshot::{Pool, Route, Server, Snapshot, Standing},
 };
@@ -187,6 +187,7 @@
         let warmth = if known.warm > now { COLD } else { 1.0 };
         Server {
             id: Arc::clone(&server.id),
+            hash: cookie::hash(&server.id),
             // With all variants shared, which no fleet will see, the older server gets the flow.
             cookie: alone.unwrap_or(known.cookies[0]),
             tag: server.tag,
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -30,6 +30,8 @@
 pub struct Server {
     /// Its name.
     pub id: Arc<str>,
+    /// A number that names it on every balancer, see [`crate::cookie::hash`].
+    pub hash: u64,
     /// The cookie of its new flows.
     pub cookie: Cookie,
     /// The number by which it knows that a datagram is meant for it.
--- a/crates/cookie/tests/it/main.rs
+++ b/crates/cookie/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 mod flow;
+mod load;
 mod place;
 mod resolver;
 mod roster;
--- a/crates/cookie/tests/it/place.rs
+++ b/crates/cookie/tests/it/place.rs
@@ -11,11 +11,11 @@
                 position: at as u32,
                 name: at as u64 * 77 + 1,
                 weight: *weight,
-                load: (counts[at] + 1.0) / weight,
                 near: true,
             })
             .collect();
-        let chosen = choose(acacia_wire::flow::mix(flow), &candidates);
+        let load = |at: u32| (counts[at as usize] + 1.0) / weights[at as usize];
+        let chosen = choose(acacia_wire::flow::mix(flow), candidates, load);
         counts[chosen.expect("a server") as usize] += 1.0;
     }
     counts
@@ -46,16 +46,16 @@
 /// One server is full of flows. It gets no more while others have room, unless it is the only one.
 #[test]
 fn the_busiest_of_several_gets_nothing() {
-    let server = |position: u32, load| Candidate {
+    let server = |position: u32| Candidate {
         position,
         name: position.into(),
         weight: 1.0,
-        load,
         near: true,
     };
+    let load = |position| [90.0, 1.0][position as usize];
     for flow in 0..1_000 {
-        assert_ne!(choose(flow, &[server(0, 90.0), server(1, 1.0)]), Some(0));
-        assert_eq!(choose(flow, &[server(0, 90.0)]), Some(0));
+        assert_ne!(choose(flow, [server(0), server(1)], load), Some(0));
+        assert_eq!(choose(flow, [server(0)], load), Some(0));
     }
 }
 
@@ -67,11 +67,17 @@
             position,
             name: u64::from(position) * 77 + 1,
             weight: 1.0,
-            load: if position < 5 { near } else { 10.0 },
             near: position < 5,
         })
         .collect();
-    let chosen = (0..1_000).filter_map(|flow| choose(acacia_wire::flow::mix(flow), &candidates));
+    let load = |position: u32| if position < 5 { near } else { 10.0 };
+    let chosen = (0..1_000).filter_map(|flow| {
+        choose(
+            acacia_wire::flow::mix(flow),
+            candidates.iter().copied(),
+            load,
+        )
+    });
     chosen.filter(|position| *position >= 5).count()
 }
 
--- /dev/null
+++ b/crates/load/src/delay.rs
@@ -0,0 +1,183 @@
+use std::{sync::Arc, time::Duration};
+
+use acacia_wire::collections::Map;
+
+/// Time constant of [`Delay`]. The queue of a busy server fills and drains within a fifth of a second
+/// to a second; over a shorter time, a balancer of nine sees next to no answer of a server.
+const MEMORY: Duration = Duration::from_millis(400);
+/// Time constant of the count of unanswered requests. A server that answers nothing is tried again by
+/// each balancer about once in that time.
+const UNANSWERED_MEMORY: Duration = Duration::from_secs(5);
+/// What an answer leaves of that count. A server that is well again has its part of new flows after
+/// some ten answers; one that answers a tenth of its requests stays far from it.
+const FORGIVEN: f64 = 0.7;
+/// How long a server may leave everything unanswered before a new flow tries it again. Callers wait
+/// for some seconds at most, so nothing that was asked before is answered any more.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Answers of the whole service that count as much as one recent answer of the server itself. A
+/// balancer of nine sees three or four recent answers of a busy server and goes by those; one of
+/// seventy sees none, and then all servers count as equally loaded.
+const PRIOR: f64 = 1.0;
+/// What an answer takes as long as none of a service has been seen, in seconds. It only matters in
+/// proportion to other servers of the service, which have it as well.
+const UNSEEN: f64 = 0.05;
+/// Answers that [`UNSEEN`] stands for: next to nothing beside one that was seen.
+const UNSEEN_WEIGHT: f64 = 0.1;
+
+/// Mean time that answers have taken lately: sums that forget with a time constant.
+///
+/// Load: demand that rises to or beyond what the servers can do, within a fraction of a second. Harm:
+/// a server whose queue has filled gets as many new flows as one that is free, as the flows in hand
+/// look the same at both. The time from a caller's data to the acknowledgement of the answer contains
+/// the wait, so each answer that passes is a measurement of its server's queue.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Delay {
+    /// Answers, each counting less the older it is.
+    samples: f64,
+    /// Their times, in seconds, likewise.
+    times: f64,
+    at: Duration,
+}
+
+impl Delay {
+    /// Takes in an answer that took so long.
+    pub fn add(&mut self, took: Duration, now: Duration) {
+        let keep = self.keep(now);
+        self.samples = self.samples * keep + 1.0;
+        self.times = self.times * keep + took.as_secs_f64();
+        self.at = self.at.max(now);
+    }
+
+    /// Mean time of an answer in seconds, where `expected` counts as `weight` answers: few
+    /// measurements move it by little.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_load::delay::Delay;
+    /// let mut delay = Delay::default();
+    /// assert_eq!(delay.mean(0.1, 1.0, Duration::ZERO), 0.1);
+    /// delay.add(Duration::from_millis(300), Duration::ZERO);
+    /// assert_eq!(delay.mean(0.1, 1.0, Duration::ZERO), 0.2);
+    /// ```
+    #[must_use]
+    pub fn mean(&self, expected: f64, weight: f64, now: Duration) -> f64 {
+        let keep = self.keep(now);
+        (self.times * keep + expected * weight) / (self.samples * keep + weight)
+    }
+
+    fn keep(&self, now: Duration) -> f64 {
+        faded(now.saturating_sub(self.at), MEMORY)
+    }
+}
+
+/// Part that is left of a sum after `passed`.
+fn faded(passed: Duration, constant: Duration) -> f64 {
+    (-passed.as_secs_f64() / constant.as_secs_f64()).exp()
+}
+
+/// What is known of one server.
+#[derive(Debug, Clone, Copy, Default)]
+struct Server {
+    delay: Delay,
+    /// Since when it has answered nothing of what it was asked.
+    silent: Option<Duration>,
+    /// Requests that callers gave up on, each counting less the older it is.
+    unanswered: f64,
+    unanswered_at: Duration,
+}
+
+impl Server {
+    fn unanswered(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.unanswered_at);
+        self.unanswered * faded(passed, UNANSWERED_MEMORY)
+    }
+}
+
+/// How long each server's answers take at present, as one balancer sees it.
+///
+/// What leaks ages out: a request whose end another balancer sees is given up after some seconds, and
+/// nothing here outlives its time constant.
+#[derive(Debug, Clone, Default)]
+pub struct Delays {
+    servers: Map<Arc<str>, Server>,
+    services: Map<Arc<str>, Delay>,
+}
+
+impl Delays {
+    /// A request went to a server, on a flow on which nothing was unanswered.
+    pub fn asked(&mut self, server: &Arc<str>, now: Duration) {
+        let server = self.servers.entry(Arc::clone(server)).or_default();
+        let since = server.silent.filter(|since| now < *since + SILENCE);
+        server.silent = Some(since.unwrap_or(now));
+    }
+
+    /// A server has answered something.
+    pub fn lives(&mut self, server: &str) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.silent = None;
+        }
+    }
+
+    /// A server of `service` has answered a request after `took`.
+    pub fn answered(
+        &mut self,
+        server: &Arc<str>,
+        service: &Arc<str>,
+        took: Duration,
+        now: Duration,
+    ) {
+        let server = self.servers.entry(Arc::clone(server)).or_default();
+        server.silent = None;
+        server.unanswered *= FORGIVEN;
+        server.delay.add(took, now);
+        let service = self.services.entry(Arc::clone(service)).or_default();
+        service.add(took, now);
+    }
+
+    /// A caller has given up on a request.
+    pub fn unanswered(&mut self, server: &Arc<str>, now: Duration) {
+        let server = self.servers.entry(Arc::clone(server)).or_default();
+        server.unanswered = server.unanswered(now) + 1.0;
+        server.unanswered_at = now;
+    }
+
+    /// How long an answer of the server would take, in seconds: by its recent answers, by those of
+    /// its service where it gave few, and at least as long as it has answered nothing at all.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_load::delay::Delays;
+    /// let mut delays = Delays::default();
+    /// let (busy, service) = ("a".into(), "live".into());
+    /// for _ in 0..9 {
+    ///     delays.answered(&busy, &service, Duration::from_millis(200), Duration::ZERO);
+    /// }
+    /// let expected = delays.expected("a", "live", Duration::ZERO);
+    /// assert!((0.19..=0.2).contains(&expected));
+    /// ```
+    #[must_use]
+    pub fn expected(&self, server: &str, service: &str, now: Duration) -> f64 {
+        let usual = self.services.get(service).copied().unwrap_or_default();
+        let usual = usual.mean(UNSEEN, UNSEEN_WEIGHT, now);
+        let Some(server) = self.servers.get(server) else {
+            return usual;
+        };
+        let silent = server.silent.map(|since| now.saturating_sub(since));
+        let silent = silent.filter(|silent| *silent < SILENCE);
+        let recent = server.delay.mean(usual, PRIOR, now);
+        recent.max(silent.unwrap_or_default().as_secs_f64())
+    }
+
+    /// Requests to the server that callers gave up on lately.
+    #[must_use]
+    pub fn given_up(&self, server: &str, now: Duration) -> f64 {
+        let server = self.servers.get(server);
+        server.map_or(0.0, |server| server.unanswered(now))
+    }
+
+    /// Forgets servers and services that `is_known` doesn't name.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.servers.retain(|server, _| is_known(server));
+        self.services.retain(|service, _| is_known(service));
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod admit;
 /// The control thread's part: merges reports, estimates, makes plans and weights.
 pub mod controller;
+/// How long answers take at present.
+pub mod delay;
 /// Which servers are left alone, for how long, and at most how many of them.
 pub mod eject;
 /// Estimates of all servers, and what follows for new flows.
--- /dev/null
+++ b/crates/load/tests/it/delay.rs
@@ -0,0 +1,98 @@
+use std::{sync::Arc, time::Duration};
+
+use acacia_load::delay::{Delay, Delays};
+use proptest::prelude::*;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn names() -> (Arc<str>, Arc<str>) {
+    ("a".into(), "live".into())
+}
+
+/// A queue of 300 ms drains. What was measured then must not keep flows away for long.
+#[test]
+fn old_answers_count_for_next_to_nothing() {
+    let mut delay = Delay::default();
+    (0..20).for_each(|number| delay.add(ms(300), ms(number * 10)));
+
+    assert!(delay.mean(0.04, 1.0, ms(200)) > 0.25);
+    assert!(delay.mean(0.04, 1.0, ms(2_500)) < 0.06);
+}
+
+/// A server stops answering. Nothing is measured any more, and the last answers were quick: the time
+/// without any must tell.
+#[test]
+fn a_server_that_answers_nothing_looks_slower_by_the_moment() {
+    let (server, service) = names();
+    let mut delays = Delays::default();
+    delays.answered(&server, &service, ms(40), ms(0));
+    delays.asked(&server, ms(10));
+
+    assert!(delays.expected(&server, &service, ms(1_010)) >= 1.0);
+    delays.lives(&server);
+    assert!(delays.expected(&server, &service, ms(1_010)) < 0.06);
+}
+
+/// A server was silent and got no flows since, so nothing can show that it answers again. After a
+/// while it must be tried.
+#[test]
+fn a_silent_server_is_tried_again() {
+    let (server, service) = names();
+    let mut delays = Delays::default();
+    delays.asked(&server, ms(0));
+
+    assert!(delays.expected(&server, &service, ms(1_900)) > 1.5);
+    assert!(delays.expected(&server, &service, ms(2_100)) < 0.1);
+    delays.asked(&server, ms(2_200));
+    assert!(delays.expected(&server, &service, ms(2_700)) >= 0.5);
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Asked,
+    Lives,
+    Answered(u64),
+    Unanswered,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        Just(Event::Asked),
+        Just(Event::Lives),
+        (0..100_000u64).prop_map(Event::Answered),
+        Just(Event::Unanswered),
+    ]
+}
+
+proptest! {
+    /// Whatever order packets come in, and if the clock seems to step back between two threads, an
+    /// estimate is a finite time that some answer took or that has passed, and no count is negative.
+    #[test]
+    fn estimates_stay_within_what_was_seen(
+        events in prop::collection::vec((event(), 0..10_000u64, 0..3u8), 0..200),
+    ) {
+        let mut delays = Delays::default();
+        let service: Arc<str> = "live".into();
+        let (mut longest, mut latest) = (0.05f64, 0);
+        for (event, at, server) in events {
+            let server: Arc<str> = format!("i-{server}").into();
+            latest = latest.max(at);
+            match event {
+                Event::Asked => delays.asked(&server, ms(at)),
+                Event::Lives => delays.lives(&server),
+                Event::Answered(took) => {
+                    longest = longest.max(took as f64 / 1_000.0);
+                    delays.answered(&server, &service, ms(took), ms(at));
+                }
+                Event::Unanswered => delays.unanswered(&server, ms(at)),
+            }
+            let expected = delays.expected(&server, &service, ms(latest));
+            prop_assert!(expected.is_finite() && expected >= 0.0);
+            prop_assert!(expected <= longest.max(2.0) + 1e-9);
+            let given_up = delays.given_up(&server, ms(latest));
+            prop_assert!((0.0..=200.0).contains(&given_up));
+        }
+    }
+}
--- a/crates/load/tests/it/main.rs
+++ b/crates/load/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions made under load.
 
 mod admit;
+mod delay;
 mod eject;
 mod fake;
 mod fixture;
