Send few flows to a server whose answers come too soon to have been worked for

Cause: a server that fails or sheds what comes at once looks like the fastest of all by its answer times.

--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -253,6 +253,10 @@
                 let server = Arc::clone(&server.id);
                 self.timings.push(Timing::Opening { server, took });
             }
+            Sign::Timed(took) if server.idle.is_some_and(|idle| idle.is_hasty(took)) => {
+                self.lives(&server.id, now);
+                self.delays.unanswered(&server.id, now);
+            }
             Sign::Timed(took) => {
                 self.lives(&server.id, now);
                 self.counts.answered(&server.id, took);
--- a/crates/cookie/tests/it/load.rs
+++ b/crates/cookie/tests/it/load.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use acacia_cookie::{Resolver, Snapshot, cookie::Cookie};
+use acacia_load::delay::Idle;
 use acacia_wire::packet::{Kind, Packet};
 
 use crate::fixture::{middle, ms, opening, present, routed, sent, server, snapshot};
@@ -42,7 +43,18 @@
 /// a server needs for its answer, or nothing if it gives none and the caller leaves after 2 s. How
 /// many flows each server got in the last ten seconds.
 fn play(takes: impl Fn(&str, u16) -> Option<u64>) -> BTreeMap<Arc<str>, u32> {
-    let fleet = fleet();
+    play_with(None, takes)
+}
+
+/// The same with what is known of all servers' answers when nothing waits.
+fn play_with(
+    idle: Option<Idle>,
+    takes: impl Fn(&str, u16) -> Option<u64>,
+) -> BTreeMap<Arc<str>, u32> {
+    let mut fleet = fleet();
+    for server in &mut fleet.servers {
+        server.idle = idle;
+    }
     let mut resolver = Resolver::default();
     let mut ends: BTreeMap<(u64, u16), (Option<Cookie>, bool)> = BTreeMap::new();
     let mut counts = BTreeMap::new();
@@ -91,7 +103,7 @@
 #[test]
 fn servers_that_leave_requests_unanswered_get_few_new_flows() {
     let counts = play(|server, port| {
-        let mute = is_quarter(server) && port % 10 > 0;
+        let mute = is_quarter(server) && !port.is_multiple_of(10);
         (!mute).then_some(40)
     });
 
@@ -128,3 +140,20 @@
     assert_eq!(counts.len() as u64, SERVERS);
     assert!(least > Some(&40) && most < Some(&110), "{counts:?}");
 }
+
+/// Four of fourteen servers fail nearly all requests at once, without working on them. By its answer
+/// times such a server is the fastest of all; it got more and more flows, and their callers' errors.
+#[test]
+fn servers_that_answer_too_soon_get_few_new_flows() {
+    let takes = |server: &str, port: u16| {
+        let fails = is_quarter(server) && !port.is_multiple_of(10);
+        Some(if fails { 7 } else { 40 })
+    };
+    let idle = Idle {
+        network: 0.006,
+        work: 0.04,
+    };
+    let counts = play_with(Some(idle), takes);
+
+    assert!(part(&counts, is_quarter) < 0.03, "{counts:?}");
+}
