Make examinations of servers cost less than callers' own connections in a large fleet

Cause: each of 73 balancers examined all neighbours of a silent server, and probed each silent server every 400 ms twice and with a control. First step: one probe without a control, at pauses that grow to a quarter of the time since the verdict (3 s at most). Second: neighbours are examined by three balancers of each data centre, chosen by rendezvous, and all servers found silent are told (only the first 20 were).

--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -9,6 +9,8 @@
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
+use acacia_wire::flow::mix;
+
 use crate::member::{List, Member, rank};
 
 /// The times that govern reading, all derived from the bound on a change being in force.
@@ -204,6 +206,29 @@
     audience
 }
 
+/// Whether `own` is among the first `count` of its data centre in the order that belongs to `key`:
+/// those that do something for all of it. Each key has its own, so that work is spread evenly, and a
+/// balancer that dies hands its part to the next without a word.
+///
+/// ```
+/// use acacia_catalog::{member::{List, Member}, spread::is_chosen};
+/// let own = Member {
+///     address: "192.0.2.1:7000".parse()?, data_centre: "a".into(), incarnation: 1, beat: 0,
+///     sighted: true, leaving: false,
+/// };
+/// assert!(is_chosen(&own, &List::default(), 7, 1), "nobody else is there");
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[must_use]
+pub fn is_chosen(own: &Member, list: &List, key: u64, count: usize) -> bool {
+    let place = |member: &Member| mix(rank(member.address) ^ key);
+    let near = list
+        .iter()
+        .filter(|member| member.data_centre == own.data_centre && !member.leaving);
+    let before = near.filter(|member| place(member) > place(own));
+    before.take(count).count() < count
+}
+
 /// How many each balancer tells of large news.
 const BRANCHES: usize = 3;
 
--- a/crates/catalog/tests/it/spread.rs
+++ b/crates/catalog/tests/it/spread.rs
@@ -2,7 +2,7 @@
 
 use acacia_catalog::{
     member::{List, Member},
-    spread::{Pace, Reading, Turn, audience, branches, is_reader},
+    spread::{Pace, Reading, Turn, audience, branches, is_chosen, is_reader},
 };
 use rstest::rstest;
 
@@ -164,3 +164,35 @@
         assert!(matches!(reading.turn(now, false, 0.0, 0), Turn::Wait(_)));
     }
 }
+
+/// Three balancers of each data centre examine a server for the others, whatever the fleet's size. If
+/// nobody did, or everybody, nobody would hear of it or the server would drown in connections.
+#[rstest]
+#[case::today(9, 3)]
+#[case::grown(73, 3)]
+#[case::fewer(2, 1)]
+fn as_many_are_chosen_in_each_data_centre_for_each_key(#[case] count: u8, #[case] chosen: usize) {
+    let fleet = fleet(count, &["a", "b", "c"]);
+    for key in 0..100 {
+        for centre in ["a", "b"] {
+            let near = fleet.iter().filter(|own| &*own.data_centre == centre);
+            let few = near.filter(|own| is_chosen(own, &list(own, &fleet), key, 3));
+            assert_eq!(few.count(), chosen);
+        }
+    }
+}
+
+/// Each key has its own examiners: none may carry the work of all.
+#[test]
+fn the_chosen_of_many_keys_are_spread_over_all() {
+    let fleet = fleet(72, &["a", "b", "c"]);
+    for own in &fleet {
+        let list = list(own, &fleet);
+        let keys = (0..800).map(acacia_wire::flow::mix);
+        let chosen = keys.filter(|key| is_chosen(own, &list, *key, 3)).count();
+        assert!(
+            (60..=145).contains(&chosen),
+            "{chosen} of 800, 100 expected"
+        );
+    }
+}
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -22,8 +22,18 @@
 pub const APART: Duration = Duration::from_millis(25);
 /// Servers examined together.
 pub const TOGETHER: usize = 64;
-/// Between two probes of a silent server.
+/// From the verdict to the first probe of a silent server, and the part of the time since the verdict
+/// that passes between later ones. A server that was away for a moment is found at once, one that was
+/// away for long within a quarter of that time.
+///
+/// Load: a data centre's servers are gone for seconds, and each balancer of a large fleet probes each
+/// of them for itself. Harm: at a fixed pace of 400 ms, 73 balancers made 180 probes a second of each
+/// lost server, and nearly as many connections to living ones as controls.
 const AGAIN: Duration = Duration::from_millis(400);
+/// See [`AGAIN`].
+const BACK_OFF: f64 = 0.25;
+/// Longest time between two probes of a silent server.
+const AGAIN_MOST: Duration = Duration::from_secs(3);
 /// After this long an examination without a result is given up: it was never made, as too many were
 /// under way.
 const EXPIRY: Duration = Duration::from_millis(500);
@@ -40,8 +50,22 @@
     Doubted(Duration),
     /// It is being examined, since that time.
     Examined(Duration),
-    /// Silent; it is to be probed again at that time.
-    Silent(Duration),
+    /// Silent since that time; it is to be probed again at the other.
+    Silent {
+        /// When it was found silent.
+        since: Duration,
+        /// When it is to be probed again.
+        again: Duration,
+    },
+}
+
+/// The servers to examine now.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Due {
+    /// Those of which it is in question whether they live.
+    pub doubted: Vec<Arc<str>>,
+    /// Silent ones, which may be back: a single probe without a control tells.
+    pub silent: Vec<Arc<str>>,
 }
 
 /// What an examination has shown.
@@ -82,7 +106,7 @@
     /// let ms = Duration::from_millis;
     /// let mut detector = Detector::default();
     /// assert!(detector.suspect(&"host-1".into(), ms(300), ms(0)));
-    /// assert_eq!(detector.due(ms(0)), ["host-1".into()]);
+    /// assert_eq!(detector.due(ms(0)).doubted, ["host-1".into()]);
     /// assert_eq!(detector.found(&"host-1".into(), Finding::Silent, ms(85)), Verdict::Silent);
     /// assert_eq!(detector.found(&"host-1".into(), Finding::Answered, ms(700)), Verdict::Back);
     /// ```
@@ -90,7 +114,7 @@
         match self.states.get(server) {
             Some(State::Content(at)) if now < *at + trust => false,
             Some(State::Doubted(at) | State::Examined(at)) if now < *at + EXPIRY => false,
-            Some(State::Silent(_)) => false,
+            Some(State::Silent { .. }) => false,
             _ => {
                 self.states.insert(Arc::clone(server), State::Doubted(now));
                 true
@@ -102,20 +126,26 @@
     ///
     /// Load: a cut puts a thousand servers of a data centre out of reach. Harm: probed together, they
     /// take a thousand descriptors, of which a small balancer has three thousand in all.
-    pub fn due(&mut self, now: Duration) -> Vec<Arc<str>> {
-        let mut due = Vec::new();
+    pub fn due(&mut self, now: Duration) -> Due {
+        let mut due = Due::default();
         for (server, state) in &mut self.states {
-            if due.len() == TOGETHER {
+            if due.doubted.len() + due.silent.len() == TOGETHER {
                 break;
             }
             match state {
-                State::Doubted(_) => *state = State::Examined(now),
-                State::Silent(at) if now >= *at => *at = now + AGAIN,
-                _ => continue,
+                State::Doubted(_) => {
+                    *state = State::Examined(now);
+                    due.doubted.push(Arc::clone(server));
+                }
+                State::Silent { since, again } if now >= *again => {
+                    *again = now + pause(now.saturating_sub(*since));
+                    due.silent.push(Arc::clone(server));
+                }
+                _ => {}
             }
-            due.push(Arc::clone(server));
         }
-        due.sort_unstable();
+        due.doubted.sort_unstable();
+        due.silent.sort_unstable();
         due
     }
 
@@ -126,13 +156,16 @@
             (Finding::Answered, state) => {
                 self.states.insert(Arc::clone(server), State::Content(now));
                 match state {
-                    Some(State::Silent(_)) => Verdict::Back,
+                    Some(State::Silent { .. }) => Verdict::Back,
                     _ => Verdict::Same,
                 }
             }
             (Finding::Silent, Some(State::Examined(_))) => {
-                self.states
-                    .insert(Arc::clone(server), State::Silent(now + AGAIN));
+                let silent = State::Silent {
+                    since: now,
+                    again: now + AGAIN,
+                };
+                self.states.insert(Arc::clone(server), silent);
                 Verdict::Silent
             }
             (Finding::Unknown, Some(State::Examined(_))) => {
@@ -150,7 +183,7 @@
             .values()
             .filter_map(|state| match state {
                 State::Content(_) | State::Examined(_) => None,
-                State::Doubted(at) | State::Silent(at) => Some(*at),
+                State::Doubted(at) | State::Silent { again: at, .. } => Some(*at),
             })
             .min()
     }
@@ -158,7 +191,7 @@
     /// Whether a server is silent.
     #[must_use]
     pub fn is_silent(&self, server: &str) -> bool {
-        matches!(self.states.get(server), Some(State::Silent(_)))
+        matches!(self.states.get(server), Some(State::Silent { .. }))
     }
 
     /// Whether a server may serve as the control of an examination: nothing speaks against it.
@@ -173,7 +206,7 @@
         let silent = self
             .states
             .iter()
-            .filter(|(_, state)| matches!(state, State::Silent(_)));
+            .filter(|(_, state)| matches!(state, State::Silent { .. }));
         silent.map(|(server, _)| Arc::clone(server)).collect()
     }
 
@@ -199,3 +232,8 @@
         silent > 2 && silent as f64 >= ISOLATED * all as f64
     }
 }
+
+/// From one probe of a server that has been silent for so long to the next.
+fn pause(silent: Duration) -> Duration {
+    silent.mul_f64(BACK_OFF).clamp(AGAIN, AGAIN_MOST)
+}
--- a/crates/cookie/tests/it/silence.rs
+++ b/crates/cookie/tests/it/silence.rs
@@ -81,13 +81,13 @@
     examine(&mut detector, Finding::Silent, ms(0));
 
     let next = detector.next().expect("a probe to come");
-    assert_eq!(detector.due(next), [id()]);
+    assert_eq!(detector.due(next).silent, [id()]);
     assert_eq!(
         detector.found(&id(), Finding::Silent, next + ms(60)),
         Verdict::Same
     );
     let later = detector.next().expect("another");
-    assert_eq!(detector.due(later), [id()]);
+    assert_eq!(detector.due(later).silent, [id()]);
 
     assert_eq!(
         detector.found(&id(), Finding::Answered, later),
@@ -96,6 +96,27 @@
     assert!(later - next <= ms(500));
 }
 
+/// A data centre's servers are gone for minutes, and every balancer of a large fleet goes on probing
+/// each of them. The longer a server is away, the rarer its probes: one that is back is found within a
+/// quarter of the time that it was away and within three seconds at most.
+#[test]
+fn probes_of_a_server_that_stays_silent_become_rare() {
+    let mut detector = Detector::default();
+    examine(&mut detector, Finding::Silent, ms(0));
+
+    let mut probes = Vec::new();
+    while let Some(next) = detector.next().filter(|next| *next < ms(60_000)) {
+        assert_eq!(detector.due(next).silent, [id()]);
+        probes.push(next);
+    }
+
+    assert!(probes.len() < 40, "{}", probes.len());
+    for pair in probes.windows(2) {
+        assert!(pair[1] - pair[0] <= ms(3_000));
+        assert!(pair[1] - pair[0] <= ms(400).max(pair[0] / 4), "{pair:?}");
+    }
+}
+
 /// An examination was never made, because too many were under way or the server's address was not
 /// known. The server must not stay under suspicion for good: it would never be found silent.
 #[test]
@@ -105,7 +126,7 @@
     detector.due(ms(0));
 
     assert!(detector.suspect(&id(), ms(300), ms(1_000)));
-    assert_eq!(detector.due(ms(1_000)), [id()]);
+    assert_eq!(detector.due(ms(1_000)).doubted, [id()]);
 }
 
 /// A cut puts a thousand servers out of reach. Each must be examined, and no more than some dozens
@@ -120,8 +141,8 @@
     let mut examined = 0;
     for round in 0..16 {
         let due = detector.due(ms(round));
-        assert!(due.len() <= 64);
-        examined += due.len();
+        assert!(due.doubted.len() <= 64);
+        examined += due.doubted.len();
     }
 
     assert_eq!(examined, 1_000);
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
-use acacia_cookie::silence::{Finding, Verdict};
+use acacia_catalog::spread::is_chosen;
+use acacia_cookie::{
+    cookie,
+    silence::{Finding, Verdict},
+};
 use rand::seq::IteratorRandom as _;
 
 use super::{Core, Outcome};
@@ -17,6 +21,14 @@
 /// Silent servers named in one message: with 20 bytes each, it stays below an Ethernet frame.
 pub const NAMED: usize = 20;
 
+/// Balancers of each data centre that examine the neighbours of a silent server. Three: they agree on
+/// what the others are told, also when one of them dies or is cut off itself.
+///
+/// Load: a server dies in a large fleet, where all see it fall silent within a second. Harm: if each
+/// balancer examined all neighbours for itself, the death of one of 150 servers would make 11,000
+/// connections to living ones at 73 balancers, three times what their callers open meanwhile.
+const EXAMINERS: usize = 3;
+
 /// A backend server and where it is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
@@ -26,15 +38,25 @@
     pub address: SocketAddrV4,
 }
 
-/// Servers to examine together, and another that shows whether probes are answered at all.
+/// Servers to probe together.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Examination {
-    /// The servers under suspicion.
+    /// The servers under suspicion, for which the control shows whether probes are answered at all.
     pub targets: Vec<Target>,
-    /// The control; none where nobody is above suspicion.
+    /// Silent servers, which may be back.
+    pub silent: Vec<Target>,
+    /// The control of the targets; none where nobody is above suspicion.
     pub control: Option<SocketAddrV4>,
 }
 
+impl Examination {
+    /// Whether there is nothing to probe.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty() && self.silent.is_empty()
+    }
+}
+
 impl Core {
     /// A packet to a server went unanswered here. Whether there is something to examine.
     pub fn unanswered(&mut self, server: &Arc<str>, now: Duration) -> bool {
@@ -62,19 +84,29 @@
     pub fn examination(&mut self, now: Duration) -> (Examination, Option<Duration>) {
         let due = self.detector.due(now);
         let next = self.detector.next();
-        if due.is_empty() {
-            return (Examination::default(), next);
-        }
-        let targets = due.iter().filter_map(|server| {
+        let targets = self.targets(&due.doubted);
+        let silent = self.targets(&due.silent);
+        let control = match targets.is_empty() {
+            true => None,
+            false => self
+                .control(true, &due.doubted)
+                .or_else(|| self.control(false, &due.doubted)),
+        };
+        let examination = Examination {
+            targets,
+            silent,
+            control,
+        };
+        (examination, next)
+    }
+
+    fn targets(&self, servers: &[Arc<str>]) -> Vec<Target> {
+        let target = |server: &Arc<str>| {
             let found = self.roster.servers().find(|known| known.id == *server)?;
             let (server, address) = (Arc::clone(server), found.address);
             Some(Target { server, address })
-        });
-        let targets = targets.collect();
-        let control = self
-            .control(true, &due)
-            .or_else(|| self.control(false, &due));
-        (Examination { targets, control }, next)
+        };
+        servers.iter().filter_map(target).collect()
     }
 
     /// A server that nothing speaks against, in the own data centre or anywhere.
@@ -113,8 +145,8 @@
         outcome
     }
 
-    /// Servers have fallen silent: their neighbours are examined at once, and the own data centre is
-    /// told.
+    /// Servers have fallen silent: their neighbours are examined at once by some of the data centre's
+    /// balancers, and all of it is told.
     ///
     /// Load: a cut puts all servers of a data centre out of reach in one moment. Harm: found one by
     /// one, each costs its callers an unanswered packet first, and new flows go from one lost server
@@ -130,16 +162,22 @@
             .servers()
             .filter(|known| centres.contains(&known.data_centre));
         for neighbour in near {
-            outcome.examine |= self.detector.suspect(&neighbour.id, OWN_TRUST, now);
+            let key = cookie::hash(&neighbour.id);
+            if is_chosen(&self.own, &self.list, key, EXAMINERS) {
+                outcome.examine |= self.detector.suspect(&neighbour.id, OWN_TRUST, now);
+            }
         }
         outcome.changed = true;
         let own = self
             .list
             .iter()
             .filter(|member| member.data_centre == self.own.data_centre);
-        let to = own.map(|member| member.address).collect();
-        let mut message = self.message(now);
-        message.silent = silent.into_iter().take(NAMED).collect();
-        outcome.parcels.push(Parcel { to, message });
+        let to: Vec<SocketAddrV4> = own.map(|member| member.address).collect();
+        for silent in silent.chunks(NAMED) {
+            let mut message = self.message(now);
+            message.silent = silent.to_vec();
+            let to = to.clone();
+            outcome.parcels.push(Parcel { to, message });
+        }
     }
 }
--- a/crates/node/src/cookie/examine.rs
+++ b/crates/node/src/cookie/examine.rs
@@ -30,9 +30,32 @@
 
 /// Examines servers together and gives what was found of each.
 pub async fn run(examination: Examination) -> Vec<(Arc<str>, Finding)> {
-    let control = examination.control;
+    let Examination {
+        targets,
+        silent,
+        control,
+    } = examination;
+    let (mut findings, back) = tokio::join!(examine(targets, control), probe_again(silent));
+    findings.extend(back);
+    findings
+}
+
+/// Probes silent servers once each; gives those that answer. Without an answer they stay silent, and
+/// nothing is to be controlled.
+async fn probe_again(silent: Vec<Target>) -> Vec<(Arc<str>, Finding)> {
+    let mut probes = JoinSet::new();
+    for Target { server, address } in silent {
+        probes.spawn(async move { (server, probe::reach(address, WAIT).await.is_ok()) });
+    }
+    let answered = probes.join_all().await.into_iter().filter(|(_, is)| *is);
+    answered
+        .map(|(server, _)| (server, Finding::Answered))
+        .collect()
+}
+
+async fn examine(targets: Vec<Target>, control: Option<SocketAddrV4>) -> Vec<(Arc<str>, Finding)> {
     let mut probes: JoinSet<(Arc<str>, bool)> = JoinSet::new();
-    for Target { server, address } in examination.targets {
+    for Target { server, address } in targets {
         probes.spawn(async move { (server, answers(address).await) });
     }
     let mut results = Vec::with_capacity(probes.len());
@@ -116,7 +139,7 @@
         while examinations.try_join_next().is_some() {}
         let next = if examinations.len() < EXAMINATIONS {
             let (examination, next) = control.core(Core::examination);
-            if !examination.targets.is_empty() {
+            if !examination.is_empty() {
                 let control = Arc::clone(&control);
                 examinations.spawn(async move {
                     let findings = run(examination).await;
--- a/crates/node/tests/it/cookie/core.rs
+++ b/crates/node/tests/it/cookie/core.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use acacia_catalog::{Change, spread::Turn};
 use acacia_cookie::silence::Finding;
 use rstest::rstest;
@@ -255,6 +257,63 @@
     assert_eq!(examined, ["i-2", "i-3", "i-4", "i-5"]);
 }
 
+/// A server of a large fleet dies. Were all its neighbours examined by every balancer, they would get
+/// more connections from balancers than from callers. Three of each data centre examine each, and a
+/// balancer of a small data centre examines all.
+#[test]
+fn a_balancer_of_a_large_fleet_examines_few_neighbours() {
+    let mut fleet = Fleet::new(60, &["a", "b", "c"]);
+    let servers: Vec<Change> = (1..=40)
+        .map(|number| server(&format!("i-{number}"), number))
+        .collect();
+    let now = fleet.now;
+    let mut examined = 0;
+    for core in fleet.cores.values_mut() {
+        core.read(servers.clone(), 99, now, now);
+        core.snapshot(now);
+        core.unanswered(&"i-1".into(), now);
+        core.examination(now);
+        core.examined(vec![("i-1".into(), Finding::Silent)], now + ms(100));
+        examined += core.examination(now + ms(100)).0.targets.len();
+    }
+
+    // Three in each of three data centres for each of 39 neighbours.
+    assert_eq!(examined, 39 * 9);
+}
+
+/// A cut takes more servers than one message names. Each must be told to the data centre at once: the
+/// others' callers wait for nothing at those that are left out.
+#[test]
+fn all_servers_that_fell_silent_together_are_told() {
+    let settings = settings(1, "a");
+    let mut core = acacia_node::cookie::core::Core::new(&settings, 1, ms(0));
+    let ids: Vec<Arc<str>> = (1..=50)
+        .map(|number| format!("i-{number}").into())
+        .collect();
+    let servers = ids.iter().zip(1..).map(|(id, number)| server(id, number));
+    core.read(servers.collect(), 60, ms(0), ms(0));
+    core.snapshot(ms(0));
+    for id in &ids {
+        core.unanswered(id, ms(10));
+    }
+    core.examination(ms(10));
+    let findings = ids.iter().map(|id| (Arc::clone(id), Finding::Silent));
+
+    let outcome = core.examined(findings.collect(), ms(100));
+
+    let told = outcome
+        .parcels
+        .iter()
+        .flat_map(|parcel| &parcel.message.silent);
+    assert_eq!(told.count(), 50);
+    assert!(
+        outcome
+            .parcels
+            .iter()
+            .all(|parcel| parcel.message.silent.len() <= 20)
+    );
+}
+
 /// A step of the configuration was missed, so that the next one doesn't fit what is in force. It must
 /// not be applied, and the whole must be asked for.
 #[test]
--- a/crates/node/tests/it/cookie/examine.rs
+++ b/crates/node/tests/it/cookie/examine.rs
@@ -31,6 +31,7 @@
     let (_listener, address) = listener();
     let examination = Examination {
         targets: vec![target("i-1", address)],
+        silent: Vec::new(),
         control: None,
     };
 
@@ -47,6 +48,7 @@
     let (_listener, control) = listener();
     let examination = Examination {
         targets: vec![target("i-1", refusing())],
+        silent: Vec::new(),
         control: Some(control),
     };
 
@@ -62,6 +64,7 @@
     for control in [Some(refusing()), None] {
         let examination = Examination {
             targets: vec![target("i-1", refusing())],
+            silent: Vec::new(),
             control,
         };
 
@@ -71,3 +74,18 @@
         );
     }
 }
+
+/// A silent server is probed again and again. A probe without an answer must tell nothing new, and one
+/// with an answer must bring the server back; neither needs a control.
+#[tokio::test]
+async fn a_silent_server_is_found_back_by_one_probe_without_a_control() {
+    let (_listener, address) = listener();
+    let examination = Examination {
+        silent: vec![target("i-1", address), target("i-2", refusing())],
+        ..Examination::default()
+    };
+
+    let findings = examine::run(examination).await;
+
+    assert_eq!(findings, [("i-1".into(), Finding::Answered)]);
+}
