--- a/crates/cookie/src/flow.rs
+++ b/crates/cookie/src/flow.rs
@@ -160,21 +160,29 @@
         if flow.closed {
             return Sign::None;
         }
-        let held = self.held.entry(Arc::clone(&flow.server)).or_default();
-        held.remove(flow);
+        let pending = flow.is_pending();
         let sign = flow.take(packet, now);
-        if packet.kind != Kind::Closing {
-            held.add(flow);
-            return sign;
+        let closes = packet.kind == Kind::Closing;
+        let abandons = closes && flow.is_pending();
+        flow.closed = closes;
+        // Most packets change nothing of this, and looking the server up costs as much as the rest.
+        if closes || flow.is_pending() != pending {
+            let still = flow.is_pending() && !closes;
+            self.recount(server, pending, still, closes);
         }
-        flow.closed = true;
+        if abandons { Sign::Abandoned } else { sign }
+    }
+
+    /// A flow of the server `was` waiting for an answer and `is` now, and perhaps has been closed.
+    fn recount(&mut self, server: &Arc<str>, was: bool, is: bool, closes: bool) {
+        let Some(held) = self.held.get_mut(server) else {
+            return;
+        };
+        held.pending = held.pending - u32::from(was) + u32::from(is);
+        held.flows -= u32::from(closes);
         if held.flows == 0 {
-            self.held.remove(&flow.server);
-        }
-        if flow.is_pending() {
-            return Sign::Abandoned;
+            self.held.remove(server);
         }
-        sign
     }
 
     fn insert(&mut self, key: Key, flow: Flow) {
--- a/crates/cookie/tests/it/flow.rs
+++ b/crates/cookie/tests/it/flow.rs
@@ -5,6 +5,7 @@
     flow::{Held, Sign, Table},
 };
 use acacia_wire::packet::{Kind, Packet};
+use proptest::prelude::*;
 use rstest::rstest;
 
 use crate::fixture::{middle, ms, opening};
@@ -197,3 +198,67 @@
     assert_eq!(table.len(), 32_768);
     assert_eq!(table.held("i-1").flows, 32_768);
 }
+
+#[derive(Debug, Clone)]
+enum Event {
+    Opened,
+    Passed(Kind, u16, u32, u32),
+    Lost,
+    Swept(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let kind = prop_oneof![
+        6 => Just(Kind::Middle),
+        1 => Just(Kind::Closing),
+        1 => Just(Kind::Reset),
+    ];
+    prop_oneof![
+        2 => Just(Event::Opened),
+        8 => (kind, 0..3u16, 0..4u32, 0..4u32)
+            .prop_map(|(kind, payload, seq, ack)| Event::Passed(kind, payload * 100, seq * 100, ack)),
+        1 => Just(Event::Lost),
+        1 => (0..5_000u64).prop_map(Event::Swept),
+    ]
+}
+
+proptest! {
+    /// Packets come in any order, are lost or come twice, and flows are opened again on the same ports
+    /// at other servers. What is counted of each server is what a table of one flow at a time shows.
+    #[test]
+    fn counts_of_many_flows_are_the_sum_of_each(
+        events in prop::collection::vec((0..4u16, 0..2u8, event()), 0..120),
+    ) {
+        let servers: [Arc<str>; 2] = ["i-1".into(), "i-2".into()];
+        let mut whole = Table::default();
+        let mut single: Vec<Table> = (0..4).map(|_| Table::default()).collect();
+        for (at, (port, server, event)) in events.into_iter().enumerate() {
+            let now = ms(at as u64 * 40);
+            let server = &servers[usize::from(server)];
+            let cookie = Cookie::of(server, 0);
+            for table in [&mut whole, &mut single[usize::from(port)]] {
+                match event.clone() {
+                    Event::Opened => table.opened(&opening(port), cookie, server, now),
+                    Event::Passed(kind, payload, seq, ack) => {
+                        let packet = Packet { kind, ..middle(port, 101 + seq, payload, ack) };
+                        table.passed(&packet, cookie, server, now);
+                    }
+                    Event::Lost | Event::Swept(_) => {}
+                }
+            }
+            for table in single.iter_mut().chain([&mut whole]) {
+                match event {
+                    Event::Lost => drop(table.take_lost(|lost| lost == server)),
+                    Event::Swept(idle) => drop(table.sweep(ms(idle), now)),
+                    _ => {}
+                }
+            }
+            for server in &servers {
+                let held = |table: &Table| table.held(server);
+                let flows: u32 = single.iter().map(|table| held(table).flows).sum();
+                let pending: u32 = single.iter().map(|table| held(table).pending).sum();
+                prop_assert_eq!(whole.held(server), Held { flows, pending });
+            }
+        }
+    }
+}
