--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -83,7 +83,7 @@
 /// The candidate's number in the flow's order, exponentially distributed with its weight as rate:
 /// the smallest is each one's with the probability of its part.
 fn cost(flow: u64, candidate: &Candidate) -> f64 {
-    let hash = mix(flow ^ candidate.name);
+    let hash = mix(flow ^ mix(candidate.name));
     let uniform = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
     let part = if candidate.near { 1.0 } else { FAR };
     -uniform.ln() / (candidate.weight * part).max(f64::MIN_POSITIVE)
