--- a/crates/load/src/delay.rs
+++ b/crates/load/src/delay.rs
@@ -225,9 +225,26 @@
         server.map_or(0.0, |server| server.unanswered(now))
     }
 
-    /// Forgets servers and services that `is_known` doesn't name.
-    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.servers.retain(|server, _| is_known(server));
-        self.services.retain(|service, _| is_known(service));
+    /// Forgets servers and services that `is_server` and `is_service` don't name: they have left, and
+    /// what is known of them would stay for as long as the process lives.
+    pub fn retain(
+        &mut self,
+        is_server: impl Fn(&Arc<str>) -> bool,
+        is_service: impl Fn(&Arc<str>) -> bool,
+    ) {
+        self.servers.retain(|server, _| is_server(server));
+        self.services.retain(|service, _| is_service(service));
+    }
+
+    /// How many servers are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
     }
 }
--- a/crates/load/tests/it/delay.rs
+++ b/crates/load/tests/it/delay.rs
@@ -49,6 +49,23 @@
     assert!(delays.expected(&server, &service, ms(2_700)) >= 0.5);
 }
 
+/// Servers are replaced for weeks, each under a new name. What was learned of those that left must go,
+/// or memory grows without end.
+#[test]
+fn servers_that_left_are_forgotten() {
+    let mut delays = Delays::default();
+    let service: Arc<str> = "live".into();
+    for number in 0..1_000 {
+        let server: Arc<str> = format!("i-{number}").into();
+        delays.answered(&server, &service, ms(40), ms(number));
+    }
+
+    delays.retain(|server| &**server == "i-7", |_| false);
+
+    assert_eq!(delays.len(), 1);
+    assert_eq!(delays.quiet("live", ms(5_000)), 0.0);
+}
+
 #[derive(Debug, Clone)]
 enum Event {
     Asked,
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -66,6 +66,7 @@
             for ended in resolver.end_lost(&snapshot) {
                 end(&ended, &snapshot, context, to_send);
             }
+            resolver.forget(&snapshot);
             before = Some(Arc::clone(&snapshot));
         }
         batch(&mut resolver, &snapshot, context, received, to_send);
