--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -199,6 +199,14 @@
         lost.into_iter().map(ended).collect()
     }
 
+    /// Forgets what was learned of servers and services that a new snapshot doesn't hold.
+    pub fn forget(&mut self, snapshot: &Snapshot) {
+        let is_server = |id: &Arc<str>| snapshot.server(Cookie::of(id, 0)).is_some();
+        let is_service = |name: &Arc<str>| snapshot.pools.iter().any(|pool| pool.service == *name);
+        self.delays.retain(is_server, is_service);
+        self.limits.retain(|name, _| is_service(name));
+    }
+
     /// A packet of a flow that is open.
     fn follow(
         &mut self,
