Write the last line of a log before a forced end of the process

Cause: lines are queued for a writer of their own, and a second signal ended the process before the writer's turn: event=forced was lost, status 52 was right. The test is as it was.

--- a/crates/node/src/cookie/leave.rs
+++ b/crates/node/src/cookie/leave.rs
@@ -14,7 +14,7 @@
     control::{Control, lock},
     rotation::Phase,
 };
-use crate::clock;
+use crate::{clock, journal};
 
 /// Waits for the request to end, leaves the rotation, and stops the process once the routers have
 /// noticed. A second request ends it at once.
@@ -51,5 +51,5 @@
 
 fn force() {
     log::error!("event=forced code={}", Code::Forced);
-    std::process::exit(i32::from(Code::Forced.exit_status()));
+    journal::exit(Code::Forced.exit_status());
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -115,7 +115,7 @@
                 1 => ending.leave.store(true, Ordering::Relaxed),
                 _ => {
                     log::error!("event=forced code={}", Code::Forced);
-                    std::process::exit(i32::from(Code::Forced.exit_status()));
+                    journal::exit(Code::Forced.exit_status());
                 }
             }
             if ending.left.load(Ordering::Relaxed) {
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -7,6 +7,7 @@
 
 use std::{
     io::Write,
+    sync::OnceLock,
     thread::JoinHandle,
     time::{Duration, Instant},
 };
@@ -56,6 +57,7 @@
         start: Instant::now(),
     };
     WriteLogger::init(level, config, sink)?;
+    QUEUED.get_or_init(|| sender.clone());
     let writer = std::thread::Builder::new()
         .name("journal".into())
         .spawn(move || write(&entries, &mut std::io::stdout()))?;
@@ -67,11 +69,8 @@
 
 impl Drop for Journal {
     fn drop(&mut self) {
-        let (done, written) = bounded(1);
-        let told = self.sender.send_timeout(Entry::End(done), LAST).is_ok();
         // A writer that is stuck in a full pipe ends with the process.
-        if told
-            && written.recv_timeout(LAST).is_ok()
+        if is_written(&self.sender)
             && let Some(writer) = self.writer.take()
         {
             let _ = writer.join();
@@ -79,6 +78,25 @@
     }
 }
 
+/// The queue of the running log, for an end of the process that drops nothing.
+static QUEUED: OnceLock<Sender<Entry>> = OnceLock::new();
+
+/// Ends the process at once, but for the lines that wait to be written: the last of them says why it
+/// ends, and was lost where the process was gone before the writer's turn.
+pub fn exit(status: u8) -> ! {
+    if let Some(sender) = QUEUED.get() {
+        is_written(sender);
+    }
+    std::process::exit(i32::from(status))
+}
+
+/// Waits until all that is queued is written, [`LAST`] at most; whether it is.
+fn is_written(sender: &Sender<Entry>) -> bool {
+    let (done, written) = bounded(1);
+    let told = sender.send_timeout(Entry::End(done), LAST).is_ok();
+    told && written.recv_timeout(LAST).is_ok()
+}
+
 /// Writes lines until the end, many at a time where many wait.
 fn write(entries: &Receiver<Entry>, output: &mut impl Write) {
     let mut batch = Vec::new();
