--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -26,8 +26,8 @@
 /// is not there.
 ///
 /// It travels as two numbers. Load: a configuration of 1,400 routes goes from balancer to balancer over
-/// links of 10 Mbit/s. Harm: by its fields' names it made the configuration half as long again; links
-/// stayed full for longer, probes of living servers were lost, and their flows were ended.
+/// links of 10 Mbit/s. Harm: with its fields' names it adds some 60 bytes to each route, worked out from
+/// their text; links stay full for longer, probes of living servers are lost, and their flows are ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(from = "(u32, u32)", into = "(u32, u32)")]
 pub struct Objective {
