Keep feeds whose other owner died while their balancer was paused

Callers saw one feed of 64 reset, always the same, when a balancer was killed and another paused for 3 s: the two were the feed's owners.

A balancer that was paused for up to 15 s now keeps its pins and is known as the same owner: heartbeats tell how many incarnations its pins reach back. That holds because peers place no flow off its base while an owner is out of hearing, and don't take it for gone while the platform lists it.

Ruled out: flow control's own rules, whose tests pause balancers for 25 s with their pins kept.

--- a/crates/e2e/tests/it/change.rs
+++ b/crates/e2e/tests/it/change.rs
@@ -157,6 +157,11 @@
 /// One balancer dies and another is paused at the same moment, while a backend server drains. A
 /// feed whose two owners are these has nobody to ask until the paused one wakes; its packets are
 /// lost and sent again, and it lasts. New work is served by those that are left.
+///
+/// A pause of 3 s used to reset one feed of 64, always on the same port. The paused balancer logged
+/// `Rejoined ... Frozen(3.04s)` and forgot its pins, its peers logged `Restarted`, and two seconds
+/// later, when the platform's list no longer named the dead one, they took both owners for gone and
+/// sent the feed to its base. A balancer that was paused keeps its pins now and stays their owner.
 #[rstest]
 #[case::for_a_second(1_000)]
 #[case::until_it_must_join_anew(3_000)]
@@ -178,6 +183,41 @@
     assert_eq!(assert_whole("feeds", &line)["lasted"], 64);
 }
 
+/// Both owners of some feeds are out of reach at once: one is dead and the other paused until its
+/// peers take it for dead too, or both are paused. Nobody else may answer for these feeds, or they
+/// meet a server that resets them; once a paused owner wakes, it must still know them.
+#[rstest]
+#[case::one_is_dead(&[2], &[3], 8_000)]
+#[case::both_are_paused_for_seconds(&[], &[2, 3], 3_000)]
+#[case::both_are_paused_for_long(&[], &[2, 3], 10_000)]
+fn feeds_wait_for_owners_that_are_paused(
+    #[case] killed: &[u16],
+    #[case] paused: &[u16],
+    #[case] millis: u64,
+) {
+    let mut deployment = drained(5);
+    let open = feeds(&deployment, 1, 64, 26);
+    sleep(Duration::from_secs(2));
+
+    for &id in paused {
+        deployment.signal_balancer(id, Signal::SIGSTOP).unwrap();
+    }
+    for &id in killed {
+        deployment.kill_balancer(id).unwrap();
+    }
+    deployment.spray_over(&[1, 4, 5]).unwrap();
+    sleep(Duration::from_millis(millis));
+    for &id in paused {
+        deployment.signal_balancer(id, Signal::SIGCONT).unwrap();
+    }
+    deployment.spray_over_all().unwrap();
+    sleep(DRAINED);
+
+    served(&deployment, 3, 4);
+    let line = open.wait(CALLER).unwrap().output;
+    assert_eq!(assert_whole("feeds", &line)["lasted"], 64);
+}
+
 /// A VM is paused for about as long as its peers wait for it, while the fabric goes on sending to
 /// it. On waking it has a backlog of packets of feeds, and it must join anew, for others may own
 /// these feeds by now. A packet that it resolved meanwhile without the pins that it has just
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -20,7 +20,7 @@
     verdict::Notice,
 };
 use acacia_member::{
-    Contact, Event, Group, Heartbeat, Hint, Phase, Settings as MemberSettings, State,
+    Cause, Contact, Event, Group, Heartbeat, Hint, Phase, Settings as MemberSettings, State,
 };
 use acacia_peer::Class;
 use acacia_rollout::Version;
@@ -83,6 +83,10 @@
     settings: Arc<Settings>,
     group: Group,
     flow: Control,
+    /// The incarnation in which this balancer began to collect the pins that it has.
+    owner: u64,
+    /// The same of each peer, and the incarnation in which it said so.
+    owners: Map<u16, (u64, u64)>,
     stages: Map<u16, Stage>,
     listed: Set<u16>,
     gone: Set<u16>,
@@ -123,6 +127,8 @@
         Core {
             flow: Control::new(node, FlowSettings::default(), millis(now)),
             group,
+            owner: incarnation,
+            owners: Map::default(),
             stages: Map::default(),
             listed: Set::default(),
             gone: Set::default(),
@@ -194,9 +200,15 @@
             .receive(now, from, incarnation, heartbeat)
             .map_err(|refusal| refusal.code())?;
         self.seen.heartbeat(now, from);
+        let payload = Payload::decode(&heartbeat.payload);
+        if let Some(payload) = &payload {
+            let owner = incarnation.saturating_sub(payload.kept);
+            self.owners.insert(from, (incarnation, owner));
+        }
         self.refresh_members(now);
-        let payload = Payload::decode(&heartbeat.payload).ok_or(Code::ControlUndecodable)?;
-        self.flow.receive(from, incarnation, payload.flow);
+        let payload = payload.ok_or(Code::ControlUndecodable)?;
+        self.flow
+            .receive(from, self.owner_of(from, incarnation), payload.flow);
         self.pools.merge(from, &payload.load, now);
         let version = payload
             .config
@@ -291,8 +303,8 @@
         self.agree(now, unix);
         self.weigh(now);
         self.speak(now);
-        let forget = self.take_events(now);
-        if forget {
+        let (rejoined, forget) = self.take_events(now);
+        if rejoined {
             // What was to be said and published is of the life before.
             self.outgoing.clear();
             snapshot = self.flow.snapshot(time);
@@ -336,11 +348,13 @@
             .version()
             .map(|version| (version.revision, version.change));
         let (flow, pools) = (&mut self.flow, &mut self.pools);
+        let kept = self.group.incarnation() - self.owner;
         let payload = |to| {
             Payload {
                 flow: flow.report(to, time),
                 config,
                 load: pools.reports(to),
+                kept,
             }
             .encode()
         };
@@ -362,9 +376,10 @@
         }
     }
 
-    /// Logs what the membership saw; true if this balancer joins anew.
-    fn take_events(&mut self, now: Duration) -> bool {
-        let mut rejoined = false;
+    /// Logs what the membership saw. Whether this balancer joins anew, and whether all pins and
+    /// caches are to be forgotten therefore.
+    fn take_events(&mut self, now: Duration) -> (bool, bool) {
+        let (mut rejoined, mut forget) = (false, false);
         for event in self.group.take_events() {
             match event.code() {
                 Some(code) => log::warn!("event=membership change=\"{event:?}\" code={code}"),
@@ -379,19 +394,25 @@
             {
                 self.pools.forget(id);
             }
-            if let Event::Rejoined { incarnation, .. } = event {
-                self.rejoin(incarnation, now);
+            if let Event::Rejoined { incarnation, cause } = event {
                 rejoined = true;
+                if !keeps_pins(cause) {
+                    self.forget_pins(incarnation, now);
+                    forget = true;
+                }
+                let kept = incarnation - self.owner;
+                log::info!("event=rejoined incarnation={incarnation} kept={kept}");
             }
         }
-        rejoined
+        (rejoined, forget)
     }
 
-    /// After a freeze others own the flows, and pins held here may be wrong by now: a flow sent by
-    /// one of them would break. So everything is forgotten, and taken over anew from the peers.
+    /// After a long freeze others own the flows, and pins held here may be wrong by now: a flow sent
+    /// by one of them would break. So everything is forgotten, and taken over anew from the peers.
     /// The view that says so is published first: a traffic thread that still took this balancer
     /// for an owner would take a forgotten pin for none, and send its flow to the base.
-    fn rejoin(&mut self, incarnation: u64, now: Duration) {
+    fn forget_pins(&mut self, incarnation: u64, now: Duration) {
+        self.owner = incarnation;
         let node = Node {
             id: self.settings.id,
             incarnation,
@@ -424,6 +445,19 @@
     }
 }
 
+/// Whether a balancer that joins anew for `cause` still owns the flows that it owned before.
+///
+/// A balancer is suspended for seconds, and the other owner of some of its flows dies meanwhile. If it
+/// forgot its pins, nobody would know these flows any more: their next packets go to their base, and
+/// the server there resets them, as soon as the platform's list no longer names the dead one. Peers
+/// place no flow off its base while an owner is out of hearing, and don't call it gone for as long
+/// as the platform lists it; so what it knew when it was suspended still holds. After
+/// [`FlowSettings::lapse`] callers may have used their ports again.
+fn keeps_pins(cause: Cause) -> bool {
+    let lapse = Duration::from_millis(FlowSettings::default().lapse);
+    matches!(cause, Cause::Frozen(jump) if jump <= lapse)
+}
+
 /// Forgets all pins and caches.
 pub fn forget(shards: &Shards) {
     for index in 0..shards.count() {
--- a/crates/node/src/control/core/member.rs
+++ b/crates/node/src/control/core/member.rs
@@ -44,7 +44,7 @@
             }
             let node = Node {
                 id: member.id,
-                incarnation,
+                incarnation: self.owner_of(member.id, incarnation),
             };
             members.push(Member {
                 node,
@@ -55,6 +55,14 @@
         self.flow.set_members(&members);
     }
 
+    /// The incarnation in which `peer`, by now in `incarnation`, began to collect the pins that it
+    /// has. Flow control knows it by that.
+    pub(super) fn owner_of(&self, peer: u16, incarnation: u64) -> u64 {
+        let told = self.owners.get(&peer);
+        let told = told.filter(|(at, _)| *at == incarnation);
+        told.map_or(incarnation, |(_, owner)| *owner)
+    }
+
     /// All balancers take control messages on the port that this one does.
     fn hint(&self, vm: &machine::Machine) -> Option<Hint> {
         let id: u16 = vm.name.strip_prefix(MACHINE)?.parse().ok()?;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -41,6 +41,9 @@
     pub config: Option<(u64, Id)>,
     /// Counts under load, once a second.
     pub load: Vec<(Address, acacia_load::report::Report)>,
+    /// How many of the sender's last incarnations its pins reach back. A balancer that was suspended
+    /// for a moment joins as a new member and is the same owner of flows.
+    pub kept: u64,
 }
 
 impl Payload {
--- /dev/null
+++ b/crates/node/tests/it/freeze.rs
@@ -0,0 +1,197 @@
+//! Balancers' control cores without sockets, one of which is suspended.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use acacia_flow::{Shards, rank::Node, shard::Limits};
+use acacia_node::{
+    control::core::{Core, Outcome, Outgoing},
+    settings::Settings,
+    view::View,
+};
+use acacia_wire::control::Envelope;
+use rstest::rstest;
+
+use crate::status::{config, grown, stored, tables};
+
+const START: Duration = Duration::from_secs(100);
+const TICK: Duration = Duration::from_millis(50);
+/// Longer than balancers that start together take to own flows.
+const SETTLED: Duration = Duration::from_secs(10);
+/// Incarnation of all balancers at the start.
+const FIRST: u64 = 7;
+
+struct Balancer {
+    id: u16,
+    core: Core,
+    shards: Shards,
+    incarnation: u64,
+    sequence: u64,
+    view: Option<View>,
+    /// How often all pins were to be forgotten.
+    forgot: usize,
+    until: Duration,
+}
+
+impl Balancer {
+    fn start(id: u16, of: u16) -> Self {
+        let mut core = Core::new(Arc::new(settings(id, of)), FIRST, START);
+        let first = grown(None);
+        core.news(START, config(&first));
+        core.news(START, stored(&tables(None, &first)));
+        Balancer {
+            id,
+            core,
+            shards: Shards::new(2, Limits::default()),
+            incarnation: FIRST,
+            sequence: 0,
+            view: None,
+            forgot: 0,
+            until: Duration::ZERO,
+        }
+    }
+
+    fn tick(&mut self, now: Duration) -> Vec<Outgoing> {
+        let Outcome {
+            outgoing,
+            incarnation,
+            view,
+            forget,
+            ..
+        } = self.core.tick(now, Duration::ZERO, &self.shards);
+        self.incarnation = incarnation;
+        self.view = view;
+        self.forgot += usize::from(forget);
+        outgoing
+    }
+
+    fn owns(&self) -> bool {
+        self.view.as_ref().is_some_and(|view| view.snapshot.owner)
+    }
+
+    /// The balancers that this one takes for the holders of all pins.
+    fn settled(&self) -> Vec<Node> {
+        let view = self.view.as_ref().expect("a view");
+        view.snapshot.settled.to_vec()
+    }
+}
+
+fn settings(id: u16, of: u16) -> Settings {
+    let host = |id: u16| format!("127.0.0.{id}");
+    let key = "00".repeat(32);
+    let mut text = format!(
+        "[balancer]\nid = {id}\ndata_centre = hervanta\n\
+         [traffic]\nlisten = {host}:6080\nthreads = 1\ngateway = {host}:6084\n\
+         [control]\nlisten = {host}:6081\nkey = {key}\n\
+         [admin]\nlisten = {host}:6082\n[platform]\naddress = {host}:6083\n",
+        host = host(id)
+    );
+    for peer in (1..=of).filter(|peer| *peer != id) {
+        let address = host(peer);
+        text += &format!("[peer.{peer}]\ndata_centre = lielahti\ncontrol = {address}:6081\n");
+    }
+    Settings::parse(&text).unwrap()
+}
+
+struct Fleet {
+    now: Duration,
+    balancers: Vec<Balancer>,
+}
+
+impl Fleet {
+    fn settled(count: u16) -> Self {
+        let balancers = (1..=count).map(|id| Balancer::start(id, count));
+        let mut fleet = Fleet {
+            now: START,
+            balancers: balancers.collect(),
+        };
+        fleet.run(SETTLED);
+        assert!(fleet.balancers.iter().all(Balancer::owns));
+        fleet
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.step();
+        }
+    }
+
+    /// Ticks every balancer that runs and delivers what it says; what is said to one that is
+    /// suspended is lost.
+    fn step(&mut self) {
+        let mut posts = VecDeque::new();
+        for balancer in &mut self.balancers {
+            if self.now >= balancer.until {
+                let from = (balancer.id, balancer.tick(self.now), balancer.incarnation);
+                posts.push_back(from);
+            }
+        }
+        while let Some((sender, messages, incarnation)) = posts.pop_front() {
+            for Outgoing { to, message, .. } in messages {
+                let from = &mut self.balancers[usize::from(sender) - 1];
+                from.sequence += 1;
+                let envelope = Envelope {
+                    sender,
+                    incarnation,
+                    sequence: from.sequence,
+                };
+                let to = &mut self.balancers[usize::from(to) - 1];
+                if self.now < to.until {
+                    continue;
+                }
+                let answers = to.core.receive(self.now, &envelope, message, &to.shards);
+                posts.push_back((to.id, answers.unwrap_or_default(), to.incarnation));
+            }
+        }
+    }
+
+    fn suspend(&mut self, id: u16, time: Duration) {
+        self.balancers[usize::from(id) - 1].until = self.now + time;
+    }
+}
+
+fn node(id: u16, incarnation: u64) -> Node {
+    Node { id, incarnation }
+}
+
+/// A VM is paused for some seconds, and meanwhile the only other balancer that knows some flows
+/// dies. The paused one joins the group as a new member, but it must still be the owner that holds
+/// these flows: if the others took what it knew for lost, they would send the flows' packets to
+/// their base servers, which reset them, and callers' feeds end.
+#[rstest]
+#[case::not_noticed_as_dead(Duration::from_secs(3))]
+#[case::taken_for_dead(Duration::from_secs(8))]
+#[case::just_short_of_the_limit(Duration::from_millis(14_900))]
+fn a_suspended_balancer_stays_the_owner_of_its_flows(#[case] time: Duration) {
+    let mut fleet = Fleet::settled(3);
+
+    fleet.suspend(3, time);
+    fleet.run(time + SETTLED);
+
+    let owners = [node(1, FIRST), node(2, FIRST), node(3, FIRST)];
+    assert_eq!(fleet.balancers[2].incarnation, FIRST + 1, "a new member");
+    assert_eq!(fleet.balancers[2].forgot, 0);
+    for balancer in &fleet.balancers {
+        assert_eq!(balancer.settled(), owners, "at {}", balancer.id);
+        assert!(balancer.owns(), "{}", balancer.id);
+    }
+}
+
+/// The same twice in a row, with a third pause that is too long. Callers may have closed flows and
+/// used their ports again by then, so that its pins are worth nothing; it must be known as an owner
+/// that has begun anew.
+#[test]
+fn a_balancer_suspended_for_long_forgets_what_it_knew() {
+    let mut fleet = Fleet::settled(3);
+    for secs in [2, 4, 16] {
+        fleet.suspend(2, Duration::from_secs(secs));
+        fleet.run(Duration::from_secs(secs) + SETTLED * 2);
+    }
+
+    let owners = [node(1, FIRST), node(2, FIRST + 3), node(3, FIRST)];
+    assert_eq!(fleet.balancers[1].forgot, 1);
+    for balancer in &fleet.balancers {
+        assert_eq!(balancer.settled(), owners, "at {}", balancer.id);
+    }
+}
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod cookie;
+mod freeze;
 mod metrics;
 mod settings;
 mod status;
--- a/crates/node/tests/it/status.rs
+++ b/crates/node/tests/it/status.rs
@@ -29,7 +29,7 @@
 }
 
 /// What follows `before` when one more server is added.
-fn grown(before: Option<&Document>) -> Document {
+pub fn grown(before: Option<&Document>) -> Document {
     let mut config = Config::default();
     config.add_service(Service::new("live", [10, 77, 0, 1], 443, 70));
     for host in 0..=before.map_or(0, |document| document.revision) as u8 {
@@ -51,14 +51,14 @@
     Document::follow(before, &draft).unwrap()
 }
 
-fn config(document: &Document) -> News {
+pub fn config(document: &Document) -> News {
     News::Config(Some(Answer {
         revision: document.revision,
         document: Some(Arc::new(document.clone())),
     }))
 }
 
-fn tables(before: Option<&acacia_tables::Document>, of: &Document) -> acacia_tables::Document {
+pub fn tables(before: Option<&acacia_tables::Document>, of: &Document) -> acacia_tables::Document {
     let situation = Situation {
         now: 0,
         is_known: &|_| true,
@@ -67,7 +67,7 @@
     follow(before, of, &situation).unwrap().unwrap()
 }
 
-fn stored(tables: &acacia_tables::Document) -> News {
+pub fn stored(tables: &acacia_tables::Document) -> News {
     News::Tables(Some(Entry {
         revision: tables.version,
         value: Some(tables.encode().unwrap().into()),
