Refuse nobody for the time between two lines of a feed

Balancers took the next acknowledgement of a live feed that they saw, of a line sent seconds later through others, for the time of the answer, and three idle servers for busy: event=refusing work_per_slot=3.57 capacity=Some(0.6), then event=flow-refused.

An acknowledgement of little data that comes later than callers may delay one (500 ms, RFC 9293) is no answer's time any more. Without a time nothing is refused.

--- a/crates/load/src/track.rs
+++ b/crates/load/src/track.rs
@@ -14,6 +14,8 @@
 /// Bytes that a server sends before the first acknowledgement reaches it (RFC 6928). One beyond
 /// them is of a later part of the answer.
 const FIRST_WINDOW: u32 = 14_600;
+/// Longest time by which a caller may delay an acknowledgement (RFC 9293, 3.8.6.3).
+const DELAYED: Duration = Duration::from_millis(500);
 /// If a smaller part of the answers than this is known to be acknowledged promptly, the others are
 /// timed as well: a biased figure is better than none.
 const RARE: f64 = 0.05;
@@ -145,7 +147,7 @@
                 }
                 if beyond && took(at) <= self.patience {
                     let advance = packet.acknowledgement.wrapping_sub(acknowledged);
-                    let timed = self.tells(packet, advance);
+                    let timed = self.tells(packet, advance, took(at));
                     tally.answered(server, timed.then(|| took(at)));
                 }
             }
@@ -158,13 +160,19 @@
     /// Callers delay the acknowledgement of a single segment by tens of milliseconds, more than
     /// most requests take; counted in, it would make fast servers look as slow as slow ones.
     /// Packets with data or FIN come when the caller pleases.
-    fn tells(&mut self, packet: &Packet, advance: u32) -> bool {
+    ///
+    /// An acknowledgement of little that comes later than callers may delay one is of something that
+    /// the server sent long after its answer: the lines of a live feed, of which most are acknowledged
+    /// through other balancers. Taken for an answer's time, the seconds between two lines make idle
+    /// servers look busy (`event=refusing` with a capacity below one flow a second), and callers are
+    /// refused by them. An answer that really took so long isn't timed either.
+    fn tells(&mut self, packet: &Packet, advance: u32, took: Duration) -> bool {
         if packet.payload > 0 || packet.kind != Kind::Middle || advance > FIRST_WINDOW {
             return false;
         }
         let prompt = advance >= PROMPT;
         self.prompt += (f64::from(u8::from(prompt)) - self.prompt) / MEMORY;
-        prompt || self.prompt < RARE
+        prompt || (self.prompt < RARE && took <= DELAYED)
     }
 
     fn keep(&mut self, key: Key, sample: Sample, now: Duration) {
--- a/crates/load/tests/it/track.rs
+++ b/crates/load/tests/it/track.rs
@@ -1,6 +1,12 @@
 use std::time::Duration;
 
-use acacia_load::{pool::Server, tally::Tally, track::Tracker};
+use acacia_load::{
+    controller::Controller,
+    limits::Limits,
+    pool::{Class, Host, Mark, Pool, Server},
+    tally::Tally,
+    track::Tracker,
+};
 use acacia_wire::{
     flow::{Key, Protocol},
     packet::{Kind, Packet},
@@ -95,6 +101,55 @@
     assert_eq!(tally.servers[0].timed, 1);
 }
 
+/// Crew leaders hold live feeds open, each with a short line a second. Packets are sprayed over the
+/// balancers, so the next acknowledgement of a feed that a balancer sees may be of a line sent seconds
+/// after the first. Taken for the time of the answer, it made three idle servers look as if they
+/// could take half a flow a second (`event=refusing work_per_slot=3.57 capacity=Some(0.6)`), and
+/// callers who opened flows were refused.
+#[test]
+fn later_lines_of_feeds_make_no_server_look_busy() {
+    let (mut tracker, mut tally) = (
+        Tracker::new(1_000, Duration::from_secs(20)),
+        Tally::new(1, 1),
+    );
+    let host = Host {
+        slots: 2,
+        connections: 2_000,
+    };
+    let class = Class {
+        name: "feeds".into(),
+        mark: Mark::Paying,
+        share: 1.0,
+    };
+    let pool = Pool {
+        revision: 1,
+        hosts: vec![host],
+        classes: vec![class],
+    };
+    let mut controller = Controller::new(pool, Limits::default(), 1);
+
+    for second in 0..30u64 {
+        for feed in 0..20u16 {
+            let flow = (second as u16) << 8 | feed;
+            let (asked, acknowledged) = (
+                Duration::from_secs(second),
+                Duration::from_secs(second + 1 + u64::from(feed) % 4),
+            );
+            let mut data = packet(Kind::Middle, 30, 101, 500);
+            data.key.client_port = flow;
+            tracker.observe(&data, SERVER, 0, asked, &mut tally);
+            let mut line = packet(Kind::Middle, 0, 131, 500 + 7 * 5);
+            line.key.client_port = flow;
+            tracker.observe(&line, SERVER, 0, acknowledged, &mut tally);
+        }
+        controller.absorb(&std::mem::replace(&mut tally, Tally::new(1, 1)));
+        let (_, plan) = controller.tick(1, Duration::from_secs(second + 1));
+
+        assert_eq!(plan.rates, None, "in second {second}");
+        assert_eq!(controller.progress(), None, "in second {second}");
+    }
+}
+
 /// A flood of half-open flows must not grow the memory of a small VM without bound.
 #[test]
 fn the_memory_is_bounded() {
--- a/crates/node/src/control/load.rs
+++ b/crates/node/src/control/load.rs
@@ -266,7 +266,22 @@
         let (report, plan) = self.controller.tick(members, now);
         self.report = report;
         self.policy.plan = Arc::new(plan);
-        self.policy.refuses = self.is_busy();
+        let refuses = self.is_busy();
+        if refuses != self.policy.refuses {
+            self.policy.refuses = refuses;
+            self.log_refusing();
+        }
+    }
+
+    /// Tells on what figures flows may be refused from now on, or no longer. A refused caller's
+    /// complaint leads here from its `flow-refused` line.
+    fn log_refusing(&self) {
+        let (service, refuses) = (&self.name, self.policy.refuses);
+        let progress = self.controller.progress().unwrap_or(0.0);
+        let (demand, capacity) = (self.demand, self.capacity());
+        log::info!(
+            "event=refusing service={service} refuses={refuses} work_per_slot={progress:.2} demand={demand:.1} capacity={capacity:.1?}"
+        );
     }
 
     /// What this balancer's threads may let in together by the plan, in flows a second.
--- a/crates/node/src/traffic/worker.rs
+++ b/crates/node/src/traffic/worker.rs
@@ -177,6 +177,14 @@
             }
             Action::Refuse { retry_after } => {
                 counter.kind(Kind::Refused, 1);
+                let key = &packet.key;
+                log::info!(
+                    "event=flow-refused caller={}:{} to={}:{} retry_after_ms={retry_after}",
+                    key.client,
+                    key.client_port,
+                    key.service,
+                    key.service_port
+                );
                 // The time to come back goes first: the reset ends the caller's socket.
                 let told = reply::come_back(&packet.key, bytes, retry_after);
                 self.to_send.build(self.context.gateway, |out| *out = told);
