Note that an owner is lost before its flows' pins are copied

A feed was reset more than a minute after a balancer had died. Its pin was at the other owner as that of an opening, because the packet that should have told more was lost.

Found by a wide run of faults_send_no_packet_to_a_wrong_server (1 of 2,975 cases), traced by the pin's state second by second, kept as a case that fails before.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -308,6 +308,10 @@
     /// Goes through shard `index` of `count`: drops what has lapsed, notes where pins are, and
     /// lists those to be handed over. Call for every shard in turn.
     pub fn sweep(&mut self, shard: &mut Shard, index: usize, count: usize, now: u64) {
+        // An owner may have been lost since the last snapshot. Seen only there, after this sweep, the
+        // pins of this shard would be copied to its successor as openings that came to nothing, and
+        // their flows sent to their base once these lapse.
+        self.note_lost(now);
         let (target, ready) = (self.target(), self.ready());
         let (alive, missing) = (self.living(), self.missing());
         let view = handover::View {
--- a/crates/flow/src/control/publish.rs
+++ b/crates/flow/src/control/publish.rs
@@ -37,7 +37,7 @@
     }
 
     /// Notes when an owner was last found to be lost.
-    fn note_lost(&mut self, now: u64) {
+    pub(super) fn note_lost(&mut self, now: u64) {
         let alive = self.living();
         let lost: Vec<Node> = self
             .settled
--- a/crates/flow/tests/it/faults.rs
+++ b/crates/flow/tests/it/faults.rs
@@ -133,6 +133,10 @@
 // next cut, never again, and forgot the pin after 75 s.
 #[case(17999221759370200563, &[(Fault::Crash(2), 1_775), (Fault::Freeze(1, 14_908), 3_050),
     (Fault::Cut(3, 23_605), 7_866), (Fault::Cut(2, 15_523), 2_164), (Fault::Cut(2, 10_708), 7_484)])]
+// The loss of an owner was noted after the sweep that copied its flows' pins to its successor: one whose
+// establishing packet had been lost on its way to the other owner went on as an opening, and lapsed.
+#[case(3890623496091016295, &[(Fault::Crash(1), 4_624), (Fault::Restore(1), 4_692),
+    (Fault::Crash(0), 7_855), (Fault::Cut(1, 21_903), 6_704), (Fault::Freeze(0, 12_164), 6_678)])]
 // The server gave an opening up 3 ms before its caller's next packet, which had been lost until then,
 // reached it. The packet went where it should, and was counted as lost.
 #[case(7069645047071752769, &[(Fault::Crash(0), 1_483), (Fault::Crash(0), 2_245)])]
