Open one flow for an opening that comes twice, in the stand-in

The demo broke 1 to 5 requests of planned changes beside busy processes. All balancers had sent them to the right server (a line for each decision shows it); the stand-in of the server reset them. An opening sent again after a second went to a socket that listened and not to the flow's own, and the flow opened twice.

Such an opening is dropped. Resets that stand-ins send are logged.

--- a/crates/stand/src/stack.rs
+++ b/crates/stand/src/stack.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::VecDeque,
-    net::{Ipv4Addr, SocketAddr, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
     time::{Duration, Instant},
 };
 
@@ -10,16 +10,18 @@
     iface::{Config, Interface, SocketHandle, SocketSet},
     phy::{self, DeviceCapabilities, Medium},
     socket::tcp,
-    wire::{HardwareAddress, IpCidr},
+    wire::{HardwareAddress, IpAddress, IpCidr, IpEndpoint},
 };
 
 /// Largest IP packet, in bytes: an Ethernet frame less what the encapsulation adds.
 const MTU: usize = 1450;
 /// Buffer of each TCP socket, each way, in bytes.
 const BUFFER: usize = 16 * 1024;
-/// Where the TCP flags stand in a packet without IP options, and the one of a reset.
+/// Where the TCP flags stand in a packet without IP options, and three of them.
 const FLAGS: usize = 33;
+const SYN: u8 = 2;
 const RESET: u8 = 4;
+const ACK: u8 = 16;
 /// Packets taken in per turn, so that a flood can't keep timers from running.
 pub const BATCH: usize = 32;
 
@@ -79,6 +81,7 @@
         let mut bytes = [0; 2048];
         for _ in 0..BATCH {
             match self.link.recv(&mut bytes) {
+                Ok(len) if self.is_repeated(&bytes[..len]) => {}
                 Ok(len) => self.device.received.push_back(bytes[..len].to_vec()),
                 Err(_) => break,
             }
@@ -87,14 +90,41 @@
         self.interface
             .poll(self.now(), &mut self.device, &mut self.sockets);
         while let Some(packet) = self.device.to_send.pop_front() {
-            let reset = packet.get(FLAGS).is_some_and(|flags| flags & RESET != 0);
-            self.resets += u64::from(reset);
+            if packet.get(FLAGS).is_some_and(|flags| flags & RESET != 0) {
+                self.resets += 1;
+                let Ends { from, to } = Ends::of(&packet);
+                log::info!("event=reset-sent from={from} to={to}");
+            }
             // A full socket buffer loses the packet as a network would; TCP sends it again.
             let _ = self.link.send_to(&packet, self.towards);
         }
         Ok(())
     }
 
+    /// Whether a packet opens a flow that a socket has, or that opens in this turn already.
+    ///
+    /// The library gives an opening to the first socket that takes it, and a listening one may come
+    /// before the flow's own. An opening that its caller has sent again, as the first waited here for
+    /// over a second, would then open the flow twice, with two sequence numbers, and the flow's own
+    /// packets be answered by resets. Dropped, it is made good by the first one's answer.
+    fn is_repeated(&self, packet: &[u8]) -> bool {
+        let opens = |packet: &[u8]| {
+            packet
+                .get(FLAGS)
+                .is_some_and(|flags| flags & (SYN | ACK) == SYN)
+        };
+        if !opens(packet) {
+            return false;
+        }
+        let remote = Some(Ends::of(packet).from);
+        let mut sockets = self.sockets.iter().map(|(_, socket)| match socket {
+            smoltcp::socket::Socket::Tcp(socket) => socket,
+        });
+        let mut received = self.device.received.iter();
+        sockets.any(|socket| socket.is_active() && socket.remote_endpoint().map(endpoint) == remote)
+            || received.any(|other| opens(other) && Some(Ends::of(other).from) == remote)
+    }
+
     /// Resets sent: answers to packets that belong to no connection here.
     #[must_use]
     pub fn resets(&self) -> u64 {
@@ -137,6 +167,30 @@
     }
 }
 
+/// Where a TCP packet without IP options comes from and goes to.
+struct Ends {
+    from: SocketAddrV4,
+    to: SocketAddrV4,
+}
+
+impl Ends {
+    /// Zeroes stand for what a short packet lacks.
+    fn of(packet: &[u8]) -> Self {
+        let byte = |at: usize| packet.get(at).copied().unwrap_or(0);
+        let address = |at: usize| Ipv4Addr::new(byte(at), byte(at + 1), byte(at + 2), byte(at + 3));
+        let port = |at: usize| u16::from_be_bytes([byte(at), byte(at + 1)]);
+        Ends {
+            from: SocketAddrV4::new(address(12), port(20)),
+            to: SocketAddrV4::new(address(16), port(22)),
+        }
+    }
+}
+
+fn endpoint(endpoint: IpEndpoint) -> SocketAddrV4 {
+    let IpAddress::Ipv4(address) = endpoint.addr;
+    SocketAddrV4::new(address, endpoint.port)
+}
+
 #[derive(Debug, Default)]
 struct Device {
     received: VecDeque<Vec<u8>>,
