Ask again about a pin that is about to lapse

An owner that takes no packet for proof of its pin after a cut depends on the answer to its question. It is asked three times now, 12.5 s apart, before the pin lapses.

--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -144,7 +144,7 @@
             server: PINNED_TO,
             phase: Phase::Open,
             light: false,
-            asked: false,
+            asked: 0,
         };
         let flows = u64::from(size.pins) * u64::from(size.peers) / 2;
         for flow in 0..flows {
--- a/crates/flow/src/control/handover.rs
+++ b/crates/flow/src/control/handover.rs
@@ -40,7 +40,7 @@
 
 impl Packed {
     fn new(key: &Key, pin: &Pin, now: u64) -> Self {
-        let age = match pin.asked && pin.phase == Phase::Opening {
+        let age = match pin.asked > 0 && pin.phase == Phase::Opening {
             true => QUESTION,
             false => (pin.age(now) / AGE).min(u64::from(QUESTION) - 1) as u8,
         };
@@ -67,7 +67,7 @@
             server: self.server,
             phase: Phase::from_number(self.state & 7),
             light: false,
-            asked: age == QUESTION,
+            asked: u8::from(age == QUESTION),
         };
         (key, pin)
     }
@@ -263,8 +263,8 @@
             // seems to know all pins, and reset. So the pin is held as it is until the other can be
             // asked, or is gone.
             pin.hold_fading(now);
-        } else if pin.is_fading(now) && !pin.asked {
-            pin.asked = true;
+        } else if pin.is_question_due(now) {
+            pin.asked += 1;
             view.others(hash)
                 .for_each(|node| self.list(node.id, key, pin));
         }
--- a/crates/flow/src/pin.rs
+++ b/crates/flow/src/pin.rs
@@ -9,6 +9,8 @@
 /// Milliseconds after which a pin is forgotten if its flow never went beyond its opening: a
 /// server gives up resending its answer to an opening after 63 s (RFC 6298 timers, 5 resends).
 pub const OPENING: u64 = 75_000;
+/// Milliseconds from a question about a fading pin to the next: three fit before it lapses.
+const ASKED_AGAIN: u64 = OPENING / 6;
 /// Milliseconds for which a flow placed on its base is remembered, so that a resent opening meets
 /// the same decision even if the table changes in between. Openings are resent after 1 and 3 s.
 pub const LIGHT: u64 = 8_000;
@@ -72,8 +74,8 @@
     pub phase: Phase,
     /// Whether the flow is on its base, and the pin there only to meet resent openings.
     pub light: bool,
-    /// Whether the other owners were asked if the flow got beyond its opening.
-    pub asked: bool,
+    /// How often the other owners were asked if the flow got beyond its opening.
+    pub asked: u8,
 }
 
 impl Pin {
@@ -97,10 +99,18 @@
         self.phase == Phase::Opening && !self.light && self.age(now) > OPENING / 2
     }
 
+    /// Whether the other owners are to be asked now, for the first time or once more. A question or its
+    /// answer is dropped when the handover begins anew, or its receiver is taken for dead.
+    #[must_use]
+    pub fn is_question_due(&self, now: u64) -> bool {
+        let asked = u64::from(self.asked) * ASKED_AGAIN;
+        self.is_fading(now) && self.age(now) > OPENING / 2 + asked
+    }
+
     /// Keeps a fading pin from lapsing, and lets the other owners be asked anew.
     pub(crate) fn hold_fading(&mut self, now: u64) {
         self.synced = (now.saturating_sub(OPENING / 2 + 1_000) / 1_000) as u32;
-        self.asked = false;
+        self.asked = 0;
     }
 
     /// Whether the other owners should hear of the flow again: they see none of its packets while
--- a/crates/flow/src/resolve/owner.rs
+++ b/crates/flow/src/resolve/owner.rs
@@ -57,7 +57,7 @@
             server: self.base(),
             phase,
             light: true,
-            asked: false,
+            asked: 0,
         };
         self.shard.store(self.packet.key, pin)
     }
@@ -195,7 +195,7 @@
             // An owner out of hearing may hold half a pin of this flow from before a cut: only a
             // pin that lasts can set it right when it is back.
             light: server == self.base() && !sticky && !self.may_be_half_made(),
-            asked: false,
+            asked: 0,
         };
         self.shard.store(self.packet.key, pin);
         self.pass_on(&pin, chain, Told::default())
@@ -272,7 +272,7 @@
             server,
             phase: self.phase_after(before, age),
             light: known.map_or(server == self.base() && !sticky && !half, |pin| pin.light),
-            asked: false,
+            asked: 0,
         };
         if !self.shard.store(self.packet.key, pin) {
             return drop(Code::PinsFull);
--- a/crates/flow/src/shard.rs
+++ b/crates/flow/src/shard.rs
@@ -124,7 +124,7 @@
     /// a flow that got beyond its opening elsewhere did so here too.
     pub fn adopt(&mut self, key: Key, pin: Pin) -> Option<Pin> {
         match self.pins.get(&key).copied() {
-            None if !pin.asked => {
+            None if pin.asked == 0 => {
                 self.store(key, pin);
             }
             Some(mine) if mine.phase < pin.phase && mine.server == pin.server => {
@@ -136,7 +136,7 @@
                     },
                 );
             }
-            Some(mine) if pin.asked && mine.phase > pin.phase => return Some(mine),
+            Some(mine) if pin.asked > 0 && mine.phase > pin.phase => return Some(mine),
             _ => {}
         }
         None
--- a/crates/flow/tests/it/faults.rs
+++ b/crates/flow/tests/it/faults.rs
@@ -137,6 +137,10 @@
 // establishing packet had been lost on its way to the other owner went on as an opening, and lapsed.
 #[case(3890623496091016295, &[(Fault::Crash(1), 4_624), (Fault::Restore(1), 4_692),
     (Fault::Crash(0), 7_855), (Fault::Cut(1, 21_903), 6_704), (Fault::Freeze(0, 12_164), 6_678)])]
+// A question about a flow, or its answer, was dropped as the handover began anew after a crash, and
+// never repeated; the owner that took no packet for proof any more forgot the flow.
+#[case(213611442841578274, &[(Fault::Cut(3, 20_670), 5_961), (Fault::Restore(2), 3_705),
+    (Fault::Freeze(2, 12_077), 8_321), (Fault::Crash(0), 1_747)])]
 // The server gave an opening up 3 ms before its caller's next packet, which had been lost until then,
 // reached it. The packet went where it should, and was counted as lost.
 #[case(7069645047071752769, &[(Fault::Crash(0), 1_483), (Fault::Crash(0), 2_245)])]
