--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -1,6 +1,7 @@
 //! The control thread's state: time and messages in, messages and views out. No sockets.
 
 mod member;
+mod rejoin;
 mod status;
 mod weigh;
 
@@ -19,9 +20,7 @@
     snapshot::Address,
     verdict::Notice,
 };
-use acacia_member::{
-    Cause, Contact, Event, Group, Heartbeat, Hint, Phase, Settings as MemberSettings, State,
-};
+use acacia_member::{Contact, Group, Heartbeat, Hint, Phase, Settings as MemberSettings, State};
 use acacia_peer::Class;
 use acacia_rollout::Version;
 use acacia_wire::{
@@ -43,6 +42,7 @@
     view::View,
 };
 
+use rejoin::Rejoin;
 pub use status::Standing;
 
 /// Shards looked through in one tick. With 16 shards and 20 ticks a second a whole pass takes
@@ -303,8 +303,8 @@
         self.agree(now, unix);
         self.weigh(now);
         self.speak(now);
-        let (rejoined, forget) = self.take_events(now);
-        if rejoined {
+        let rejoin = self.take_events(now);
+        if rejoin != Rejoin::No {
             // What was to be said and published is of the life before.
             self.outgoing.clear();
             snapshot = self.flow.snapshot(time);
@@ -325,7 +325,7 @@
             incarnation: self.group.incarnation(),
             view: self.agreement.is_ready().then_some(view),
             peers,
-            forget,
+            forget: rejoin == Rejoin::WithoutPins,
         }
     }
 
@@ -376,55 +376,6 @@
         }
     }
 
-    /// Logs what the membership saw. Whether this balancer joins anew, and whether all pins and
-    /// caches are to be forgotten therefore.
-    fn take_events(&mut self, now: Duration) -> (bool, bool) {
-        let (mut rejoined, mut forget) = (false, false);
-        for event in self.group.take_events() {
-            match event.code() {
-                Some(code) => log::warn!("event=membership change=\"{event:?}\" code={code}"),
-                None => log::info!("event=membership change=\"{event:?}\""),
-            }
-            if let Event::Restarted { id, .. }
-            | Event::Changed {
-                id,
-                to: State::Dead,
-                ..
-            } = event
-            {
-                self.pools.forget(id);
-            }
-            if let Event::Rejoined { incarnation, cause } = event {
-                rejoined = true;
-                if !keeps_pins(cause) {
-                    self.forget_pins(incarnation, now);
-                    forget = true;
-                }
-                let kept = incarnation - self.owner;
-                log::info!("event=rejoined incarnation={incarnation} kept={kept}");
-            }
-        }
-        (rejoined, forget)
-    }
-
-    /// After a long freeze others own the flows, and pins held here may be wrong by now: a flow sent
-    /// by one of them would break. So everything is forgotten, and taken over anew from the peers.
-    /// The view that says so is published first: a traffic thread that still took this balancer
-    /// for an owner would take a forgotten pin for none, and send its flow to the base.
-    fn forget_pins(&mut self, incarnation: u64, now: Duration) {
-        self.owner = incarnation;
-        let node = Node {
-            id: self.settings.id,
-            incarnation,
-        };
-        self.flow = Control::new(node, FlowSettings::default(), millis(now));
-        self.flow.set_tables(self.tables.clone(), millis(now));
-        self.refresh_members(now);
-        if self.leaving {
-            self.flow.leave();
-        }
-    }
-
     fn peers(&self, now: Duration) -> Vec<(u16, SocketAddr)> {
         let members = self.group.view(now).members;
         members
@@ -445,19 +396,6 @@
     }
 }
 
-/// Whether a balancer that joins anew for `cause` still owns the flows that it owned before.
-///
-/// A balancer is suspended for seconds, and the other owner of some of its flows dies meanwhile. If it
-/// forgot its pins, nobody would know these flows any more: their next packets go to their base, and
-/// the server there resets them, as soon as the platform's list no longer names the dead one. Peers
-/// place no flow off its base while an owner is out of hearing, and don't call it gone for as long
-/// as the platform lists it; so what it knew when it was suspended still holds. After
-/// [`FlowSettings::lapse`] callers may have used their ports again.
-fn keeps_pins(cause: Cause) -> bool {
-    let lapse = Duration::from_millis(FlowSettings::default().lapse);
-    matches!(cause, Cause::Frozen(jump) if jump <= lapse)
-}
-
 /// Forgets all pins and caches.
 pub fn forget(shards: &Shards) {
     for index in 0..shards.count() {
