Let no half-made pin prevail over a placement on the base

A pin of an opening off its base from before an owner was out of hearing gives way to the base now. Without sockets: a bridge between two sides that don't hear each other yet; fails before.

--- a/crates/flow/src/resolve/owner.rs
+++ b/crates/flow/src/resolve/owner.rs
@@ -257,7 +257,7 @@
         let chain = self.snapshot.chain(self.hash);
         let known = self
             .known_pin()
-            .filter(|pin| pin.server == header.server || self.prevails(pin, &chain, &header.told));
+            .filter(|pin| pin.server == header.server || self.prevails(pin, &chain, header));
         let server = known.map_or(header.server, |pin| pin.server);
         if !self.service.servers.contains_key(&server) {
             return drop(Code::FlowServerUnknown);
@@ -290,12 +290,18 @@
     /// While a change of the owners' set spreads, two of them may each take itself for the first
     /// and place the same flow. Both know the set to come: who ranks higher there prevails, at
     /// whichever of them the packets meet. A flow that got beyond its opening stays where it is.
-    pub(super) fn prevails(&self, pin: &Pin, chain: &Chain, told: &Told) -> bool {
+    pub(super) fn prevails(&self, pin: &Pin, chain: &Chain, header: &Redirect) -> bool {
         // A lasting pin on the base was made while the others were out of hearing.
         let apart = pin.server == self.base() && !pin.light;
         if pin.phase != Phase::Opening || apart {
             return true;
         }
+        // This one may be half-made, as a cut came after it, and an owner that knew nothing of it has
+        // placed the flow on its base. That owner goes by its own; so must this one, or the opening
+        // meets one server, and the packets after it another, which resets them.
+        if header.server == self.base() && self.snapshot.was_apart_since(pin) {
+            return false;
+        }
         let owners = pair(self.hash, &self.snapshot.target).map(|node| node.map(|node| node.id));
         let rank = |id: u16| {
             owners
@@ -303,7 +309,7 @@
                 .position(|owner| *owner == Some(id))
                 .unwrap_or(2)
         };
-        let told = chain.ids().iter().filter(|&&id| told.contains(id));
+        let told = chain.ids().iter().filter(|&&id| header.told.contains(id));
         told.map(|&id| rank(id))
             .min()
             .is_some_and(|best| rank(self.snapshot.me.id) < best)
--- a/crates/flow/tests/it/fleet.rs
+++ b/crates/flow/tests/it/fleet.rs
@@ -115,6 +115,8 @@
     /// Milliseconds between two turns of a control thread.
     pub pace: u64,
     pub refusing: bool,
+    /// Pairs of balancers that don't reach each other, whatever their groups.
+    pub apart: Vec<(u16, u16)>,
     /// Whether notices between balancers are lost; nothing may depend on them.
     pub loses_notices: bool,
     /// Latest opening of a flow on each server.
@@ -156,6 +158,7 @@
             settings,
             pace: TURN,
             refusing: false,
+            apart: Vec::new(),
             loses_notices: false,
             last_new: Map::default(),
             chats: CHATS,
@@ -415,7 +418,9 @@
             .balancers
             .iter()
             .find(|other| other.node.id == event.from.id);
-        let cut = sender.is_some_and(|sender| sender.group != self.balancers[to].group);
+        let pair = (event.from.id.min(event.to), event.from.id.max(event.to));
+        let cut = self.apart.contains(&pair)
+            || sender.is_some_and(|sender| sender.group != self.balancers[to].group);
         let balancer = &mut self.balancers[to];
         if !balancer.running || cut {
             return;
--- a/crates/flow/tests/it/handover.rs
+++ b/crates/flow/tests/it/handover.rs
@@ -170,6 +170,38 @@
     assert_eq!(lost, Vec::<u32>::new(), "drops {:?}", fleet.drops);
 }
 
+/// The line between two data centres comes back, and balancers hear of each other one after another.
+/// In that moment callers send the openings again that the cut had swallowed. An owner places them on
+/// their base, as it has heard nothing of the other owner for long, and passes them on through a
+/// balancer that hears both; the other owner holds half-made pins. If it went by these, the opening
+/// would meet one server and the caller's next packet another, which resets it.
+#[test]
+fn openings_resent_as_the_line_comes_back_open_one_flow_each() {
+    let mut fleet = draining(27);
+    (0..2).for_each(|at| fleet.balancers[at].group = 1);
+    (0..400).for_each(|number| fleet.spray(&opening(number)));
+    fleet.run(9_000);
+    (0..2).for_each(|at| fleet.balancers[at].group = 0);
+    fleet.apart = vec![(1, 2), (1, 3), (1, 4)];
+    fleet.run(1_000);
+    let resent: Vec<u32> = (0..400).filter(|&n| !is_open(&fleet, n)).collect();
+
+    resent.iter().for_each(|&n| fleet.spray(&opening(n)));
+    for _ in 0..10 {
+        fleet.run(30);
+        let open = resent.iter().filter(|&&n| is_open(&fleet, n));
+        let open: Vec<u32> = open.copied().collect();
+        open.into_iter().for_each(|n| fleet.spray(&data(n)));
+    }
+    fleet.apart.clear();
+    fleet.run(10_000);
+    let lost = talk(&mut fleet, 0, 400);
+
+    assert!(resent.len() > 50, "{}", resent.len());
+    assert_eq!(fleet.failures, Vec::<String>::new());
+    assert_eq!(lost, Vec::<u32>::new(), "drops {:?}", fleet.drops);
+}
+
 /// A data centre is cut off. Callers there open flows, which go to their base and are known to
 /// nobody. Then a server there falls silent, and the balancers would rather choose freely among the
 /// others. The owners out of hearing could not be asked about the flows that are open; without
