Log examinations that leave servers in doubt, and name what peers say of their pins

A verdict of silence can be held against what else was in doubt at that moment; the trace of living servers found silent lacked it. A type in place of a pair of numbers, one step a line in the pin that is held. No change of behaviour.

--- a/crates/flow/src/pin.rs
+++ b/crates/flow/src/pin.rs
@@ -109,7 +109,9 @@
 
     /// Keeps a fading pin from lapsing, and lets the other owners be asked anew.
     pub(crate) fn hold_fading(&mut self, now: u64) {
-        self.synced = (now.saturating_sub(OPENING / 2 + 1_000) / 1_000) as u32;
+        // A second more, as times are kept in seconds: it must go on fading.
+        let faded = now.saturating_sub(OPENING / 2) / 1_000;
+        self.synced = faded.saturating_sub(1) as u32;
         self.asked = 0;
     }
 
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -77,6 +77,15 @@
     pub forget: bool,
 }
 
+/// What a peer says of the pins that it has.
+#[derive(Debug, Clone, Copy)]
+struct Owner {
+    /// Its incarnation when it said so.
+    incarnation: u64,
+    /// The incarnation in which it began to collect them.
+    since: u64,
+}
+
 /// The state of one balancer's control.
 #[derive(Debug)]
 pub struct Core {
@@ -85,8 +94,8 @@
     flow: Control,
     /// The incarnation in which this balancer began to collect the pins that it has.
     owner: u64,
-    /// The same of each peer, and the incarnation in which it said so.
-    owners: Map<u16, (u64, u64)>,
+    /// The same of each peer, as it said last.
+    owners: Map<u16, Owner>,
     stages: Map<u16, Stage>,
     listed: Set<u16>,
     gone: Set<u16>,
@@ -202,8 +211,8 @@
         self.seen.heartbeat(now, from);
         let payload = Payload::decode(&heartbeat.payload);
         if let Some(payload) = &payload {
-            let owner = incarnation.saturating_sub(payload.kept);
-            self.owners.insert(from, (incarnation, owner));
+            let since = incarnation.saturating_sub(payload.kept);
+            self.owners.insert(from, Owner { incarnation, since });
         }
         self.refresh_members(now);
         let payload = payload.ok_or(Code::ControlUndecodable)?;
--- a/crates/node/src/control/core/member.rs
+++ b/crates/node/src/control/core/member.rs
@@ -59,8 +59,8 @@
     /// has. Flow control knows it by that.
     pub(super) fn owner_of(&self, peer: u16, incarnation: u64) -> u64 {
         let told = self.owners.get(&peer);
-        let told = told.filter(|(at, _)| *at == incarnation);
-        told.map_or(incarnation, |(_, owner)| *owner)
+        let told = told.filter(|told| told.incarnation == incarnation);
+        told.map_or(incarnation, |told| told.since)
     }
 
     /// All balancers take control messages on the port that this one does.
--- a/crates/node/src/cookie/examine.rs
+++ b/crates/node/src/cookie/examine.rs
@@ -52,7 +52,8 @@
 }
 
 async fn examine(targets: Vec<Target>, control: Option<SocketAddrV4>) -> Vec<(Arc<str>, Finding)> {
-    let mut trial = Trial::new(targets.len(), control.is_some(), clock::now());
+    let begun = clock::now();
+    let mut trial = Trial::new(targets.len(), control.is_some(), begun);
     // Probes that the outcome no longer waits for end with this set.
     let mut probes = JoinSet::new();
     while !trial.is_over() {
@@ -76,8 +77,23 @@
             },
         }
     }
+    let findings = trial.findings();
+    log_doubtful(&findings, clock::now().saturating_sub(begun));
     let servers = targets.into_iter().map(|target| target.server);
-    servers.zip(trial.findings()).collect()
+    servers.zip(findings).collect()
+}
+
+/// Tells of an examination that did not find all servers alive: with it goes the question, after a
+/// verdict, whether others were in doubt at the same time.
+fn log_doubtful(findings: &[Finding], took: Duration) {
+    let count = |wanted: Finding| findings.iter().filter(|found| **found == wanted).count();
+    let (silent, unknown) = (count(Finding::Silent), count(Finding::Unknown));
+    if silent + unknown > 0 {
+        let (servers, took_ms) = (findings.len(), took.as_millis());
+        log::info!(
+            "event=examined servers={servers} silent={silent} unknown={unknown} took_ms={took_ms}"
+        );
+    }
 }
 
 /// How a probe of `address` ends.
