--- a/crates/cookie/src/trial.rs
+++ b/crates/cookie/src/trial.rs
@@ -34,7 +34,7 @@
 
 /// The steps, each with the time since the one before. Six probes and four controls: where each
 /// exchange is lost with the same chance, it happens in at most 12 of 10,000 examinations that just the
-/// probes are; with two probes and one control in 1,480.
+/// probes are; fewer of either end flows of living servers behind a lossy link.
 const STEPS: [(Duration, Step); 10] = [
     (Duration::ZERO, Step::Servers),
     (APART, Step::Servers),
