Open no flow on a server that has been draining for seconds

Cause, from traces of the two listed cases and three new ones: (1) a single lost heartbeat (2 % loss) lets an owner miss a peer for a moment, and a flow that opens then goes to its base, a draining one too; (2) an opening that was placed before its bucket was open to other servers, and lost between two owners, left a light pin; each copy of the opening followed and renewed it.

Ruled out: flags or tables that were late (open and known in all five traces), a cut.

Under cargo, PROPTEST_RNG_SEED goes before ACACIA_SEED; the page of the test says so now.

--- a/crates/flow/src/resolve/owner.rs
+++ b/crates/flow/src/resolve/owner.rs
@@ -87,6 +87,11 @@
             return self.pass_on(&Pin { phase, ..pin }, chain, Told::default());
         }
         let resent = matches!(self.packet.kind, Kind::Opening { .. });
+        if resent && pin.light && pin.phase == Phase::Opening && self.is_base_closed() {
+            // A server that took the first copy resends its answer by itself. One that did not must not
+            // take the flow any more: it is placed anew once the pin has expired.
+            return drop(Code::FlowUnsettled);
+        }
         let stale = pin.is_stale(self.now, self.packet.key.protocol);
         if self.packet.kind == Kind::Error || (phase == pin.phase && !stale && !resent) {
             return forward(pin.server);
@@ -137,6 +142,9 @@
         if !is_first && !self.snapshot.is_parted(self.now) {
             return drop(Code::OwnersUnreachable);
         }
+        if self.waits_for_owners(chain) {
+            return drop(Code::OwnersUnreachable);
+        }
         let room = self.shard.has_room();
         let (free, refusable) = (self.is_free(chain) && room, self.is_refusable());
         let server = match self.ask_policy(free, refusable) {
@@ -155,9 +163,28 @@
         }
     }
 
+    /// Whether a new flow has to be sent again once all owners are heard: its base takes no new flows,
+    /// and a flow off its base needs every owner. A lost heartbeat lasts less than the caller's
+    /// retransmissions. When owners stay unreachable, the base serves.
+    fn waits_for_owners(&self, chain: &Chain) -> bool {
+        let apart = !self.hears_owners(chain) && !self.snapshot.is_parted(self.now);
+        apart && self.is_base_closed()
+    }
+
+    /// Whether the base takes no new flows, and every balancer has known so for long enough that they are
+    /// placed elsewhere.
+    fn is_base_closed(&self) -> bool {
+        self.packet.key.protocol == Protocol::Tcp
+            && self.entry.open.contains(self.bucket)
+            && !self.service.is_eligible(self.base())
+    }
+
+    fn hears_owners(&self, chain: &Chain) -> bool {
+        self.snapshot.free && self.hears_all(chain)
+    }
+
     pub(super) fn is_free(&self, chain: &Chain) -> bool {
-        let open =
-            self.snapshot.free && self.hears_all(chain) && self.entry.open.contains(self.bucket);
+        let open = self.hears_owners(chain) && self.entry.open.contains(self.bucket);
         // Nothing marks the first packet of a flow of datagrams. Only an owner that has seen all
         // that lives in the bucket knows a new flow; a server that is down keeps none alive.
         let known_new = self.packet.key.protocol == Protocol::Tcp
--- a/crates/flow/tests/it/plan.rs
+++ b/crates/flow/tests/it/plan.rs
@@ -18,7 +18,7 @@
 pub const BUCKETS: usize = 64;
 
 /// The same cases in every run. `ACACIA_CASES` and `ACACIA_SEED` in the environment play more and
-/// others by hand.
+/// others by hand; under cargo, which sets `PROPTEST_RNG_SEED`, that one goes before `ACACIA_SEED`.
 pub fn config(cases: u32) -> Config {
     let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
     Config {
--- a/crates/flow/tests/it/services.rs
+++ b/crates/flow/tests/it/services.rs
@@ -3,6 +3,7 @@
 use acacia_flow::{control::Tables, snapshot::State};
 use acacia_wire::flow::Protocol;
 use proptest::prelude::*;
+use rstest::rstest;
 
 use crate::{
     fleet::Fleet,
@@ -69,6 +70,21 @@
     }
 }
 
+/// Heartbeats and openings that are lost in a bad moment put a new flow on a draining server.
+#[rstest]
+#[case::owner_unheard_for_a_moment(16531288742342242348, 0)]
+#[case::owner_unheard_as_flags_settle(13160912353699380198, 0)]
+#[case::owner_unheard_briefly(9282231148153686340, 1)]
+#[case::opening_resent_with_its_pin_kept(952970413539307206, 1)]
+#[case::opening_resent_after_a_lost_redirect(5574302508685875156, 1)]
+fn found_cases_open_no_flow_on_a_draining_server(#[case] seed: u64, #[case] server: u16) {
+    let (fleet, last, lost) = drain(seed, server);
+
+    assert!(last <= 6_000, "a new flow {last} ms later");
+    assert_eq!(fleet.failures, Vec::<String>::new());
+    assert_eq!(lost, Vec::<u32>::new(), "drops {:?}", fleet.drops);
+}
+
 /// Lets a server drain while callers keep opening flows for more than nine seconds; gives the fleet,
 /// how long after the change the last new flow met the server, and the flows that were lost.
 fn drain(seed: u64, server: u16) -> (Fleet, u64, Vec<u32>) {
