Open no watch at the store before a balancer has met its peers

Ruled out: patience that runs out (no further polls), changes. Test: 195 balancers started at once, 195 watches before, at most 20 after.

--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -33,6 +33,10 @@
 /// sixty times what an answer takes, and short against the time in which the routers notice.
 const FIRST: Duration = Duration::from_millis(250);
 
+/// How long a balancer that has just started waits for its peers before it takes itself for the only one:
+/// two rounds of gossip.
+const JOINING: Duration = Duration::from_secs(1);
+
 /// What to do about a piece of news.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Outcome {
@@ -211,7 +215,7 @@
     /// What to do about the store now.
     pub fn turn(&mut self, now: Duration) -> Turn {
         self.own.sighted = self.reading.is_sighted();
-        let reads = is_reader(&self.own, &self.list);
+        let reads = !self.is_joining(now) && is_reader(&self.own, &self.list);
         if reads != self.reads {
             self.reads = reads;
             log::info!("event=reader reads={reads} peers={}", self.list.len());
@@ -220,6 +224,13 @@
         self.reading.turn(now, reads, self.share, blind)
     }
 
+    /// Whether this balancer has just started and has not met its peers yet. When a whole fleet starts at
+    /// once, each member would otherwise take itself for the reader and open a watch of its own.
+    fn is_joining(&self, now: Duration) -> bool {
+        let has_peers = self.seeds.iter().any(|seed| *seed != self.own.address);
+        self.list.is_empty() && has_peers && now < self.born + JOINING
+    }
+
     /// The store has answered a call that left at `sent` with `changes` up to `revision`.
     pub fn changed(
         &mut self,
--- a/crates/node/tests/it/cookie/core.rs
+++ b/crates/node/tests/it/cookie/core.rs
@@ -202,6 +202,42 @@
     assert!(calls.count() <= 1, "{turns:?}");
 }
 
+/// Each balancer of a fleet that starts at once opens a watch of its own at the store.
+#[test]
+fn a_fleet_that_starts_at_once_opens_next_to_no_watch() {
+    let mut fleet = Fleet::new(0, &["a"]);
+    for number in 1..=195 {
+        fleet.join(number, ["a", "b", "c", "d", "e"][usize::from(number) % 5]);
+    }
+    let (now, change) = (fleet.now, config(5, 3));
+    let mut watches = 0;
+
+    for core in fleet.cores.values_mut() {
+        core.read(vec![change.clone()], 5, now, now);
+    }
+    for _ in 0..4 {
+        let now = fleet.now;
+        let turns = fleet.cores.values_mut().map(|core| core.turn(now));
+        watches += turns.filter(|turn| *turn == Turn::Watch).count();
+        fleet.rounds(1);
+    }
+
+    assert!(watches <= 20, "{watches} watches of 195 balancers");
+}
+
+/// A balancer without peers never watches the store, and its callers miss every change.
+#[test]
+fn a_balancer_alone_reads_for_itself() {
+    let mut fleet = Fleet::new(1, &["a"]);
+    let first = fleet.first();
+    fleet.tell(first, vec![config(5, 3)], 5);
+
+    let now = fleet.now;
+    let turn = fleet.cores.get_mut(&first).expect("a balancer").turn(now);
+
+    assert_eq!(turn, Turn::Watch);
+}
+
 /// The reader dies. A change that the store accepts at that moment must be in force within the
 /// bound of three seconds, so others must have turned to the store by then.
 #[test]
