Start with a reading of the store that may be seconds old

A serializable one costs the store a tenth and does not count towards its rate, which matters when a whole fleet is back at once. Only the items of its first page tell how old it is, so it counts as complete up to the newest of them and no further; any peer's word confirms or completes it within a round of gossip, and without one the balancer asks for itself after its patience.

Tests: a fleet of 195 that starts with an old reading makes at most 20 calls and has the newest version; an unconfirmed reading is read again.

--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -66,6 +66,8 @@
     pace: Pace,
     /// Until when everything is known; none before the first whole reading.
     fresh: Option<Duration>,
+    /// When a reading of unknown age came in; none if there was none.
+    primed: Option<Duration>,
     /// Calls failed in a row, and when the last did.
     failures: u32,
     failed: Duration,
@@ -78,6 +80,7 @@
         Reading {
             pace,
             fresh: None,
+            primed: None,
             failures: 0,
             failed: Duration::ZERO,
         }
@@ -100,6 +103,18 @@
         self.fresh
     }
 
+    /// Whether a reading has come in, of whatever age.
+    #[must_use]
+    pub const fn is_primed(&self) -> bool {
+        self.primed.is_some() || self.fresh.is_some()
+    }
+
+    /// The store has answered with what may be seconds old.
+    pub fn prime(&mut self, now: Duration) {
+        self.failures = 0;
+        self.primed = Some(now);
+    }
+
     /// Whether the latest call to the store was answered.
     #[must_use]
     pub const fn is_sighted(&self) -> bool {
@@ -142,12 +157,13 @@
         if !wait.is_zero() {
             return Turn::Wait(wait);
         }
-        let Some(fresh) = self.fresh else {
-            return Turn::Poll;
-        };
-        if reads {
+        if reads && self.fresh.is_some() {
             return Turn::Watch;
         }
+        // What is primed waits for a peer's word; the reader has none to wait for.
+        let Some(fresh) = self.fresh.or(self.primed.filter(|_| !reads)) else {
+            return Turn::Poll;
+        };
         let due = fresh + self.pace.patience + self.pace.spread.mul_f64(share);
         match due.checked_sub(now) {
             Some(wait) if !wait.is_zero() => Turn::Wait(wait),
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -185,7 +185,7 @@
     /// Whether this balancer knows enough to serve.
     #[must_use]
     pub fn is_informed(&self) -> bool {
-        self.reading.fresh().is_some() && self.catalog.config().is_some()
+        self.reading.is_primed() && self.catalog.config().is_some()
     }
 
     /// Whether this balancer reaches next to no server, and its callers are better off elsewhere.
@@ -266,6 +266,18 @@
         self.pass_on(changed, base, &Source::Store, now)
     }
 
+    /// The store has answered a whole reading with what may be seconds old, complete up to `revision`.
+    /// Peers or a later call tell what it misses.
+    pub fn prime(&mut self, reading: Vec<Change>, revision: u64, now: Duration) -> Outcome {
+        let changed = self.catalog.replace(reading, revision);
+        log::info!("event=store-primed revision={revision} changed={changed}");
+        self.reading.prime(now);
+        Outcome {
+            changed,
+            ..Outcome::default()
+        }
+    }
+
     fn regained(&self) {
         if !self.reading.is_sighted() {
             let revision = self.catalog.revision();
--- a/crates/node/src/cookie/follow.rs
+++ b/crates/node/src/cookie/follow.rs
@@ -5,7 +5,7 @@
 use acacia_adapter::{entry, store};
 use acacia_catalog::{Change, spread::Turn};
 use acacia_kernel::BoxError;
-use acacia_platform::{Client, Error, Options};
+use acacia_platform::{Client, Error, Options, transport::Consistency};
 use tokio::time;
 
 use super::{control::Control, meters::Call};
@@ -29,7 +29,8 @@
 }
 
 async fn follow(control: &Control, client: &Client) {
-    let mut whole = true;
+    prime(control, client).await;
+    let mut whole = false;
     loop {
         let turn = control.core(|core, now| core.turn(now));
         let wait = match turn {
@@ -65,9 +66,26 @@
     }
 }
 
+/// Reads the store once with what it can give at a fraction of the cost. A fleet that starts at once reads
+/// the whole store with every member; peers confirm or complete it within a round of gossip.
+async fn prime(control: &Control, client: &Client) {
+    let prefix: Arc<str> = entry::PREFIX.into();
+    let read = client.range(&prefix, Consistency::Serializable).await;
+    control.meters.called(Call::Range, read.as_ref().err());
+    match read {
+        Ok((items, revision)) => {
+            let changes: Vec<Change> = items.iter().filter_map(entry::item).collect();
+            control
+                .take(|core, now| core.prime(changes, revision, now))
+                .await;
+        }
+        Err(error) => control.core(|core, now| core.failed(&error, now)),
+    }
+}
+
 async fn read(control: &Control, client: &Client, sent: Duration) -> Result<(), Error> {
     let prefix: Arc<str> = entry::PREFIX.into();
-    let (items, revision) = client.range(&prefix).await?;
+    let (items, revision) = client.range(&prefix, Consistency::Linearizable).await?;
     let changes: Vec<Change> = items.iter().filter_map(entry::item).collect();
     control
         .take(|core, now| core.read(changes, revision, sent, now))
--- a/crates/node/tests/it/cookie/core.rs
+++ b/crates/node/tests/it/cookie/core.rs
@@ -246,6 +246,55 @@
     assert!(watches <= 20, "{watches} watches of 195 balancers");
 }
 
+/// A whole fleet starts at once with a reading that is seconds old. Each member that then calls the store
+/// again is a call, and one that doesn't learn what it missed reverts an accepted change.
+#[test]
+fn a_fleet_that_starts_with_an_old_reading_learns_the_rest_from_one() {
+    let mut fleet = Fleet::new(0, &["a"]);
+    for number in 1..=195 {
+        fleet.join(number, ["a", "b", "c", "d", "e"][usize::from(number) % 5]);
+    }
+    let start = fleet.now;
+    for core in fleet.cores.values_mut() {
+        core.prime(vec![config(5, 3)], 5, start);
+        assert!(core.is_informed());
+    }
+
+    let mut calls = 0;
+    for _ in 0..6 {
+        let now = fleet.now;
+        let callers: Vec<_> = fleet
+            .cores
+            .iter_mut()
+            .filter_map(|(address, core)| match core.turn(now) {
+                Turn::Wait(_) => None,
+                Turn::Watch | Turn::Poll => Some(*address),
+            })
+            .collect();
+        calls += callers.len();
+        for caller in callers {
+            fleet.tell(caller, vec![config(6, 4)], 6);
+        }
+        fleet.rounds(1);
+    }
+
+    assert_eq!(fleet.versions(), all(&fleet, 6));
+    assert!(calls <= 20, "{calls} calls of 195 balancers");
+}
+
+/// The store answers the first reading of a balancer that reaches no peer, and then nobody confirms it.
+#[test]
+fn a_first_reading_that_nobody_confirms_is_read_again() {
+    let mut core = acacia_node::cookie::core::Core::new(&settings(3, "a"), 1, ms(0));
+    core.prime(vec![config(5, 3)], 5, ms(0));
+
+    let early = core.turn(ms(900));
+    let late = core.turn(ms(2_200));
+
+    assert!(matches!(early, Turn::Wait(_)));
+    assert_eq!(late, Turn::Poll);
+}
+
 /// A balancer without peers never watches the store, and its callers miss every change.
 #[test]
 fn a_balancer_alone_reads_for_itself() {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -20,7 +20,7 @@
     seen::{Seen, Verdict},
     service,
     store::{Entry, Events, Item, Lease, Outcome, Refusal, Swap},
-    transport::{Answer, Call, Failure, Transport},
+    transport::{Answer, Call, Consistency, Failure, Transport},
 };
 
 mod slot;
@@ -257,23 +257,31 @@
         self.read_call(Call::Machines, Answer::machines).await
     }
 
-    /// Reads all items whose keys begin with `prefix`, page by page, and gives them with the
-    /// store's revision at the first page. The pages are no snapshot: [`Client::changes`] after
-    /// that revision tells what changed while they were read.
+    /// Reads all items whose keys begin with `prefix`, page by page, and gives them with a revision up to
+    /// which they are complete. The pages are no snapshot: [`Client::changes`] after that revision tells
+    /// what changed while they were read.
     ///
     /// # Errors
     /// When no try has given a page, or the platform doesn't offer the call.
-    pub async fn range(&self, prefix: &Arc<str>) -> Result<(Vec<Item>, u64), Error> {
+    pub async fn range(
+        &self,
+        prefix: &Arc<str>,
+        consistency: Consistency,
+    ) -> Result<(Vec<Item>, u64), Error> {
         let (mut items, mut revision, mut after) = (Vec::new(), None, None);
         loop {
             let page = self
                 .retry(async || {
                     let (prefix, after) = (Arc::clone(prefix), after.clone());
-                    self.read_call(Call::Range { prefix, after }, Answer::page)
-                        .await
+                    let call = Call::Range {
+                        prefix,
+                        after,
+                        consistency,
+                    };
+                    self.read_call(call, Answer::page).await
                 })
                 .await?;
-            revision.get_or_insert(page.revision);
+            revision.get_or_insert_with(|| page.complete_to(consistency));
             after = page.items.last().map(|item| Arc::clone(&item.key));
             let more = page.more && after.is_some();
             items.extend(page.items);
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::transport::Consistency;
+
 /// Largest value that the service holds, in bytes.
 pub const MAX_VALUE: usize = 1 << 20;
 
@@ -88,6 +90,26 @@
     pub revision: u64,
 }
 
+impl Page {
+    /// The revision up to which a reading that begins with this page is complete. Of one that may be old
+    /// only the items themselves tell how old.
+    ///
+    /// ```
+    /// use acacia_platform::{store::Page, transport::Consistency};
+    /// let page = Page { items: Vec::new(), more: false, revision: 7 };
+    /// assert_eq!(page.complete_to(Consistency::Linearizable), 7);
+    /// assert_eq!(page.complete_to(Consistency::Serializable), 0);
+    /// ```
+    #[must_use]
+    pub fn complete_to(&self, consistency: Consistency) -> u64 {
+        let newest = self.items.iter().map(|item| item.revision).max();
+        match consistency {
+            Consistency::Linearizable => self.revision,
+            Consistency::Serializable => newest.unwrap_or_default().min(self.revision),
+        }
+    }
+}
+
 /// What happened to a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -52,6 +52,8 @@
         prefix: Arc<str>,
         /// The last key of the page before.
         after: Option<Arc<str>>,
+        /// How new the answer must be.
+        consistency: Consistency,
     },
     /// Waits for changes below a prefix.
     Changes {
@@ -64,6 +66,15 @@
     },
 }
 
+/// How new the answer to a reading must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Consistency {
+    /// As new as every write that was acknowledged before the call.
+    Linearizable,
+    /// It may be seconds old. Such a reading costs the store a fraction of the other.
+    Serializable,
+}
+
 /// The answer to a [`Call`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
