Let three balancers of a data centre examine a server for all of it

Now the first three of a data centre in the server's own order examine it; the others take the word of two peers, end its flows and use it again when one of those has reached it. A balancer that noticed an unanswered packet still examines for itself, and one peer alone convinces nobody.

Ruled out: neighbours and controls (few since they are chosen), callers' flows. A balancer that is cut off itself convinces no other.

--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -53,6 +53,13 @@
     cookies: [Cookie; VARIANTS as usize],
 }
 
+impl Known {
+    /// Whether it announced its departure and its entry is gone.
+    fn has_left(&self) -> bool {
+        self.missing.is_some() && self.server.state == State::Draining
+    }
+}
+
 /// The servers known to a balancer, those that left within the life of a flow included.
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
@@ -217,12 +224,15 @@
     /// those that announced their departure and have left. Probes of the latter, for as long as they
     /// are known by their cookies, would cost and tell nothing.
     pub fn servers(&self) -> impl Iterator<Item = &Arc<server::Server>> {
-        let left =
-            |known: &&Known| known.missing.is_some() && known.server.state == State::Draining;
-        let others = self.servers.values().filter(move |known| !left(known));
+        let others = self.servers.values().filter(|known| !known.has_left());
         others.map(|known| &known.server)
     }
 
+    /// Whether a server is known and has not left in order.
+    pub fn holds(&self, id: &str) -> bool {
+        self.servers.get(id).is_some_and(|known| !known.has_left())
+    }
+
     /// A server that is known by its name.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<server::Server>> {
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -30,6 +30,14 @@
 /// After this long an examination without a result is given up: it was never made, as too many were
 /// under way.
 const EXPIRY: Duration = Duration::from_millis(500);
+/// Peers that must have found a server silent before a balancer that didn't examine it takes their word:
+/// one that is cut off itself convinces nobody.
+const QUORUM: usize = 2;
+/// How long a peer's report counts.
+const REPORTED: Duration = Duration::from_secs(2);
+/// How long a server that has answered a probe here is trusted whatever peers say of it: it may be out of
+/// reach for them alone.
+pub const PEER_TRUST: Duration = Duration::from_secs(2);
 /// Where at least this part of all servers is silent, it is this balancer that is cut off, and its
 /// callers are better served through another.
 const ISOLATED: f64 = 0.95;
@@ -49,9 +57,18 @@
         since: Duration,
         /// When it is to be probed again.
         again: Duration,
+        /// Whether peers found it silent, and not an examination of this balancer's own.
+        adopted: bool,
     },
 }
 
+/// A peer that has found a server silent, and when it said so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Report {
+    reporter: u64,
+    at: Duration,
+}
+
 /// The servers to examine now.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Due {
@@ -87,6 +104,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Detector {
     states: Map<Arc<str>, State>,
+    reports: Map<Arc<str>, Vec<Report>>,
 }
 
 impl Detector {
@@ -130,8 +148,12 @@
                     *state = State::Examined(now);
                     due.doubted.push(Arc::clone(server));
                 }
-                State::Silent { since, again } if now >= *again => {
-                    *again = now + pause(now.saturating_sub(*since));
+                State::Silent {
+                    since,
+                    again,
+                    adopted,
+                } if now >= *again => {
+                    *again = now + pause(now.saturating_sub(*since), *adopted);
                     due.silent.push(Arc::clone(server));
                 }
                 _ => {}
@@ -154,11 +176,7 @@
                 }
             }
             (Finding::Silent, Some(State::Examined(_))) => {
-                let silent = State::Silent {
-                    since: now,
-                    again: now + AGAIN,
-                };
-                self.states.insert(Arc::clone(server), silent);
+                self.states.insert(Arc::clone(server), silent(false, now));
                 Verdict::Silent
             }
             (Finding::Unknown, Some(State::Examined(_))) => {
@@ -169,6 +187,55 @@
         }
     }
 
+    /// Takes in that the peer `reporter` has found a server silent by its own examination. Once
+    /// [`QUORUM`] peers have, it is silent here as well, without a probe.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_cookie::silence::{Detector, Verdict};
+    /// let mut detector = Detector::default();
+    /// let server = "host-1".into();
+    /// assert_eq!(detector.reported(&server, 1, Duration::ZERO), Verdict::Same);
+    /// assert_eq!(detector.reported(&server, 1, Duration::ZERO), Verdict::Same);
+    /// assert_eq!(detector.reported(&server, 2, Duration::ZERO), Verdict::Silent);
+    /// ```
+    pub fn reported(&mut self, server: &Arc<str>, reporter: u64, now: Duration) -> Verdict {
+        match self.states.get(server) {
+            Some(State::Content(at)) if now < *at + PEER_TRUST => return Verdict::Same,
+            Some(State::Doubted(at) | State::Examined(at)) if now < *at + EXPIRY => {
+                return Verdict::Same;
+            }
+            Some(State::Silent { .. }) => return Verdict::Same,
+            _ => {}
+        }
+        let reports = self.reports.entry(Arc::clone(server)).or_default();
+        reports.retain(|report| report.reporter != reporter && now < report.at + REPORTED);
+        reports.push(Report { reporter, at: now });
+        if reports.len() < QUORUM {
+            return Verdict::Same;
+        }
+        self.reports.remove(server);
+        self.states.insert(Arc::clone(server), silent(true, now));
+        Verdict::Silent
+    }
+
+    /// Takes in that a silent server has answered a peer's probe. One that was found silent here is probed
+    /// at once.
+    pub fn reported_back(&mut self, server: &Arc<str>, now: Duration) -> Verdict {
+        self.reports.remove(server);
+        match self.states.get_mut(server) {
+            Some(State::Silent { adopted: true, .. }) => {
+                self.states.remove(server);
+                Verdict::Back
+            }
+            Some(State::Silent { again, .. }) => {
+                *again = now;
+                Verdict::Same
+            }
+            _ => Verdict::Same,
+        }
+    }
+
     /// When the next examination is due.
     #[must_use]
     pub fn next(&self) -> Option<Duration> {
@@ -205,12 +272,14 @@
 
     /// Forgets what is known of a server: it has started anew.
     pub fn forget(&mut self, server: &str) {
+        self.reports.remove(server);
         self.states.remove(server);
     }
 
     /// Forgets servers that `is_known` doesn't name.
     pub fn retain(&mut self, is_known: impl Fn(&Arc<str>) -> bool) {
         self.states.retain(|server, _| is_known(server));
+        self.reports.retain(|server, _| is_known(server));
     }
 
     /// Whether so many of `all` servers are silent that it is this balancer that is cut off. One or
@@ -226,7 +295,18 @@
     }
 }
 
-/// From one probe of a server that has been silent for so long to the next.
-fn pause(silent: Duration) -> Duration {
-    silent.mul_f64(BACK_OFF).clamp(AGAIN, AGAIN_MOST)
+/// The state of a server that is found silent now.
+fn silent(adopted: bool, now: Duration) -> State {
+    State::Silent {
+        since: now,
+        again: now + pause(Duration::ZERO, adopted),
+        adopted,
+    }
+}
+
+/// From one probe of a server that has been silent for so long to the next. Those that examined it tell
+/// the others when it is back, which probe it in case no word of that comes.
+fn pause(silent: Duration, adopted: bool) -> Duration {
+    let least = if adopted { AGAIN_MOST } else { AGAIN };
+    silent.mul_f64(BACK_OFF).clamp(least, AGAIN_MOST)
 }
--- a/crates/cookie/tests/it/silence.rs
+++ b/crates/cookie/tests/it/silence.rs
@@ -197,3 +197,70 @@
     // Six losses of 19 % and four answered controls: 0.00002 of the suspicions.
     assert!(part < 0.0002, "{part}");
 }
+
+/// A balancer that is cut off reports every server, again and again, and ends flows at all others.
+#[test]
+fn one_peer_convinces_nobody() {
+    let mut detector = Detector::default();
+
+    for at in 0..100 {
+        assert_eq!(detector.reported(&id(), 7, ms(at * 50)), Verdict::Same);
+    }
+}
+
+/// Two peers are wrong about a server at different times.
+#[test]
+fn old_reports_do_not_add_up() {
+    let mut detector = Detector::default();
+    detector.reported(&id(), 1, ms(0));
+
+    assert_eq!(detector.reported(&id(), 2, ms(2_000)), Verdict::Same);
+}
+
+/// Peers are cut off from a server that this balancer reaches, and it ends living flows on their word.
+#[test]
+fn a_server_that_has_just_answered_here_is_not_silent_by_word() {
+    let mut detector = Detector::default();
+    examine(&mut detector, Finding::Answered, ms(0));
+
+    for reporter in 0..9 {
+        assert_eq!(detector.reported(&id(), reporter, ms(500)), Verdict::Same);
+    }
+}
+
+/// The word that a server is back is lost, and it gets no flows for good.
+#[test]
+fn a_server_that_is_silent_by_word_is_probed_after_seconds() {
+    let mut detector = Detector::default();
+    detector.reported(&id(), 1, ms(0));
+    detector.reported(&id(), 2, ms(0));
+
+    assert!(detector.due(ms(2_900)).silent.is_empty());
+    assert_eq!(detector.due(ms(3_000)).silent, [id()]);
+    assert_eq!(
+        detector.found(&id(), Finding::Answered, ms(3_010)),
+        Verdict::Back
+    );
+}
+
+/// A server is back and only those that examined it use it.
+#[test]
+fn the_word_that_a_server_is_back_is_taken() {
+    let mut detector = Detector::default();
+    detector.reported(&id(), 1, ms(0));
+    detector.reported(&id(), 2, ms(0));
+
+    assert_eq!(detector.reported_back(&id(), ms(400)), Verdict::Back);
+    assert!(!detector.is_silent("i-1"));
+}
+
+/// A liar says that a silent server is back, and flows go to it again.
+#[test]
+fn a_server_found_silent_here_is_probed_before_it_counts_as_back() {
+    let mut detector = Detector::default();
+    examine(&mut detector, Finding::Silent, ms(0));
+
+    assert_eq!(detector.reported_back(&id(), ms(100)), Verdict::Same);
+    assert!(detector.is_silent("i-1"));
+    assert_eq!(detector.due(ms(100)).silent, [id()]);
+}
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -310,10 +310,11 @@
             heartbeats,
             unknown,
             silent,
+            back,
             wants,
             ..
         } = message;
-        self.meet(from, now);
+        self.meet(from.clone(), now);
         for other in others {
             self.meet(other, now);
         }
@@ -324,7 +325,12 @@
         }
         let behind = self.missed || known.revision > self.catalog.revision();
         outcome.fetch = behind && !self.is_reading_first(now);
-        outcome.examine |= self.doubt(&silent, now);
+        let doubted = self.doubt(&silent, &from, now);
+        outcome.examine |= doubted.examine;
+        outcome.changed |= doubted.changed;
+        if from.data_centre == self.own.data_centre {
+            outcome.changed |= self.returned(&back, now);
+        }
         if wants || !unknown.is_empty() {
             let message = self.introduction(&unknown, wants, now);
             let to = vec![sender];
@@ -371,6 +377,7 @@
             heartbeats: Vec::new(),
             unknown: Vec::new(),
             silent: Vec::new(),
+            back: Vec::new(),
             seen: Vec::new(),
             wants: false,
         }
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -2,31 +2,29 @@
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
-use acacia_catalog::spread::is_chosen;
+use acacia_catalog::{
+    member::{Member, rank},
+    spread::is_chosen,
+};
 use acacia_cookie::{
     cookie,
-    silence::{Finding, Verdict},
+    silence::{Finding, PEER_TRUST, Verdict},
 };
 use rand::seq::IteratorRandom as _;
 
 use super::{Core, Outcome};
-use crate::cookie::message::Parcel;
+use crate::cookie::message::{Message, Parcel};
 
-/// How long a server that has answered a probe here is left alone whatever peers say of it: a
-/// server may be out of reach for one balancer alone, which goes on saying so.
-const PEER_TRUST: Duration = Duration::from_secs(2);
-/// The same where a packet went unanswered here: at a loss of packets that goes on, each copy would
-/// else start an examination.
+/// How long a server that has answered a probe here is left alone where a packet went unanswered here: at
+/// a loss of packets that goes on, each copy would else start an examination.
 const OWN_TRUST: Duration = Duration::from_millis(300);
 /// Silent servers named in one message: with 20 bytes each, it stays below an Ethernet frame.
 pub const NAMED: usize = 20;
 
-/// Balancers of each data centre that examine the neighbours of a silent server. Three: they agree on
-/// what the others are told, also when one of them dies or is cut off itself.
-///
-/// Load: a server dies in a large fleet, where all see it fall silent within a second. Harm: if each
-/// balancer examined all neighbours for itself, the death of one of 150 servers would make 11,000
-/// connections to living ones at 73 balancers, three times what their callers open meanwhile.
+/// Balancers of each data centre that examine a server which others find silent, and the neighbours of
+/// one. Three: they agree on what the others are told, also when one of them dies or is cut off itself.
+/// Were each balancer of a large fleet to examine for itself, the servers that live would get more
+/// connections from balancers than from callers.
 const EXAMINERS: usize = 3;
 
 /// A backend server and where it is.
@@ -67,17 +65,50 @@
         examine
     }
 
-    /// A peer finds these servers silent. Whether there is something to examine.
-    pub(super) fn doubt(&mut self, servers: &[Arc<str>], now: Duration) -> bool {
-        let mut examine = false;
-        let known: Vec<&Arc<str>> = self.roster.servers().map(|known| &known.id).collect();
-        for server in servers.iter().filter(|server| known.contains(server)) {
-            if self.detector.suspect(server, PEER_TRUST, now) {
-                log::info!("event=server-suspected server={server} by=peer");
-                examine = true;
+    /// A peer finds these servers silent. Those that this balancer is to examine are examined; of the
+    /// others, the word of several peers of the own data centre is taken.
+    pub(super) fn doubt(&mut self, servers: &[Arc<str>], from: &Member, now: Duration) -> Outcome {
+        let mut outcome = Outcome::default();
+        let mut silent = Vec::new();
+        let near = from.data_centre == self.own.data_centre;
+        for server in servers {
+            if !self.roster.holds(server) {
+                continue;
+            }
+            if self.is_examiner(server) {
+                if self.detector.suspect(server, PEER_TRUST, now) {
+                    log::info!("event=server-suspected server={server} by=peer");
+                    outcome.examine = true;
+                }
+            } else if near
+                && self.detector.reported(server, rank(from.address), now) == Verdict::Silent
+            {
+                log::warn!("event=server-silent server={server} by=peers");
+                silent.push(Arc::clone(server));
             }
         }
-        examine
+        if !silent.is_empty() {
+            outcome.examine |= self.examine_neighbours(&silent, now);
+            outcome.changed = true;
+        }
+        outcome
+    }
+
+    /// A peer of the own data centre has found that these silent servers answer again. Whether anything
+    /// changed.
+    pub(super) fn returned(&mut self, servers: &[Arc<str>], now: Duration) -> bool {
+        let mut changed = false;
+        for server in servers {
+            if self.detector.reported_back(server, now) == Verdict::Back {
+                log::info!("event=server-back server={server} by=peer");
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    fn is_examiner(&self, server: &str) -> bool {
+        is_chosen(&self.own, &self.list, cookie::hash(server), EXAMINERS)
     }
 
     /// The servers to examine now, and when to look again.
@@ -124,60 +155,68 @@
 
     /// An examination has ended.
     pub fn examined(&mut self, findings: Vec<(Arc<str>, Finding)>, now: Duration) -> Outcome {
-        let mut silent = Vec::new();
-        let mut outcome = Outcome::default();
+        let (mut silent, mut back) = (Vec::new(), Vec::new());
         for (server, finding) in findings {
             match self.detector.found(&server, finding, now) {
                 Verdict::Same => {}
                 Verdict::Back => {
-                    log::info!("event=server-back server={server}");
-                    outcome.changed = true;
+                    log::info!("event=server-back server={server} by=probe");
+                    back.push(server);
                 }
                 Verdict::Silent => {
-                    log::warn!("event=server-silent server={server}");
+                    log::warn!("event=server-silent server={server} by=probes");
                     silent.push(server);
                 }
             }
         }
-        if !silent.is_empty() {
-            self.fell_silent(silent, &mut outcome, now);
+        let mut parcels = self.tell_centre(&silent, now, |message, named| message.silent = named);
+        parcels.extend(self.tell_centre(&back, now, |message, named| message.back = named));
+        Outcome {
+            parcels,
+            examine: self.examine_neighbours(&silent, now),
+            changed: !silent.is_empty() || !back.is_empty(),
+            ..Outcome::default()
         }
-        outcome
     }
 
-    /// Servers have fallen silent: their neighbours are examined at once by some of the data centre's
-    /// balancers, and all of it is told.
-    ///
-    /// Load: a cut puts all servers of a data centre out of reach in one moment. Harm: found one by
-    /// one, each costs its callers an unanswered packet first, and new flows go from one lost server
-    /// to the next.
-    fn fell_silent(&mut self, silent: Vec<Arc<str>>, outcome: &mut Outcome, now: Duration) {
-        let lost = self
-            .roster
-            .servers()
-            .filter(|known| silent.contains(&known.id));
-        let centres: Vec<Arc<str>> = lost.map(|known| Arc::clone(&known.data_centre)).collect();
+    /// Puts the neighbours of silent servers under examination, where it is this balancer's part; true if
+    /// there are any. A cut puts all servers of a data centre out of reach in one moment: found one by
+    /// one, each would cost its callers an unanswered packet first.
+    fn examine_neighbours(&mut self, silent: &[Arc<str>], now: Duration) -> bool {
+        let lost = silent.iter().filter_map(|id| self.roster.get(id));
+        let mut centres: Vec<Arc<str>> = lost.map(|known| Arc::clone(&known.data_centre)).collect();
+        centres.sort_unstable();
+        centres.dedup();
         let near = self
             .roster
             .servers()
-            .filter(|known| centres.contains(&known.data_centre));
+            .filter(|known| centres.contains(&known.data_centre) && self.is_examiner(&known.id));
+        let near: Vec<Arc<str>> = near.map(|known| Arc::clone(&known.id)).collect();
+        let mut examine = false;
         for neighbour in near {
-            let key = cookie::hash(&neighbour.id);
-            if is_chosen(&self.own, &self.list, key, EXAMINERS) {
-                outcome.examine |= self.detector.suspect(&neighbour.id, OWN_TRUST, now);
-            }
+            examine |= self.detector.suspect(&neighbour, OWN_TRUST, now);
         }
-        outcome.changed = true;
+        examine
+    }
+
+    /// Messages to all of the own data centre, each with a part of `servers` as `put` places them.
+    fn tell_centre(
+        &self,
+        servers: &[Arc<str>],
+        now: Duration,
+        put: impl Fn(&mut Message, Vec<Arc<str>>),
+    ) -> Vec<Parcel> {
         let own = self
             .list
             .iter()
             .filter(|member| member.data_centre == self.own.data_centre);
         let to: Vec<SocketAddrV4> = own.map(|member| member.address).collect();
-        for silent in silent.chunks(NAMED) {
+        let parcel = |named: &[Arc<str>]| {
             let mut message = self.message(now);
-            message.silent = silent.to_vec();
+            put(&mut message, named.to_vec());
             let to = to.clone();
-            outcome.parcels.push(Parcel { to, message });
-        }
+            Parcel { to, message }
+        };
+        servers.chunks(NAMED).map(parcel).collect()
     }
 }
--- a/crates/node/src/cookie/message.rs
+++ b/crates/node/src/cookie/message.rs
@@ -32,6 +32,8 @@
     pub unknown: Vec<SocketAddrV4>,
     /// Backend servers that the sender finds silent.
     pub silent: Vec<Arc<str>>,
+    /// Backend servers that the sender found silent, and that have answered it since.
+    pub back: Vec<Arc<str>>,
     /// What the sender saw servers do since it last told.
     pub seen: Vec<Seen>,
     /// Whether the sender asks for a message in return.
--- /dev/null
+++ b/crates/node/tests/it/cookie/cut.rs
@@ -0,0 +1,130 @@
+//! A cut puts all servers of a data centre out of reach of a large fleet.
+
+use std::sync::Arc;
+
+use acacia_catalog::Change;
+use acacia_cookie::silence::Finding;
+
+use super::fixture::{Fleet, ms, server};
+
+const CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
+/// Servers behind the cut.
+const LOST: u64 = 58;
+const SERVERS: u64 = 290;
+
+/// A fleet of 195 balancers that knows all servers; the last [`LOST`] are in the cut data centre.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(195, &CENTRES);
+    let now = fleet.now;
+    let mut servers: Vec<Change> = (1..=SERVERS)
+        .map(|number| server(&name(number), number))
+        .collect();
+    for (number, change) in (1..).zip(&mut servers) {
+        if let Change::Server {
+            server: Some(server),
+            ..
+        } = change
+        {
+            let server = Arc::make_mut(server);
+            let is_lost = number > SERVERS - LOST;
+            server.data_centre = if is_lost { "z" } else { "a" }.into();
+        }
+    }
+    for core in fleet.cores.values_mut() {
+        core.read(servers.clone(), SERVERS, now, now);
+        core.snapshot(now);
+    }
+    fleet
+}
+
+fn name(number: u64) -> String {
+    format!("i-{number}")
+}
+
+fn is_lost(id: &str) -> bool {
+    let number: u64 = id[2..].parse().expect("a number");
+    number > SERVERS - LOST
+}
+
+/// Lets every balancer make the examinations that are due, until none is; gives how many servers were
+/// examined and how many silent ones probed.
+fn examine(fleet: &mut Fleet, is_cut: bool) -> (usize, usize) {
+    let (mut examined, mut probed) = (0, 0);
+    loop {
+        let now = fleet.now;
+        let mut parcels = Vec::new();
+        let mut any = false;
+        for core in fleet.cores.values_mut() {
+            let (examination, _) = core.examination(now);
+            any |= !examination.is_empty();
+            examined += examination.targets.len();
+            probed += examination.silent.len();
+            let targets = examination.targets.iter().map(|target| {
+                let silent = is_cut && is_lost(&target.server);
+                let finding = if silent {
+                    Finding::Silent
+                } else {
+                    Finding::Answered
+                };
+                (Arc::clone(&target.server), finding)
+            });
+            let back = examination.silent.iter().filter(|_| !is_cut);
+            let back = back.map(|target| (Arc::clone(&target.server), Finding::Answered));
+            let findings = targets.chain(back).collect();
+            parcels.extend(core.examined(findings, now + ms(90)).parcels);
+        }
+        fleet.deliver(parcels);
+        if !any {
+            return (examined, probed);
+        }
+    }
+}
+
+/// The number of servers that each balancer takes for silent.
+fn silent(fleet: &Fleet) -> Vec<usize> {
+    let now = fleet.now;
+    let cores = fleet.cores.values();
+    cores.map(|core| core.standing(now).silent).collect()
+}
+
+/// Each balancer of a large fleet examines each server behind a cut, and again whether it is back: more
+/// connections than callers open.
+#[test]
+fn few_balancers_examine_for_all() {
+    let mut fleet = fleet();
+    let now = fleet.now;
+    for centre in 0..CENTRES.len() {
+        let core = fleet.cores.values_mut().nth(centre).expect("a balancer");
+        core.unanswered(&name(SERVERS).into(), now);
+    }
+
+    let (examined, _) = examine(&mut fleet, true);
+    assert_eq!(silent(&fleet), vec![LOST as usize; 195]);
+    // Three in each data centre, and the one that noticed.
+    assert!(examined <= 5 * (3 * LOST as usize + 1), "{examined}");
+
+    fleet.now += ms(2_000);
+    let (_, probed) = examine(&mut fleet, false);
+    assert_eq!(silent(&fleet), vec![0; 195]);
+    assert!(probed <= 5 * (3 * LOST as usize + 1), "{probed}");
+}
+
+/// One balancer is cut off itself and finds all servers silent. The others must not end living flows.
+#[test]
+fn a_balancer_that_is_cut_off_convinces_no_other() {
+    let mut fleet = fleet();
+    let now = fleet.now;
+    let core = fleet.cores.values_mut().next().expect("a balancer");
+    for number in 1..=60 {
+        core.unanswered(&name(number).into(), now);
+    }
+    core.examination(now);
+    let findings = (1..=60).map(|number| (name(number).into(), Finding::Silent));
+
+    let parcels = core.examined(findings.collect(), now).parcels;
+    fleet.deliver(parcels);
+    examine(&mut fleet, false);
+
+    let wrong = silent(&fleet).into_iter().filter(|silent| *silent > 0);
+    assert!(wrong.count() <= 1);
+}
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the balancer where packets carry a cookie.
 
 mod core;
+mod cut;
 mod examine;
 mod exchange;
 mod fixture;
