Revert throttling: balancers don't see that servers turn requests away

The model's callers close a flow whose request was turned away, at once. On the users' platform they acknowledge every second packet, so a refusal in one packet is acknowledged with the next request, late, and looks like any answer; only answers of several packets are timed.

--- a/crates/cookie/src/flow.rs
+++ b/crates/cookie/src/flow.rs
@@ -24,6 +24,10 @@
 /// they were taken for those of a flow that passed through another balancer so far, every short flow
 /// would count among its server's for as long as idle ones are remembered.
 const CLOSED: Duration = Duration::from_secs(3);
+/// After this long without a packet, a request counts as given up: the caller has left, or the server
+/// has ended the flow, which no balancer sees. Callers pause for 1.6 s at most between two copies of a
+/// packet.
+const GIVEN_UP: Duration = Duration::from_secs(2);
 
 /// One flow.
 #[derive(Debug, Clone)]
@@ -227,14 +231,8 @@
     }
 
     /// Forgets what is too old to matter: flows without a packet for `idle`, closed ones and
-    /// requests without an answer after the `patience` with their server. Gives the servers of those
-    /// requests.
-    pub fn sweep(
-        &mut self,
-        idle: Duration,
-        patience: impl Fn(&Arc<str>) -> Duration,
-        now: Duration,
-    ) -> Vec<Arc<str>> {
+    /// requests without an answer sooner. Gives the servers of those requests.
+    pub fn sweep(&mut self, idle: Duration, now: Duration) -> Vec<Arc<str>> {
         let is_old = |flow: &Flow| {
             let kept = if flow.closed { CLOSED } else { idle };
             flow.seen + kept < now
@@ -245,8 +243,7 @@
         }
         let mut given_up = Vec::new();
         for flow in self.flows.values_mut() {
-            let waits = !flow.closed && flow.is_pending();
-            if !waits || flow.seen + patience(&flow.server) >= now {
+            if flow.closed || !flow.is_pending() || flow.seen + GIVEN_UP >= now {
                 continue;
             }
             flow.sent = None;
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use acacia_code::Code;
-use acacia_load::{delay::Delays, overload::Limit, throttle::Throttle};
+use acacia_load::{delay::Delays, overload::Limit};
 use acacia_wire::{
     collections::Map,
     flow::Key,
@@ -20,7 +20,7 @@
 };
 
 /// What to do with a packet.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     /// Send it to the server at this position; an opening with this cookie written into it.
     Forward {
@@ -47,29 +47,14 @@
 }
 
 /// What an opening was refused by.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Busy {
     /// The position in the snapshot of the server that would answer first.
     pub server: u32,
-    /// Why not even that one takes the flow.
-    pub cause: Cause,
-}
-
-/// Why no server takes a new flow.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Cause {
-    /// The answer would be late.
-    Late {
-        /// How long it would take.
-        expected: Duration,
-        /// How long it may take for a new flow of the route to be let in.
-        limit: Duration,
-    },
-    /// Servers turn requests away, and this part of the new ones is refused in their place.
-    TurnedAway {
-        /// See [`Throttle::part`].
-        part: f64,
-    },
+    /// How long its answer would take.
+    pub expected: Duration,
+    /// How long it may take for a new flow of the route to be let in.
+    pub limit: Duration,
 }
 
 /// How long an opening is remembered: its copies come 200 and 600 ms after it and the caller waits
@@ -82,17 +67,8 @@
 /// the server when they come back.
 const IDLE: Duration = Duration::from_secs(20);
 
-/// After this long without a packet, a request counts as given up: the caller has left, or the server
-/// has ended the flow, which no balancer sees. Callers pause for 1.6 s at most between two copies of a
-/// packet.
-const GIVEN_UP: Duration = Duration::from_secs(2);
-/// The same where it is known how long the server's answers take, and [`OVERDUE`] times that is less.
-const GIVEN_UP_LEAST: Duration = Duration::from_millis(500);
-/// A request that takes this many times what it takes when nothing waits will not be answered.
-const OVERDUE: f64 = 16.0;
-
 /// Between two sweeps of what is too old to matter. Each goes through all flows.
-const SWEEP: Duration = Duration::from_millis(500);
+const SWEEP: Duration = Duration::from_secs(1);
 
 /// An opening that was passed on here.
 #[derive(Debug, Clone)]
@@ -150,8 +126,6 @@
     delays: Delays,
     /// How much is expected of each service's servers before they are given a new flow.
     limits: Map<Arc<str>, Limit>,
-    /// How much each service's servers turn away.
-    throttles: Map<Arc<str>, Throttle>,
     swept: Duration,
     /// When each server last answered something here.
     answered: Map<Arc<str>, Duration>,
@@ -231,7 +205,6 @@
         let is_service = |name: &Arc<str>| snapshot.pools.iter().any(|pool| pool.service == *name);
         self.delays.retain(is_server, is_service);
         self.limits.retain(|name, _| is_service(name));
-        self.throttles.retain(|name, _| is_service(name));
     }
 
     /// A packet of a flow that is open.
@@ -280,7 +253,7 @@
                 self.delays.asked(&server.id, now);
             }
             Sign::Unanswered => self.notice(&server.id, now),
-            Sign::Abandoned => self.turned_away(server, now),
+            Sign::Abandoned => self.failed(&server.id, now),
             Sign::Answered => self.lives(&server.id, now),
             Sign::Opened(took) => {
                 self.lives(&server.id, now);
@@ -290,31 +263,18 @@
             }
             Sign::Timed(took) if server.idle.is_some_and(|idle| idle.is_hasty(took)) => {
                 self.lives(&server.id, now);
-                self.turned_away(server, now);
+                self.failed(&server.id, now);
             }
             Sign::Timed(took) => {
                 self.lives(&server.id, now);
                 self.counts.answered(&server.id, took);
                 self.delays.answered(&server.id, &server.service, took, now);
-                self.throttle(&server.service).served(now);
                 let server = Arc::clone(&server.id);
                 self.timings.push(Timing::Answer { server, took });
             }
         }
     }
 
-    /// A server has not worked on a request. One that fails most of them says nothing of the others' load.
-    fn turned_away(&mut self, server: &Server, now: Duration) {
-        self.failed(&server.id, now);
-        if !server.failing {
-            self.throttle(&server.service).turned_away(now);
-        }
-    }
-
-    fn throttle(&mut self, service: &Arc<str>) -> &mut Throttle {
-        self.throttles.entry(Arc::clone(service)).or_default()
-    }
-
     fn failed(&mut self, server: &Arc<str>, now: Duration) {
         self.delays.unanswered(server, now);
         self.counts.failed(server);
@@ -337,21 +297,14 @@
     }
 
     /// Forgets what is too old to matter, now and then.
-    fn sweep(&mut self, snapshot: &Snapshot, now: Duration) {
+    fn sweep(&mut self, now: Duration) {
         if now < self.swept + SWEEP {
             return;
         }
         self.swept = now;
         self.openings
             .retain(|_, opening| opening.at + OPENING > now);
-        let patience = |server: &Arc<str>| {
-            let server = snapshot.server(Cookie::of(server, 0));
-            let idle = server.and_then(|server| server.idle);
-            let overdue = idle.map(|idle| Duration::try_from_secs_f64(OVERDUE * idle.whole()));
-            let overdue = overdue.and_then(Result::ok).unwrap_or(GIVEN_UP);
-            overdue.clamp(GIVEN_UP_LEAST, GIVEN_UP)
-        };
-        for server in self.flows.sweep(IDLE, patience, now) {
+        for server in self.flows.sweep(IDLE, now) {
             self.failed(&server, now);
         }
         self.answered.retain(|_, at| *at + IDLE > now);
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -7,7 +7,7 @@
 use acacia_load::overload::{self, Prospect, Terms};
 use acacia_wire::{flow::mix, packet::Packet};
 
-use super::{Action, Busy, Cause, Opening, Resolver};
+use super::{Action, Busy, Opening, Resolver};
 use crate::{
     cookie::Cookie,
     place::{Candidate, choose},
@@ -26,7 +26,7 @@
         isn: u32,
         now: Duration,
     ) -> Action {
-        self.sweep(snapshot, now);
+        self.sweep(now);
         let front = Front {
             address: packet.key.service,
             port: packet.key.service_port,
@@ -51,8 +51,7 @@
             };
         };
         if before.is_none() {
-            let draw = draw(packet);
-            position = match self.admit(snapshot, route, position, draw, now) {
+            position = match self.admit(snapshot, route, position, now) {
                 Ok(position) => position,
                 Err(busy) => return Action::Refuse { busy },
             };
@@ -129,9 +128,7 @@
         })
     }
 
-    /// The server for a new flow of a route that was placed at one, see [`overload::admit`]. `draw` from 0
-    /// to 1 decides whether the flow is in the part that a [`Throttle`](acacia_load::throttle::Throttle)
-    /// refuses.
+    /// The server for a new flow of a route that was placed at one, see [`overload::admit`].
     ///
     /// # Errors
     /// By what the flow is to be refused.
@@ -140,20 +137,12 @@
         snapshot: &Snapshot,
         route: &Route,
         placed: u32,
-        draw: f64,
         now: Duration,
     ) -> Result<u32, Busy> {
         let Some(demand) = route.demand else {
             return Ok(placed);
         };
         let service = &snapshot.servers[placed as usize].service;
-        let throttle = self.throttle(service);
-        if throttle.refuses(demand.urgent, draw, now) {
-            let part = throttle.part(demand.urgent, now);
-            let cause = Cause::TurnedAway { part };
-            let server = placed;
-            return Err(Busy { server, cause });
-        }
         let quiet = self.delays.quiet(service, now);
         let limit = self.limits.entry(Arc::clone(service)).or_default();
         if !demand.urgent {
@@ -175,10 +164,8 @@
         let others = pool.map_or(&[][..], |pool| &pool.open).iter().copied();
         overload::admit(&terms, placed, others, prospect).map_err(|refusal| Busy {
             server: refusal.server,
-            cause: Cause::Late {
-                expected: seconds(refusal.expected),
-                limit: seconds(refusal.limit),
-            },
+            expected: seconds(refusal.expected),
+            limit: seconds(refusal.limit),
         })
     }
 
@@ -197,12 +184,6 @@
     }
 }
 
-/// A number from 0 to 1 that differs from opening to opening, and not between copies of one.
-fn draw(packet: &Packet) -> f64 {
-    let hash = mix(packet.key.hash() ^ u64::from(packet.sequence));
-    (hash >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// As a duration; nothing of what is estimated is negative or endless.
 fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
--- a/crates/cookie/src/speed.rs
+++ b/crates/cookie/src/speed.rs
@@ -94,25 +94,16 @@
     }
 }
 
-/// A server or service whose speed has changed by enough to be told.
+/// A server whose speed has changed by enough to be told.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Measure {
-    /// Its name.
+    /// The server.
     pub server: Arc<str>,
     /// Requests a second that it answers with each slot.
     pub speed: f64,
 }
 
-/// What a server offers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Capacity {
-    /// Its service.
-    pub service: Arc<str>,
-    /// Requests that it works on at once.
-    pub slots: u32,
-}
-
-/// A server, or all servers of a service taken together.
+/// One server.
 #[derive(Debug, Default)]
 struct Entry {
     count: Count,
@@ -127,35 +118,12 @@
     fn speed_a_slot(&self) -> Option<f64> {
         Some(self.speed.questions()? / f64::from(self.slots.max(1)))
     }
-
-    /// Evaluates what was counted in `passed`; gives the speed a slot if it has changed by enough to be
-    /// told.
-    fn evaluate(
-        &mut self,
-        passed: Duration,
-        network: f64,
-        visible: f64,
-        limits: &Limits,
-    ) -> Option<f64> {
-        let count = std::mem::take(&mut self.count);
-        self.speed
-            .learn(&count, passed, network, visible, self.slots, limits);
-        let speed = self.speed_a_slot().unwrap_or_default();
-        let changed = (speed - self.told).abs() > STEP * self.told;
-        if changed {
-            self.told = speed;
-        }
-        changed.then_some(speed)
-    }
 }
 
 /// The servers' speeds, by all that this balancer and its peers have seen.
 #[derive(Debug, Default)]
 pub struct Speeds {
     servers: Map<Arc<str>, Entry>,
-    /// The services: a balancer of a large fleet sees enough answers of a service within a second, and of
-    /// a server within a minute.
-    services: Map<Arc<str>, Entry>,
     /// Counts of all servers, for the network's part of a time.
     all: Window,
     /// The network's part of an answer's time, in seconds.
@@ -171,15 +139,14 @@
         entry.count.add(&seen.count);
     }
 
-    /// Evaluates what came since the last time, once a second; gives the servers and services whose speed
-    /// has changed, or nothing between. `capacity` gives a server's, or nothing where it is not known any
-    /// more; `totals` the slots of each service; `visible` is the part of all answers that was taken in.
+    /// Evaluates what came since the last time, once a second; gives the servers whose speed has
+    /// changed, or nothing between. `slots` gives a server's, or nothing where it is not known any
+    /// more; `visible` is the part of all answers that was taken in.
     pub fn tick(
         &mut self,
         now: Duration,
         visible: f64,
-        totals: &Map<Arc<str>, u32>,
-        capacity: impl Fn(&str) -> Option<Capacity>,
+        slots: impl Fn(&str) -> Option<u32>,
     ) -> Option<Vec<Measure>> {
         let passed = now.saturating_sub(self.ticked);
         if passed < TICK {
@@ -194,28 +161,23 @@
         let network = self.all.network().unwrap_or_default();
         self.network = network;
         let mut changed = Vec::new();
-        let measure = |name: &Arc<str>, speed: f64| Measure {
-            server: Arc::clone(name),
-            speed,
-        };
         self.servers.retain(|server, entry| {
-            let Some(Capacity { service, slots }) = capacity(server) else {
+            let Some(slots) = slots(server) else {
                 return false;
             };
             entry.slots = slots;
-            let whole = self.services.entry(service).or_default();
-            whole.count.add(&entry.count);
-            let speed = entry.evaluate(passed, network, visible, &self.limits);
-            changed.extend(speed.map(|speed| measure(server, speed)));
-            true
-        });
-        self.services.retain(|service, entry| {
-            let Some(slots) = totals.get(service) else {
-                return false;
-            };
-            entry.slots = *slots;
-            let speed = entry.evaluate(passed, network, visible, &self.limits);
-            changed.extend(speed.map(|speed| measure(service, speed)));
+            let count = std::mem::take(&mut entry.count);
+            entry
+                .speed
+                .learn(&count, passed, network, visible, slots, &self.limits);
+            let speed = entry.speed_a_slot().unwrap_or_default();
+            if (speed - entry.told).abs() > STEP * entry.told {
+                entry.told = speed;
+                changed.push(Measure {
+                    server: Arc::clone(server),
+                    speed,
+                });
+            }
             true
         });
         Some(changed)
@@ -226,12 +188,9 @@
         self.servers.remove(server);
     }
 
-    /// How long an answer of the server takes when nothing waits; that of its service's servers in the
-    /// mean, before it is measured itself.
-    fn idle(&self, server: &str, service: &str) -> Option<Idle> {
-        let speed = |entry: Option<&Entry>| entry?.speed_a_slot();
-        let own = speed(self.servers.get(server));
-        let speed = own.or_else(|| speed(self.services.get(service)))?;
+    /// How long an answer of the server takes when nothing waits.
+    fn idle(&self, server: &str) -> Option<Idle> {
+        let speed = self.servers.get(server)?.speed_a_slot()?;
         (speed > 0.0).then(|| Idle {
             network: self.network,
             work: 1.0 / speed,
@@ -241,7 +200,7 @@
     /// Puts what is known into a snapshot's servers.
     pub fn apply(&self, snapshot: &mut Snapshot) {
         for server in &mut snapshot.servers {
-            server.idle = self.idle(&server.id, &server.service);
+            server.idle = self.idle(&server.id);
         }
         for pool in &snapshot.pools {
             let open = || pool.open.iter().map(|position| *position as usize);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -50,8 +50,6 @@
 pub mod speed;
 /// Counts of what one traffic thread has seen since the last tick.
 pub mod tally;
-/// Which part of the new requests is refused while servers turn requests away.
-pub mod throttle;
 /// Sampled sight of flows: from decoded packets to events.
 pub mod track;
 /// Weights of the table of new flows.
--- a/crates/node/src/cookie/core/speed.rs
+++ b/crates/node/src/cookie/core/speed.rs
@@ -1,9 +1,8 @@
 //! What servers were seen to do, here and at peers, and what follows for their weights.
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{fmt, time::Duration};
 
-use acacia_cookie::speed::{Capacity, Measure, Seen};
-use acacia_wire::collections::Map;
+use acacia_cookie::speed::{Measure, Seen};
 use rand::seq::IndexedRandom as _;
 
 use super::{Core, Outcome};
@@ -47,19 +46,8 @@
         let balancers = self.list.len() + 1;
         let visible = (self.reports + 1).min(balancers) as f64 / balancers as f64;
         let roster = &self.roster;
-        let capacity = |id: &str| {
-            let server = roster.get(id)?;
-            Some(Capacity {
-                service: Arc::clone(&server.service),
-                slots: server.slots.max(1).into(),
-            })
-        };
-        let mut totals: Map<Arc<str>, u32> = Map::default();
-        for server in roster.present() {
-            let total = totals.entry(Arc::clone(&server.service)).or_default();
-            *total += u32::from(server.slots.max(1));
-        }
-        let Some(changed) = self.speeds.tick(now, visible, &totals, capacity) else {
+        let slots = |id: &str| Some(roster.get(id)?.slots.max(1).into());
+        let Some(changed) = self.speeds.tick(now, visible, slots) else {
             return false;
         };
         let reports = std::mem::take(&mut self.reports);
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -8,7 +8,7 @@
 use acacia_adapter::packet::{self, Frame};
 use acacia_code::Code;
 use acacia_cookie::{
-    Action, Busy, Cause, Ended, Notice, Resolver, Snapshot, cookie::Cookie, snapshot::Server,
+    Action, Busy, Ended, Notice, Resolver, Snapshot, cookie::Cookie, snapshot::Server,
 };
 use acacia_wire::{
     flow::Key,
@@ -178,15 +178,11 @@
 /// Tells of an opening that was refused under load, and by what.
 fn refused(frame: &Frame, busy: &Busy, snapshot: &Snapshot) {
     let (code, server) = (Code::ServersBusy, &snapshot.servers[busy.server as usize]);
+    let (expected, limit) = (busy.expected.as_millis(), busy.limit.as_millis());
     let (id, copies) = (&server.id, frame.copies);
-    let cause = match busy.cause {
-        Cause::Late { expected, limit } => {
-            let (expected, limit) = (expected.as_millis(), limit.as_millis());
-            format!("expected_ms={expected} limit_ms={limit}")
-        }
-        Cause::TurnedAway { part } => format!("turned_away={part:.2}"),
-    };
-    let what = format_args!("code={code} first={id} {cause} copies={copies}");
+    let what = format_args!(
+        "code={code} first={id} expected_ms={expected} limit_ms={limit} copies={copies}"
+    );
     say("flow-refused", &frame.packet.key, snapshot, what);
 }
 
