--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -1,9 +1,9 @@
 //! Who reads the store, and whom a balancer tells.
 //!
-//! Load: the store counts each call, and its rates grow more slowly than the fleet. Harm: where
-//! every balancer watches, each change costs a call a balancer, and a recovering store is run over.
-//! So one balancer of the fleet, the *reader*, watches; it tells one balancer of each data centre,
-//! the *relay*, which tells its own data centre. Nobody is elected and nothing is leased: readers
+//! The store counts each call, and its rates grow more slowly than the fleet: if every balancer watched,
+//! each change would cost a call a balancer, and a recovering store would be overrun. So one balancer of
+//! the fleet, the *reader*, watches; it tells one balancer of each data centre, the *relay*, which tells
+//! its own data centre. Nobody is elected and nothing is leased: readers
 //! and relays follow from the list of members, and a balancer whose word from the reader has grown
 //! old reads for itself, so a wrong list costs calls and never freshness.
 
@@ -174,9 +174,8 @@
     /// How long to leave the store alone after failures. It doubles from an eighth of the longest
     /// wait, and grows with the number of balancers that wait as well.
     ///
-    /// Load: the store is away, and nobody's knowledge is fresh. Harm: the whole fleet asks it, what it
-    /// refuses counts too, and it is run over when it comes back. Whoever reaches it first tells the
-    /// others at once, so it is enough that the fleet as a whole asks a few times a second.
+    /// Whoever reaches the store first tells the others at once, so it is enough that the fleet as a whole
+    /// asks a few times a second. More would overrun a store that is coming back.
     fn pause(&self, now: Duration, share: f64, blind: usize) -> Duration {
         if self.failures == 0 {
             return Duration::ZERO;
@@ -282,10 +281,9 @@
 /// Whom a balancer tells news that are too large for a datagram, so that whoever is told fetches
 /// them from it. `root` is the first of the data centre that had them.
 ///
-/// Load: a configuration grows by hundreds of routes, and everybody fetches it at once. Harm: the
-/// link of the one that all fetch from is full for a second, and callers' packets wait behind it. So
-/// the data centre is a tree in which each is asked by a few. Whoever is missed, as one above has
-/// just died, hears by gossip within a second.
+/// The data centre is a tree in which each is asked by a few: fetched from one by all, a large
+/// configuration would fill its link, and callers' packets would wait behind it. Whoever is missed, as
+/// one above has just died, hears by gossip within a second.
 #[must_use]
 pub fn branches(
     own: &Member,
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -20,26 +20,19 @@
 /// opening still agree in most cases.
 const CHOICES: usize = 3;
 
-/// How much fuller than a server of another data centre one of the own may be and still get the flow.
-///
-/// Load: a data centre is cut off for seconds, once or twice a day of trouble. Harm: each flow to a
-/// server beyond the cut breaks, with the request on it. The nearer a flow is, the fewer do; but the
-/// own data centre's servers must not wait in queues while others idle. Mean worth of the days with
-/// trouble on two sites, by this factor: 1 (no preference) 0.9128 and 0.9396, 1.25 0.9130 and 0.9428,
-/// 1.5 0.9148 and 0.9462, 2 0.9140 and 0.9466.
+/// How much fuller than a server of another data centre one of the own may be and still get the flow. A
+/// flow within a data centre survives a cut between them; a queue while others idle is worse.
 const DISTANCE: f64 = 1.5;
 /// Part of a server's weight in the flow's order where it is in another data centre, so that most of
-/// the first [`CHOICES`] are near: nine of ten where five of fourteen servers are.
+/// the first [`CHOICES`] are near.
 const FAR: f64 = 0.05;
 
 /// Picks the server for the flow with that hash. `load` tells what a server has to do at present, by
 /// its position; it is asked of the first [`CHOICES`] alone.
 ///
-/// Load: flows that stay for many requests, so that one placed badly is felt for a minute, and
-/// servers of unequal speed. Harm: by chance alone some servers get twice the flows of others, and
-/// their callers wait while others idle. Hence the least loaded of the first [`CHOICES`] in the
-/// flow's own order (weighted rendezvous hashing), which is the same on every balancer of a data
-/// centre; one of another data centre only where it is much less loaded, see [`DISTANCE`].
+/// Takes the least loaded of the first [`CHOICES`] in the flow's own order (weighted rendezvous hashing),
+/// which is the same on every balancer of a data centre: at random alone, some servers get twice the flows
+/// of others. One of another data centre is taken only if it is much less loaded, see [`DISTANCE`].
 ///
 /// ```
 /// use acacia_cookie::place::{Candidate, choose};
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -182,9 +182,7 @@
 
     /// The flows of servers that are gone: their callers are told at once.
     ///
-    /// Load: a server with hundreds of flows dies. Harm: each caller sends its next request into
-    /// the void and waits out its deadline, though another server would answer in milliseconds. A
-    /// caller whose flow has ended opens another.
+    /// A caller whose flow has ended opens another at once, where it would else wait out its deadline.
     pub fn end_lost(&mut self, snapshot: &Snapshot) -> Vec<Ended> {
         let is_gone = |server: &Arc<str>| {
             let server = snapshot.server(Cookie::of(server, 0));
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -171,11 +171,9 @@
 
     /// What a server has to do, in proportion to its weight.
     ///
-    /// Load: requests that open a flow each beside flows that stay for many, servers whose queues fill
-    /// within a fraction of a second, and servers that leave requests unanswered. Harm: by flows in
-    /// hand alone, an idle flow counts like a request at work, a full queue like an empty one, and a
-    /// server that answers nothing like one that does. So requests in hand count, by how long an answer
-    /// takes at present and by how many were given up on lately.
+    /// Requests in hand count, by how long an answer takes at present and by how many were given up on
+    /// lately. By flows in hand alone, an idle flow would count like a request at work, a full queue like
+    /// an empty one, and a server that answers nothing like one that does.
     fn load(&self, server: &Server, now: Duration) -> f64 {
         let pending = self.flows.held(&server.id).pending;
         let expected = self.delays.expected(&server.id, &server.service, now);
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -1,11 +1,11 @@
 //! Which servers have fallen silent.
 //!
-//! Load: a server or its machine dies without a word, or a cut puts all servers of a data centre out
-//! of reach at once. Harm: callers wait out their deadlines on flows that nobody answers, and new
-//! flows join them until the store drops the server's entry, seconds later. One notices by callers'
-//! packets that are sent again. That alone proves little (one lost packet looks the same), so it
-//! only starts an examination: whether the server's address still accepts a connection. A server
-//! that lives accepts one within a round trip however busy it is.
+//! A server may die without a word, or a cut may put all servers of a data centre out of reach, seconds
+//! before the store drops their entries. The sign is a caller's packet that is sent again. As one lost
+//! packet looks the same, it only starts an examination: whether the server's address still accepts a
+//! connection. A server that lives accepts one within a round trip however busy it is.
+//!
+//! In a large data centre a few balancers examine a server for all; the others take their word.
 //!
 //! How an examination goes, and what is proof, stands in [`trial`](crate::trial).
 
@@ -18,10 +18,6 @@
 /// From the verdict to the first probe of a silent server, and the part of the time since the verdict
 /// that passes between later ones. A server that was away for a moment is found at once, one that was
 /// away for long within a quarter of that time.
-///
-/// Load: a data centre's servers are gone for seconds, and each balancer of a large fleet probes each
-/// of them for itself. Harm: at a fixed pace of 400 ms, 73 balancers made 180 probes a second of each
-/// lost server, and nearly as many connections to living ones as controls.
 const AGAIN: Duration = Duration::from_millis(400);
 /// See [`AGAIN`].
 const BACK_OFF: f64 = 0.25;
@@ -135,8 +131,8 @@
 
     /// The servers to examine now, [`TOGETHER`] at most; the others wait for the next time.
     ///
-    /// Load: a cut puts a thousand servers of a data centre out of reach. Harm: probed together, they
-    /// take a thousand descriptors, of which a small balancer has three thousand in all.
+    /// A cut puts a thousand servers of a data centre out of reach; probed together, they would take more
+    /// descriptors than a small balancer has left.
     pub fn due(&mut self, now: Duration) -> Due {
         let mut due = Due::default();
         for (server, state) in &mut self.states {
--- a/crates/cookie/src/speed.rs
+++ b/crates/cookie/src/speed.rs
@@ -1,9 +1,8 @@
 //! How fast each server is, as far as callers' packets show it.
 //!
-//! Load: servers bought over the years, whose speeds differ by more than two to one and are told by
-//! nobody, and servers that turn slow. Harm: with equal parts the slow ones are nearly full while the
-//! fast ones idle, and their callers wait. The times from a caller's data to the acknowledgement of
-//! the answer show the speed; [`Speed`] turns them into a capacity that doesn't depend on how busy
+//! Nobody tells the servers' speeds, which differ by more than two to one; with equal parts the slow ones
+//! are nearly full while the fast ones idle. The times from a caller's data to the acknowledgement of the
+//! answer show the speed; [`Speed`] turns them into a capacity that doesn't depend on how busy
 //! the server was.
 //!
 //! Traffic threads count ([`Counts`]), and the control thread judges ([`Speeds`]) what they and its
--- a/crates/cookie/src/trial.rs
+++ b/crates/cookie/src/trial.rs
@@ -1,12 +1,8 @@
 //! One examination of servers under suspicion: what to probe when, and what the answers show.
 //!
-//! Load: a balancer passes a large configuration on, and its small link is full for a second.
-//! Callers' packets and probes wait or are lost on the way, while every server is well. Harm: a
-//! server that is wrongly found silent has all its flows ended, the worst that a balancer can do. One
-//! notices by `event=server-silent` beside several `event=server-suspected` of servers that turn out
-//! to live.
-//!
-//! Hence a server is silent only beside a *control*, another server that answers meanwhile. Probes of
+//! A server that is wrongly found silent has all its flows ended, the worst that a balancer can do. Behind
+//! a full link callers' packets and probes wait or are lost while every server is well. So a server is
+//! silent only beside a *control*, another server that answers meanwhile. Probes of
 //! the two alternate, and the probes come first and last: whatever delays or loses packets for
 //! longer than [`BETWEEN`] then meets the control too. Were the control probed last, a queue that
 //! drains would let it through in time where the probes before it had waited too long.
@@ -15,7 +11,7 @@
 
 use crate::silence::Finding;
 
-/// How long a probe waits. 60 ms: twice the longest round trip between regions.
+/// How long a probe waits: twice the longest round trip between regions.
 pub const WAIT: Duration = Duration::from_millis(60);
 /// From the first probe to the second. Most servers live and answer the first within it.
 const APART: Duration = Duration::from_millis(25);
@@ -32,9 +28,8 @@
     Control,
 }
 
-/// The steps, each with the time since the one before. Six probes and four controls: where each
-/// exchange is lost with the same chance, it happens in at most 12 of 10,000 examinations that just the
-/// probes are; fewer of either end flows of living servers behind a lossy link.
+/// The steps, each with the time since the one before. With fewer of either, a lossy link lets living
+/// servers look silent.
 const STEPS: [(Duration, Step); 10] = [
     (Duration::ZERO, Step::Servers),
     (APART, Step::Servers),
--- a/crates/load/src/delay.rs
+++ b/crates/load/src/delay.rs
@@ -11,17 +11,14 @@
 /// What an answer leaves of that count. A server that is well again has its part of new flows after
 /// some ten answers; one that answers a tenth of its requests stays far from it.
 const FORGIVEN: f64 = 0.7;
-/// Part of a server's usual work within which no request is done.
-///
-/// Load: a server whose queue is full sheds what comes, and one that is broken fails what comes, both
-/// at once. Harm: by its answer times it looks like the fastest of all, and gets flow after flow.
+/// Part of a server's usual work within which no request is done. By its answer times, a server that
+/// sheds or fails requests at once would be the fastest of all.
 const HASTY: f64 = 0.1;
 /// How long a server may leave everything unanswered before a new flow tries it again. Callers wait
 /// for some seconds at most, so nothing that was asked before is answered any more.
 const SILENCE: Duration = Duration::from_secs(2);
-/// Answers of the whole service that count as much as one recent answer of the server itself. A
-/// balancer of nine sees three or four recent answers of a busy server and goes by those; one of
-/// seventy sees none, and then all servers count as equally loaded.
+/// Answers of the whole service that count as much as one recent answer of the server itself. A balancer
+/// that has seen none of a server's goes by the service.
 const PRIOR: f64 = 1.0;
 /// What an answer takes as long as none of a service has been seen, in seconds. It only matters in
 /// proportion to other servers of the service, which have it as well.
@@ -31,10 +28,9 @@
 
 /// Mean time that answers have taken lately: sums that forget with a time constant.
 ///
-/// Load: demand that rises to or beyond what the servers can do, within a fraction of a second. Harm:
-/// a server whose queue has filled gets as many new flows as one that is free, as the flows in hand
-/// look the same at both. The time from a caller's data to the acknowledgement of the answer contains
-/// the wait, so each answer that passes is a measurement of its server's queue.
+/// The time from a caller's data to the acknowledgement of the answer contains the wait, so each answer
+/// that passes is a measurement of its server's queue. Flows in hand look the same at a full queue and at
+/// an empty one.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Delay {
     /// Answers, each counting less the older it is.
@@ -209,9 +205,8 @@
 
     /// How long none of a service has answered, in seconds; 0 before the first answer.
     ///
-    /// Load: all flows are refused, so that nothing is left that could show how queues drain. Harm:
-    /// what was measured last goes on to keep flows away from idle servers. Queues drain by as much as
-    /// nothing new comes.
+    /// While all flows are refused, no answer shows how queues drain; they drain for as long as nothing new
+    /// comes.
     #[must_use]
     pub fn quiet(&self, service: &str, now: Duration) -> f64 {
         let service = self.services.get(service);
--- a/crates/load/src/overload.rs
+++ b/crates/load/src/overload.rs
@@ -1,13 +1,10 @@
 use std::time::Duration;
 
 /// Part of their latency objective within which an answer must be expected for a caller to be let in,
-/// while most answers are in time. At nine tenths of the capacity next to nobody is refused then; with
-/// a third of the objective, it was a quarter of the callers.
+/// while most answers are in time.
 const LOOSE: f64 = 0.65;
 /// The same for callers of the least urgent routes after a while in which answers took long. What can
-/// be refused is only a part of the demand, as requests on open flows can't be. At three times the
-/// usual traffic (1.2 times the capacity), 0.94 of the worth was served with it and 0.88 without a
-/// limit; at six times, 0.48 and 0.40.
+/// be refused is only a part of the demand, as requests on open flows can't be.
 const STRICT: f64 = 0.3;
 /// Part of the latency objective that the mean answer may take before the limit falls. Answer times
 /// scatter, and beyond it many are late.
@@ -20,15 +17,13 @@
 /// The part for more urgent routes: it doesn't fall, so that the others make room for them.
 const URGENT: f64 = LOOSE;
 /// A server is free in any case as long as its answers take no more than this many times what they
-/// take when nothing waits. Where the objective is tight, nothing would be let in otherwise. With 1.3
-/// and 1.6, 0.95 and 0.93 of the worth was served at three times the usual traffic.
+/// take when nothing waits. Where the objective is tight, nothing would be let in otherwise.
 const QUEUED: f64 = 1.3;
 
 /// How much is expected of a server before it is given a new flow; follows the demand.
 ///
-/// Load: demand beyond the capacity, of which more or less comes on flows that are open already. Harm:
-/// one fixed limit either refuses callers that could be served, where all of them open flows, or lets
-/// too many in, where most are in already. So the limit falls while answers take long, and rises again.
+/// The limit falls while answers take long, and rises again. A fixed one either refuses callers that could
+/// be served, where all of them open flows, or lets too many in, where most requests come on open flows.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
     part: f64,
@@ -104,11 +99,9 @@
 impl Terms {
     /// Whether the server is to take a new flow with such a request.
     ///
-    /// Load: more requests than the servers can answer, for seconds and more. Harm: every queue fills,
-    /// all answers are late, and requests that could be in time wait behind those that are late
-    /// already. Only openings can be refused without harm, as nothing of them has run, and they are
-    /// refused while the rest is still in time. The limit is not the end of the queue but the time
-    /// within which callers gain from the answer, see [`Terms::limit`].
+    /// Only openings can be refused without harm, as nothing of them has run. They are refused while the
+    /// rest is still in time: behind a full queue, all answers are late. The limit is the time within
+    /// which callers gain from the answer, see [`Terms::limit`].
     ///
     /// ```
     /// use std::time::Duration;
--- a/crates/node/src/cookie/answer.rs
+++ b/crates/node/src/cookie/answer.rs
@@ -11,12 +11,9 @@
 use super::{control::Control, exchange, scrape, status};
 use crate::ledger::Ledger;
 
-/// Connections of routers or scrapers at a time. Load: each asks twice a second or less. Harm: each
-/// takes memory and a descriptor.
+/// Connections of routers or scrapers at a time; each takes memory and a descriptor.
 const CONNECTIONS: usize = 16;
-/// Connections of peers at a time; more wait in the backlog. Load: hundreds of balancers that have just
-/// started fetch the whole catalog. Harm: each answer is in memory until it is sent; with 64 at a time,
-/// one of 300 balancers before 3,000 servers took 47 MB.
+/// Connections of peers at a time; more wait in the backlog. Each answer is in memory until it is sent.
 const PEERS: usize = 8;
 
 /// Answers the routers' checks until told to stop.
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -31,8 +31,8 @@
     settings::Settings,
 };
 
-/// How long a balancer that has just started waits for the store before it turns to its peers. 250 ms:
-/// sixty times what an answer takes, and short against the time in which the routers notice.
+/// How long a balancer that has just started waits for the store before it turns to its peers. Short
+/// against the time in which the routers notice.
 const FIRST: Duration = Duration::from_millis(250);
 
 /// How long a balancer that has just started waits for its peers before it takes itself for the only one:
@@ -361,9 +361,8 @@
 
     /// Whether this balancer has just started and the store may still answer its first call.
     ///
-    /// Load: a whole fleet starts at once, and each of it hears from the same three seeds that they
-    /// know more. Harm: hundreds of whole catalogs are fetched from those three (995 connections at
-    /// one of 300 balancers), while the store answers everybody in milliseconds.
+    /// When a whole fleet starts at once, hundreds of whole catalogs would be fetched from the same three
+    /// seeds, while the store answers everybody in milliseconds.
     fn is_reading_first(&self, now: Duration) -> bool {
         let waits = self.reading.fresh().is_none() && self.reading.is_sighted();
         waits && now < self.born + FIRST
--- a/crates/node/src/cookie/exchange.rs
+++ b/crates/node/src/cookie/exchange.rs
@@ -5,9 +5,8 @@
 //! where a connection would wait for its next attempt. Differences are fetched over a connection
 //! of their own that ends with the answer, for the same reason.
 //!
-//! Differences travel as MessagePack, without the names of fields. Load: thousands of new routes go from
-//! balancer to balancer over links of 10 Mbit/s, to three others each. Harm: as JSON they are four
-//! times as long, and callers' packets wait behind them.
+//! Differences travel as MessagePack, without the names of fields. As JSON, thousands of new routes are
+//! four times as long, and callers' packets wait behind them on small links.
 
 use std::{io, net::SocketAddrV4, time::Duration};
 
--- a/crates/node/src/cookie/publish.rs
+++ b/crates/node/src/cookie/publish.rs
@@ -7,9 +7,8 @@
 
 use super::control::Control;
 
-/// How long news are gathered before routes and servers are published. Load: hundreds of servers
-/// report within a second when a deployment starts. Harm: each publication goes through all servers,
-/// which takes a small balancer's processor away from packets.
+/// How long news are gathered before routes and servers are published. Each publication goes through all
+/// servers, and hundreds of them report within a second when a deployment starts.
 const GATHER: Duration = Duration::from_millis(10);
 
 /// Publishes routes and servers whenever they change, by news or by time.
