--- a/crates/peer/tests/it/mesh.rs
+++ b/crates/peer/tests/it/mesh.rs
@@ -222,3 +222,34 @@
     }
     assert!(!lives.contains(&(2, "old".to_string())), "{lives:?}");
 }
+
+/// A connection ends while messages are being sent over it, and the next send ends the process.
+#[test]
+fn peers_that_come_and_go_end_no_sender() {
+    const ROUNDS: u64 = 150;
+    let (one, _inbox) = open(9, 1);
+    let peers: Vec<_> = (2..=6).map(|id| (u16::from(id), address(9, id))).collect();
+    one.set_peers(&peers);
+
+    for round in 0..ROUNDS {
+        let others: Vec<Opened> = (2..=6).map(|id| open(9, id)).collect();
+        for number in 0..400 {
+            for (id, _) in &peers {
+                // A full queue is no fault here: the peer may not have been dialled again yet.
+                let _ = one.send(*id, Class::Heartbeat, &format!("{round} {number}"));
+            }
+            if number % 40 == 0 {
+                sleep(Duration::from_millis(1));
+            }
+        }
+        others.into_iter().for_each(|(mesh, _)| mesh.close());
+    }
+
+    let (two, inbox) = open(9, 2);
+    eventually("a message passes again", || {
+        let _ = one.send(2, Class::Heartbeat, &"after".into());
+        inbox.try_iter().any(|received| received.message == "after")
+    });
+    one.close();
+    two.close();
+}
