Let no word that is under way end the flows of a server that is back

Found by reading the change as a newcomer: a balancer that took its peers' word that a server is silent named it in its own gossip, so that the word of two went round as that of many; and one that had just heard that the server is back took two such words, still under way, for news and would have ended living flows again. What observers knew of a server is forgotten when it starts anew. Tests: old_words_do_not_silence..., only_own_findings_are_told, a_server_that_starts_anew...

--- a/crates/cookie/src/failing.rs
+++ b/crates/cookie/src/failing.rs
@@ -86,6 +86,11 @@
         true
     }
 
+    /// Forgets a server that has started anew.
+    pub fn forget(&mut self, server: &str) {
+        self.servers.remove(server);
+    }
+
     /// Forgets servers of which nothing was heard for long.
     pub fn sweep(&mut self, now: Duration) {
         self.servers.retain(|_, tally| now < tally.at + MEMORY * 5);
@@ -136,6 +141,12 @@
         since.is_some_and(|since| now < *since + REPORTS)
     }
 
+    /// Forgets a server that has started anew.
+    pub fn forget(&mut self, server: &str) {
+        self.until.remove(server);
+        self.reported.remove(server);
+    }
+
     /// Forgets what has ended.
     pub fn sweep(&mut self, now: Duration) {
         self.until.retain(|_, until| now < *until);
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -220,8 +220,9 @@
     pub fn reported_back(&mut self, server: &Arc<str>, now: Duration) -> Verdict {
         self.reports.remove(server);
         match self.states.get_mut(server) {
-            Some(State::Silent { adopted: true, .. }) => {
-                self.states.remove(server);
+            Some(state @ State::Silent { adopted: true, .. }) => {
+                // Words from before that are still under way must not end its flows again.
+                *state = State::Content(now);
                 Verdict::Back
             }
             Some(State::Silent { again, .. }) => {
@@ -256,6 +257,17 @@
         matches!(self.states.get(server), None | Some(State::Content(_)))
     }
 
+    /// The servers that this balancer has found silent by its own examination: only these are told to
+    /// others, or their word would come back to them as that of many.
+    #[must_use]
+    pub fn found_silent(&self) -> Vec<Arc<str>> {
+        let found = self
+            .states
+            .iter()
+            .filter(|(_, state)| matches!(state, State::Silent { adopted: false, .. }));
+        found.map(|(server, _)| Arc::clone(server)).collect()
+    }
+
     /// The silent servers.
     #[must_use]
     pub fn silent(&self) -> Vec<Arc<str>> {
--- a/crates/cookie/tests/it/failing.rs
+++ b/crates/cookie/tests/it/failing.rs
@@ -56,6 +56,20 @@
     assert!(!late);
 }
 
+/// A failing server is started anew, and gets next to no flows for what it did in its former life.
+#[test]
+fn a_server_that_starts_anew_is_not_avoided() {
+    let (mut ledger, mut marks) = (Ledger::default(), Marks::default());
+    ledger.add(&id(), 9, 0, ms(0));
+    marks.mark(&id(), ms(0));
+
+    ledger.forget("i-1");
+    marks.forget("i-1");
+
+    assert!(!marks.is_marked("i-1", ms(10)));
+    assert!(!ledger.add(&id(), 1, 0, ms(10)));
+}
+
 /// All servers turn requests away under load. Were those that are known to do it avoided, the few others
 /// would get all of it.
 #[rstest]
--- a/crates/cookie/tests/it/silence.rs
+++ b/crates/cookie/tests/it/silence.rs
@@ -264,3 +264,29 @@
     assert!(detector.is_silent("i-1"));
     assert_eq!(detector.due(ms(100)).silent, [id()]);
 }
+
+/// Peers that have not heard yet that a server is back still name it, and its flows are ended again.
+#[test]
+fn old_words_do_not_silence_a_server_that_is_back() {
+    let mut detector = Detector::default();
+    detector.reported(&id(), 1, ms(0));
+    detector.reported(&id(), 2, ms(0));
+    detector.reported_back(&id(), ms(400));
+
+    for reporter in 1..9 {
+        assert_eq!(detector.reported(&id(), reporter, ms(450)), Verdict::Same);
+    }
+}
+
+/// The word of two peers goes round a data centre as that of many, and never ends.
+#[test]
+fn only_own_findings_are_told() {
+    let mut detector = Detector::default();
+    detector.reported(&id(), 1, ms(0));
+    detector.reported(&id(), 2, ms(0));
+    assert!(detector.found_silent().is_empty());
+
+    let mut examiner = Detector::default();
+    examine(&mut examiner, Finding::Silent, ms(0));
+    assert_eq!(examiner.found_silent(), [id()]);
+}
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -427,6 +427,8 @@
             log::info!("event=server-restarted server={id}");
             self.detector.forget(&id);
             self.speeds.forget(&id);
+            self.ledger.forget(&id);
+            self.marks.forget(&id);
         }
         let known = self.roster.servers().map(|server| Arc::clone(&server.id));
         let known: Vec<Arc<str>> = known.collect();
--- a/crates/node/src/cookie/core/gossip.rs
+++ b/crates/node/src/cookie/core/gossip.rs
@@ -83,7 +83,8 @@
         let latest = self.list.latest(self.random.random(), now);
         let heartbeats = latest.into_iter().take(NAMED).map(Heartbeat::from);
         let heartbeats = heartbeats.collect();
-        let silent = self.detector.silent().into_iter().take(examine::NAMED);
+        let silent = self.detector.found_silent().into_iter();
+        let silent = silent.take(examine::NAMED);
         Message {
             heartbeats,
             silent: silent.collect(),
