Carry messages between balancers over connections of our own, without nng

The mesh keeps its interface, queues, budget, echo and watch; below it are tokio's connections with tokio-util's length-delimited frames, all in one thread that is joined on closing. Ruled out: the cookie transport's datagrams, which don't carry a megabyte of configuration.

--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -22,8 +22,7 @@
 
 /// Between two ticks, as in the daemon.
 const TICK: Duration = Duration::from_millis(50);
-/// Bytes of the length that nng puts before a message on TCP (SP transport mapping for TCP: 64
-/// bits).
+/// Bytes of the length before a frame on TCP.
 pub const LENGTH: usize = 8;
 /// Bytes of TCP and IP headers of a segment: 20 (RFC 9293) + 12 of timestamps (RFC 7323) + 20
 /// (RFC 791).
--- a/crates/bench/tests/it/control.rs
+++ b/crates/bench/tests/it/control.rs
@@ -24,7 +24,7 @@
     assert_eq!((line.slope, line.intercept), (0.0, mean));
 }
 
-/// A segment's headers count once for each 1,448 bytes of what nng sends.
+/// A segment's headers count once for each 1,448 bytes of what is sent.
 #[rstest]
 #[case(0, 60)]
 #[case(1_440, 1_500)]
--- a/crates/e2e/tests/it/bad_input.rs
+++ b/crates/e2e/tests/it/bad_input.rs
@@ -17,8 +17,6 @@
 
 /// Datagrams of each kind.
 const EACH: usize = 400;
-/// What nng's PUSH sockets send first.
-const GREETING: [u8; 8] = [0, b'S', b'P', 0, 0, 0x50, 0, 0];
 /// Service that the packets claim to be for, as in the fixture's plan.
 const SERVICE: [u8; 4] = [198, 51, 100, 1];
 /// A caller that no test uses.
@@ -87,8 +85,7 @@
 /// What a stranger may send to the control port, each on a connection of its own.
 fn strange_frames(source: &mut Pcg64Mcg) -> Vec<Vec<u8>> {
     let with_length = |length: u64, body: &[u8]| {
-        let mut bytes = GREETING.to_vec();
-        bytes.extend(length.to_be_bytes());
+        let mut bytes = length.to_be_bytes().to_vec();
         bytes.extend(body);
         bytes
     };
@@ -97,7 +94,7 @@
         let body = random(source, 300);
         frames.push(with_length(body.len() as u64, &body));
         frames.push(random(source, 300));
-        frames.push(GREETING[..source.random_range(0..8)].to_vec());
+        frames.push(vec![0; source.random_range(0..8)]);
     }
     frames
 }
--- a/crates/member/src/cost.rs
+++ b/crates/member/src/cost.rs
@@ -1,6 +1,6 @@
 use crate::Settings;
 
-/// Bytes of a heartbeat's frame without its payload when all is well: 8 of nng's length, 18 of
+/// Bytes of a heartbeat's frame without its payload when all is well: 8 of its length, 18 of
 /// envelope, 16 of authenticator, 15 of addressing and transport echo, one that tells the kind of
 /// message, and 27 of heartbeat. A test of `acacia-peer` holds it against a sealed frame.
 pub const FRAME: usize = 85;
--- a/crates/node/src/cookie/exchange.rs
+++ b/crates/node/src/cookie/exchange.rs
@@ -1,6 +1,6 @@
 //! Messages between balancers: news and gossip by UDP, whole differences by TCP.
 //!
-//! Datagrams rather than nng's connections: one that is lost is made good by the next within a
+//! Datagrams rather than lasting connections: one that is lost is made good by the next within a
 //! second, none can go silent for good, and a balancer that has just started is answered at once,
 //! where a connection would wait for its next attempt. Differences are fetched over a connection
 //! of their own that ends with the answer, for the same reason.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,9 +1,9 @@
-//! Control traffic between balancers, over nng.
+//! Control traffic between balancers, as frames over TCP.
 //!
-//! A [`Mesh`] listens on one socket and keeps one connection to each peer. [`Mesh::send`] never
-//! blocks: it puts the message into a bounded queue, from which a thread sends it within the
-//! budget for control bytes. Another thread opens what arrives, drops and counts what is forged,
-//! cut short, replayed or meant for another balancer, and hands the rest on.
+//! A [`Mesh`] listens on one socket and keeps one connection to each peer, all in one thread.
+//! [`Mesh::send`] never blocks: it puts the message into a bounded queue, from which it is sent within
+//! the budget for control bytes. What arrives is opened; what is forged, cut short, replayed or meant
+//! for another balancer is dropped and counted, and the rest is handed on.
 //!
 //! Every frame echoes the last one that was received from its receiver. When the echo of what we
 //! send does not advance, the connection has gone silent, whatever TCP thinks of it, and is
@@ -14,12 +14,14 @@
 mod bucket;
 mod error;
 mod filter;
+mod frame;
 mod mesh;
 mod parcel;
 mod queue;
 mod receive;
 mod send;
 mod settings;
+mod shared;
 mod state;
 mod stats;
 mod watch;
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -1,22 +1,18 @@
 use std::marker::PhantomData;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::{Builder, JoinHandle};
 use std::time::Duration;
 
 use acacia_wire::control::{Envelope, MAX_FRAME, Secret};
-use crossbeam_channel::{Receiver, bounded};
-use nng::options::{Options, RecvMaxSize};
-use nng::{Protocol, Socket};
+use crossbeam_channel::{Receiver, Sender, bounded};
 use serde::{Serialize, de::DeserializeOwned};
+use tokio_util::sync::CancellationToken;
 
-use crate::send::Shared;
+use crate::shared::Shared;
 use crate::state::State;
 use crate::{Class, Error, Settings, Stats, receive, send};
 
-/// What a sender's length field may claim. Somewhat more than a legal frame, so that one that is
-/// just too large is counted; nng closes the connection of whoever claims more, unread.
-const MAX_CLAIM: usize = MAX_FRAME + 4096;
 /// Largest encoded message: a frame with its envelope, authenticator and addressing.
 const MAX_MESSAGE: usize = MAX_FRAME - 128;
 
@@ -29,12 +25,11 @@
     pub message: T,
 }
 
-/// The control connections of one balancer. Closing or dropping it joins its threads. (nng keeps
-/// threads of its own for the whole process; they end with it.)
+/// The control connections of one balancer. Closing or dropping it ends them and joins their thread.
 pub struct Mesh<T> {
     shared: Arc<Shared>,
-    listener: Socket,
-    threads: Vec<JoinHandle<()>>,
+    stop: CancellationToken,
+    thread: Option<JoinHandle<()>>,
     message: PhantomData<fn(T)>,
 }
 
@@ -60,18 +55,14 @@
         let seed = settings.incarnation ^ u64::from(settings.id).rotate_left(32);
         let (inbox, received) = bounded(settings.inbox);
         let shared = Arc::new(Shared::new(State::new(settings, secret)));
-        let mut mesh = Mesh {
+        let stop = CancellationToken::new();
+        let thread = spawn(Arc::clone(&shared), listener, inbox, seed, stop.clone())?;
+        let mesh = Mesh {
             shared,
-            listener,
-            threads: Vec::new(),
+            stop,
+            thread: Some(thread),
             message: PhantomData,
         };
-        let shared = Arc::clone(&mesh.shared);
-        mesh.spawn("peer-send", move || send::run(&shared, seed))?;
-        let (shared, socket) = (Arc::clone(&mesh.shared), mesh.listener.clone());
-        mesh.spawn("peer-receive", move || {
-            receive::run(&shared, &socket, &inbox)
-        })?;
         Ok((mesh, received))
     }
 
@@ -85,25 +76,18 @@
             state.stats.peers.entry(to).or_default().dropped += 1;
             return Err(Error::Full(to));
         }
-        self.shared.wake(&mut state);
+        peer.queued.notify_one();
         Ok(())
     }
 }
 
 impl<T> Mesh<T> {
-    fn spawn(&mut self, name: &str, task: impl FnOnce() + Send + 'static) -> Result<(), Error> {
-        let thread = Builder::new().name(name.into()).spawn(task);
-        self.threads
-            .push(thread.map_err(|error| Error::Spawn(error.to_string()))?);
-        Ok(())
-    }
-
     /// Sets to whom connections are kept. Queues of those that are no longer among them are
     /// dropped; a changed address is dialled anew.
     pub fn set_peers(&self, peers: &[(u16, SocketAddr)]) {
-        let mut state = self.shared.lock();
-        state.set_peers(peers);
-        self.shared.wake(&mut state);
+        if self.shared.lock().set_peers(peers) {
+            self.shared.peers_changed.notify_one();
+        }
     }
 
     /// Sets the incarnation, when this balancer joins again, and drops what still waits to be
@@ -128,19 +112,14 @@
         self.shared.lock().stats.clone()
     }
 
-    /// Ends both threads and joins them. What is still queued is dropped.
+    /// Closes all connections and joins the thread that keeps them. What is still queued is dropped.
     pub fn close(mut self) {
         self.shut();
     }
 
     fn shut(&mut self) {
-        {
-            let mut state = self.shared.lock();
-            state.closing = true;
-            self.shared.wake(&mut state);
-        }
-        self.listener.close();
-        for thread in self.threads.drain(..) {
+        self.stop.cancel();
+        if let Some(thread) = self.thread.take() {
             // A panic in it has been printed; there is nothing left to end.
             let _ = thread.join();
         }
@@ -153,15 +132,43 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<Socket, Error> {
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     let open = || {
-        let socket = Socket::new(Protocol::Pull0)?;
-        socket.set_opt::<RecvMaxSize>(MAX_CLAIM)?;
-        socket.listen(&format!("tcp://{address}"))?;
-        Ok(socket)
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
     };
-    open().map_err(|error: nng::Error| Error::Listen {
+    open().map_err(|error: std::io::Error| Error::Listen {
         address,
         reason: error.to_string(),
     })
 }
+
+/// Starts the thread that keeps all connections, until `stop`.
+fn spawn<T: DeserializeOwned + Send + 'static>(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    inbox: Sender<Received<T>>,
+    seed: u64,
+    stop: CancellationToken,
+) -> Result<JoinHandle<()>, Error> {
+    let failed = |error: std::io::Error| Error::Spawn(error.to_string());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(failed)?;
+    let listener = {
+        let _inside = runtime.enter();
+        tokio::net::TcpListener::from_std(listener).map_err(failed)?
+    };
+    let run = async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = send::run(Arc::clone(&shared), seed) => {}
+            () = receive::run(shared, listener, inbox) => {}
+        }
+    };
+    // The runtime is dropped with the thread, and with it all tasks that are still there.
+    let thread = Builder::new().name("peer".into());
+    thread.spawn(move || runtime.block_on(run)).map_err(failed)
+}
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -1,58 +1,127 @@
-use std::panic::catch_unwind;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use acacia_wire::collections::Map;
 use acacia_wire::control::{self, Envelope, open};
 use crossbeam_channel::{Sender, TrySendError};
-use nng::{Message, Pipe, PipeEvent, Socket};
+use futures_util::StreamExt as _;
 use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::FramedRead;
+use tokio_util::sync::CancellationToken;
 
-use crate::send::Shared;
+use crate::frame::codec;
+use crate::shared::Shared;
 use crate::{Error, Parcel, Received};
 
-/// The receiving thread: until the socket is closed.
-pub(crate) fn run<T: DeserializeOwned>(
-    shared: &Shared,
-    socket: &Socket,
-    inbox: &Sender<Received<T>>,
+/// Connections accepted at a time, several times the largest group. More would take the descriptors
+/// that traffic needs.
+const CONNECTIONS: usize = 512;
+/// Pause after a connection that could not be accepted, as descriptors have run out.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Accepts connections and takes what comes over them, until dropped.
+pub(crate) async fn run<T: DeserializeOwned + Send + 'static>(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    inbox: Sender<Received<T>>,
 ) {
-    let pipes = Pipes::default();
-    let known = Arc::clone(&pipes);
-    if let Err(error) = socket.pipe_notify(move |pipe, event| forget(&known, pipe, event)) {
-        log::error!("event=pipe_notify_failed error={error:?}");
-    }
+    let current = Current::default();
+    let mut connections = JoinSet::new();
+    let mut number = 0;
     loop {
-        match socket.recv() {
-            Ok(mut message) => take(shared, &mut message, &pipes, inbox),
-            Err(nng::Error::Closed) => return,
-            Err(error) => {
-                // Out of memory or descriptors; both pass.
-                log::warn!("event=receive_failed error={error:?}");
-                if shared.lock().closing {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((_, address)) if connections.len() >= CONNECTIONS => refuse(address),
+                Ok((stream, _)) => {
+                    number += 1;
+                    let connection = Connection {
+                        number,
+                        shared: Arc::clone(&shared),
+                        current: Arc::clone(&current),
+                        inbox: inbox.clone(),
+                    };
+                    connections.spawn(connection.serve(stream));
+                }
+                Err(error) => {
+                    log::warn!("event=accept_failed error={error:?}");
+                    sleep(PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+fn refuse(address: SocketAddr) {
+    log::warn!("event=connection_refused address={address} connections={CONNECTIONS}");
+}
+
+/// The connection that frames of each peer last came over, by its number, and what ends it.
+type Current = Arc<Mutex<Map<u16, (u64, CancellationToken)>>>;
+
+/// A connection that a peer, or a stranger, has opened.
+struct Connection<T> {
+    number: u64,
+    shared: Arc<Shared>,
+    current: Current,
+    inbox: Sender<Received<T>>,
+}
+
+impl<T: DeserializeOwned> Connection<T> {
+    /// Takes frames until the connection ends, is replaced, or has carried nothing for long.
+    async fn serve(self, stream: TcpStream) {
+        let replaced = CancellationToken::new();
+        let mut frames = FramedRead::new(stream, codec());
+        let longest = self.shared.lock().settings.longest_silence;
+        loop {
+            let frame = tokio::select! {
+                () = replaced.cancelled() => return,
+                frame = timeout(longest, frames.next()) => frame,
+            };
+            match frame {
+                Ok(Some(Ok(frame))) => self.take(&frame, &replaced),
+                Ok(Some(Err(error))) => {
+                    log::debug!("event=connection_ended error={error:?}");
                     return;
                 }
-                std::thread::sleep(std::time::Duration::from_millis(10));
+                Ok(None) | Err(_) => return,
             }
         }
     }
-}
 
-fn take<T: DeserializeOwned>(
-    shared: &Shared,
-    message: &mut Message,
-    pipes: &Pipes,
-    inbox: &Sender<Received<T>>,
-) {
-    match check(shared, message.as_slice()) {
-        Ok((envelope, body)) => {
-            if let Some(pipe) = message.pipe() {
-                replace(pipes, envelope.sender, pipe);
+    fn take(&self, frame: &[u8], replaced: &CancellationToken) {
+        match check(&self.shared, frame) {
+            Ok((envelope, body)) => {
+                self.replace(envelope.sender, replaced);
+                if let Some(message) = body {
+                    self.deliver(Received { envelope, message });
+                }
             }
-            if let Some(message) = body {
-                deliver(shared, Received { envelope, message }, inbox);
+            Err(error) => self.shared.lock().count_refused(&error),
+        }
+    }
+
+    /// Closes the connection that a peer has replaced by this one. It may have gone silent in a way
+    /// that its end never reaches us, and would stay open for long.
+    fn replace(&self, sender: u16, replaced: &CancellationToken) {
+        let mut current = lock(&self.current);
+        if let Some((number, before)) = current.get(&sender) {
+            if *number == self.number {
+                return;
             }
+            before.cancel();
+        }
+        current.insert(sender, (self.number, replaced.clone()));
+    }
+
+    fn deliver(&self, received: Received<T>) {
+        if let Err(TrySendError::Full(_)) = self.inbox.try_send(received) {
+            self.shared.lock().stats.inbox_full += 1;
         }
-        Err(error) => shared.lock().count_refused(&error),
     }
 }
 
@@ -68,36 +137,6 @@
     Ok((envelope, message))
 }
 
-/// The connections that frames of each peer last came over.
-type Pipes = Arc<Mutex<Map<u16, Pipe>>>;
-
-/// Closes the connection that a peer has replaced. It may have gone silent in a way that its end
-/// never reaches us, and would stay open for good.
-fn replace(pipes: &Pipes, sender: u16, pipe: Pipe) {
-    // Closing calls back into `forget`, so the lock must be free by then.
-    let before = lock(pipes).insert(sender, pipe);
-    if let Some(old) = before.filter(|old| *old != pipe) {
-        // The library panics when the connection has ended by itself since `forget` looked, as it
-        // does whenever a peer starts anew. That would end this thread, and with it the process.
-        if catch_unwind(|| old.close()).is_err() {
-            log::debug!("event=closed_already peer={sender}");
-        }
-    }
-}
-
-/// Forgets connections as they end, so that they are not closed once more.
-fn forget(pipes: &Pipes, pipe: Pipe, event: PipeEvent) {
-    if event == PipeEvent::RemovePost {
-        lock(pipes).retain(|_, known| *known != pipe);
-    }
-}
-
-fn lock(pipes: &Pipes) -> MutexGuard<'_, Map<u16, Pipe>> {
-    pipes.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn deliver<T>(shared: &Shared, received: Received<T>, inbox: &Sender<Received<T>>) {
-    if let Err(TrySendError::Full(_)) = inbox.try_send(received) {
-        shared.lock().stats.inbox_full += 1;
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/peer/src/send.rs
+++ b/crates/peer/src/send.rs
@@ -1,175 +1,177 @@
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_code::Code;
-use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime};
-use nng::{Protocol, Socket};
-use rand::{RngExt, SeedableRng};
+use futures_util::SinkExt as _;
+use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
 
-use crate::state::{Frame, State};
+use crate::frame::codec;
+use crate::shared::Shared;
+use crate::state::Frame;
 
-/// How long the thread sleeps when nobody wakes it. 50 ms: silence and idleness are judged by
-/// seconds, bulk waits in the budget anyway.
-const SLEEP: Duration = Duration::from_millis(50);
-/// The same while a connection would not take a frame. 5 ms: a megabyte passes in a few of them.
-const RETRY: Duration = Duration::from_millis(5);
-/// Frames sent to one peer before the next has its turn. 16: no peer waits for another's backlog.
-const TURN: usize = 16;
-/// First and longest wait of nng between two attempts to connect; it draws them at random below.
-const RECONNECT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// How often silence, idleness and the budget are looked at when nothing else happens.
+const TICK: Duration = Duration::from_millis(50);
+/// First wait between two attempts to connect; it doubles up to [`RECONNECT_MOST`].
+const RECONNECT: Duration = Duration::from_millis(100);
+/// Longest wait between two attempts to connect, and longest time that one attempt may take: a peer
+/// without power answers nothing at all.
+const RECONNECT_MOST: Duration = Duration::from_secs(2);
 
-/// The state, its lock and the sending thread's alarm.
-pub(crate) struct Shared {
-    state: Mutex<State>,
-    alarm: Condvar,
-}
+type Writer = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
-impl Shared {
-    pub(crate) fn new(state: State) -> Self {
-        Shared {
-            state: Mutex::new(state),
-            alarm: Condvar::new(),
+/// Keeps one connection to each peer, until dropped.
+pub(crate) async fn run(shared: Arc<Shared>, seed: u64) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut tasks = JoinSet::new();
+    let mut links: BTreeMap<u16, (SocketAddr, AbortHandle)> = BTreeMap::new();
+    loop {
+        let peers = shared.lock().addresses();
+        links.retain(|id, (address, task)| {
+            let kept = peers.get(id) == Some(address);
+            if !kept {
+                task.abort();
+            }
+            kept
+        });
+        for (id, address) in peers {
+            links.entry(id).or_insert_with(|| {
+                let link = Link {
+                    shared: Arc::clone(&shared),
+                    id,
+                    address,
+                    random: Pcg64Mcg::seed_from_u64(random.random()),
+                    unsent: None,
+                };
+                (address, tasks.spawn(link.run()))
+            });
         }
+        shared.peers_changed.notified().await;
+        while tasks.try_join_next().is_some() {}
     }
+}
 
-    /// The state. A thread that panicked while it held the lock can't have left it half changed
-    /// in a way that matters: counters and queues are valid after every step.
-    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(crate) fn wake(&self, state: &mut State) {
-        state.woken = true;
-        self.alarm.notify_one();
-    }
-
-    fn sleep(&self, period: Duration) {
-        let state = self.lock();
-        let idle = |state: &mut State| !state.woken && !state.closing;
-        let waited = self.alarm.wait_timeout_while(state, period, idle);
-        let (mut state, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        state.woken = false;
-    }
+/// Why a connection ended.
+enum End {
+    /// What was sent over it was not echoed.
+    Silent,
+    /// The peer closed it, or it failed.
+    Closed(io::Error),
 }
 
 /// The connection to one peer.
 struct Link {
-    socket: Socket,
+    shared: Arc<Shared>,
+    id: u16,
     address: SocketAddr,
-    /// A frame that the connection would not take yet.
-    waiting: Option<Frame>,
-    /// Drawn anew for each connection.
-    random: f64,
+    random: Pcg64Mcg,
+    /// A frame that the last connection did not take whole.
+    unsent: Option<Frame>,
 }
 
 impl Link {
-    /// Begins to connect, in the background.
-    fn dial(address: SocketAddr, random: f64) -> Result<Self, nng::Error> {
-        let socket = Socket::new(Protocol::Push0)?;
-        socket.set_opt::<ReconnectMinTime>(Some(RECONNECT.0))?;
-        socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT.1))?;
-        socket.dial_async(&format!("tcp://{address}"))?;
-        Ok(Link {
-            socket,
-            address,
-            waiting: None,
-            random,
-        })
-    }
-}
-
-/// The sending thread: until the mesh closes.
-pub(crate) fn run(shared: &Shared, seed: u64) {
-    let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let mut links: BTreeMap<u16, Link> = BTreeMap::new();
-    loop {
-        let peers = {
-            let state = shared.lock();
-            if state.closing {
-                return;
+    /// Connects, and connects again whenever the connection ends.
+    async fn run(mut self) {
+        let mut pause = RECONNECT;
+        loop {
+            let (id, address) = (self.id, self.address);
+            match self.connect().await {
+                Ok(stream) => match self.serve(stream).await {
+                    End::Silent => {
+                        self.shared.lock().redialled(id);
+                        let code = Code::ControlSilent;
+                        log::warn!("event=redial code={code} peer={id} address={address}");
+                        continue;
+                    }
+                    End::Closed(error) => {
+                        log::debug!("event=connection_ended peer={id} error={error:?}");
+                        pause = RECONNECT;
+                    }
+                },
+                Err(error) => {
+                    log::debug!("event=dial_failed peer={id} address={address} error={error:?}");
+                }
             }
-            let addresses = state.peers.iter().map(|(id, peer)| (*id, peer.address));
-            addresses.collect::<BTreeMap<_, _>>()
-        };
-        links.retain(|id, link| peers.get(id) == Some(&link.address));
-        for (id, address) in &peers {
-            connect(shared, &mut links, *id, *address, &mut random);
+            // Drawn at random: balancers that lost each other at one moment would else all dial together.
+            sleep(pause.mul_f64(self.random.random_range(0.5..1.0))).await;
+            pause = (pause * 2).min(RECONNECT_MOST);
         }
-        let mut sent_all = true;
-        for (id, link) in &mut links {
-            sent_all &= drain(shared, *id, link);
+    }
+
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let stream = timeout(RECONNECT_MOST, TcpStream::connect(self.address)).await??;
+        stream.set_nodelay(true)?;
+        self.shared.lock().connected(self.id);
+        Ok(stream)
+    }
+
+    /// Sends over a connection until it ends.
+    async fn serve(&mut self, stream: TcpStream) -> End {
+        let jitter = self.random.random();
+        let (reader, writer) = stream.into_split();
+        let writer = FramedWrite::new(writer, codec());
+        let (shared, id) = (Arc::clone(&self.shared), self.id);
+        tokio::select! {
+            error = self.send(writer) => End::Closed(error),
+            error = closed(reader) => End::Closed(error),
+            () = silence(&shared, id, jitter) => End::Silent,
         }
-        shared.sleep(if sent_all { SLEEP } else { RETRY });
     }
-}
 
-/// Dials a peer that has no connection, or whose connection has gone silent.
-fn connect(
-    shared: &Shared,
-    links: &mut BTreeMap<u16, Link>,
-    id: u16,
-    address: SocketAddr,
-    random: &mut Pcg64Mcg,
-) {
-    if links
-        .get(&id)
-        .is_some_and(|link| !is_silent(shared, id, link))
-    {
-        return;
+    /// Sends what may pass; gives why it can't any more.
+    async fn send(&mut self, mut writer: Writer) -> io::Error {
+        loop {
+            if self.unsent.is_none() {
+                self.unsent = self.shared.lock().next_frame(self.id);
+            }
+            let Some(frame) = &self.unsent else {
+                self.wait().await;
+                continue;
+            };
+            if let Err(error) = writer.send(frame.bytes.clone()).await {
+                return error;
+            }
+            self.shared.lock().count_sent(self.id, frame.bytes.len());
+            self.unsent = None;
+        }
     }
-    let waiting = links.remove(&id).and_then(|link| link.waiting);
-    match Link::dial(address, random.random()) {
-        Ok(link) => {
-            links.insert(id, Link { waiting, ..link });
+
+    /// Waits for something to send.
+    async fn wait(&self) {
+        let queued = self.shared.lock().queued(self.id);
+        match queued {
+            // Elapsed: the budget or the keepalive may let something pass now.
+            Some(queued) => drop(timeout(TICK, queued.notified()).await),
+            None => sleep(TICK).await,
         }
-        Err(error) => log::warn!("event=dial_failed peer={id} address={address} error={error:?}"),
     }
 }
 
-fn is_silent(shared: &Shared, id: u16, link: &Link) -> bool {
-    let mut state = shared.lock();
-    let (now, silent) = (state.now(), state.settings.silent());
-    let longest = state.settings.longest_silence;
-    let Some(peer) = state.peers.get_mut(&id) else {
-        return false;
-    };
-    if !peer.watch.is_silent(now, silent, longest, link.random) {
-        return false;
+/// Waits until the peer closes the connection. It sends nothing on it.
+async fn closed(mut reader: OwnedReadHalf) -> io::Error {
+    let mut byte = [0];
+    match reader.read(&mut byte).await {
+        Ok(0) => io::ErrorKind::UnexpectedEof.into(),
+        Ok(_) => io::ErrorKind::InvalidData.into(),
+        Err(error) => error,
     }
-    peer.watch.replaced();
-    state.stats.peers.entry(id).or_default().redials += 1;
-    let code = Code::ControlSilent;
-    log::warn!(
-        "event=redial code={code} peer={id} address={}",
-        link.address
-    );
-    true
 }
 
-/// Sends what may pass. False if the connection would not take all of it.
-fn drain(shared: &Shared, id: u16, link: &mut Link) -> bool {
-    for _ in 0..TURN {
-        let frame = match link.waiting.take() {
-            Some(frame) => frame,
-            None => match shared.lock().next_frame(id) {
-                Some(frame) => frame,
-                None => return true,
-            },
-        };
-        let taken = link.socket.try_send(frame.bytes.as_slice()).is_ok();
-        let mut state = shared.lock();
-        let now = state.now();
-        if let Some(peer) = state.peers.get_mut(&id) {
-            peer.watch.sent(now, frame.sequence);
-        }
-        if !taken {
-            link.waiting = Some(frame);
-            return false;
+/// Waits until the connection to a peer has gone silent.
+async fn silence(shared: &Shared, id: u16, jitter: f64) {
+    loop {
+        sleep(TICK).await;
+        if shared.lock().is_silent(id, jitter) {
+            return;
         }
-        state.count_sent(id, frame.bytes.len());
     }
-    false
 }
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -1,25 +1,28 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use acacia_wire::control::{Envelope, Secret, seal};
+use bytes::Bytes;
+use tokio::sync::Notify;
 
+use crate::frame::LENGTH;
 use crate::{Bucket, Error, Filter, Parcel, Queue, Settings, Stats, Watch};
 
-/// Bytes that nng puts before each frame: its length.
-pub(crate) const LENGTH: usize = 8;
-
 /// A peer, apart from its socket.
 #[derive(Debug)]
 pub(crate) struct Peer {
     pub(crate) address: SocketAddr,
     pub(crate) queue: Queue,
     pub(crate) watch: Watch,
+    /// Wakes the task that sends to it.
+    pub(crate) queued: Arc<Notify>,
     /// When a frame was last made for it.
     last_frame: Option<Duration>,
 }
 
-/// What both threads and the callers share.
+/// What the connections' tasks and the callers share.
 #[derive(Debug)]
 pub(crate) struct State {
     pub(crate) settings: Settings,
@@ -27,9 +30,6 @@
     pub(crate) peers: BTreeMap<u16, Peer>,
     pub(crate) filter: Filter,
     pub(crate) stats: Stats,
-    pub(crate) closing: bool,
-    /// Set when a caller has queued something the sending thread has not looked at.
-    pub(crate) woken: bool,
     bucket: Bucket,
     sequence: u64,
     start: Instant,
@@ -37,8 +37,7 @@
 
 /// A frame to send.
 pub(crate) struct Frame {
-    pub(crate) sequence: u64,
-    pub(crate) bytes: Vec<u8>,
+    pub(crate) bytes: Bytes,
 }
 
 impl State {
@@ -50,8 +49,6 @@
             peers: BTreeMap::new(),
             filter: Filter::default(),
             stats: Stats::default(),
-            closing: false,
-            woken: false,
             sequence: 0,
             start: Instant::now(),
         }
@@ -61,7 +58,43 @@
         self.start.elapsed()
     }
 
-    pub(crate) fn set_peers(&mut self, peers: &[(u16, SocketAddr)]) {
+    /// The peers and where they are.
+    pub(crate) fn addresses(&self) -> BTreeMap<u16, SocketAddr> {
+        let peers = self.peers.iter();
+        peers.map(|(id, peer)| (*id, peer.address)).collect()
+    }
+
+    /// What wakes the task that sends to a peer; none if it is no peer any more.
+    pub(crate) fn queued(&self, id: u16) -> Option<Arc<Notify>> {
+        self.peers.get(&id).map(|peer| Arc::clone(&peer.queued))
+    }
+
+    /// A new connection to a peer is open.
+    pub(crate) fn connected(&mut self, id: u16) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.watch.connected();
+        }
+    }
+
+    /// Whether the connection to a peer has gone silent.
+    pub(crate) fn is_silent(&self, id: u16, jitter: f64) -> bool {
+        let (now, silent) = (self.now(), self.settings.silent());
+        let longest = self.settings.longest_silence;
+        let peer = self.peers.get(&id);
+        peer.is_some_and(|peer| peer.watch.is_silent(now, silent, longest, jitter))
+    }
+
+    /// The silent connection to a peer is being replaced.
+    pub(crate) fn redialled(&mut self, id: u16) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.watch.replaced();
+            self.stats.peers.entry(id).or_default().redials += 1;
+        }
+    }
+
+    /// Sets the peers; false if they are those that were set before.
+    pub(crate) fn set_peers(&mut self, peers: &[(u16, SocketAddr)]) -> bool {
+        let before = self.addresses();
         let kept = |id: &u16, peer: &mut Peer| peers.contains(&(*id, peer.address));
         self.peers.retain(kept);
         for (id, address) in peers.iter().filter(|(id, _)| *id != self.settings.id) {
@@ -70,11 +103,13 @@
                 address: *address,
                 queue,
                 watch: Watch::new(),
+                queued: Arc::new(Notify::new()),
                 last_frame: None,
             });
         }
         let known = &self.peers;
         self.stats.peers.retain(|id, _| known.contains_key(id));
+        before != self.addresses()
     }
 
     /// A new incarnation begins a new sequence, of which nothing was echoed yet. What waits was
@@ -108,6 +143,7 @@
         peer.last_frame = Some(now);
         self.sequence += 1;
         let sequence = self.sequence;
+        peer.watch.sent(now, sequence);
         let (sender, incarnation) = (self.settings.id, self.settings.incarnation);
         let parcel = Parcel {
             to: id,
@@ -124,7 +160,9 @@
             &self.secret,
         );
         self.bucket.charge(bytes.len() + LENGTH);
-        Some(Frame { sequence, bytes })
+        Some(Frame {
+            bytes: bytes.into(),
+        })
     }
 
     pub(crate) fn count_sent(&mut self, id: u16, bytes: usize) {
--- a/crates/peer/src/stats.rs
+++ b/crates/peer/src/stats.rs
@@ -7,7 +7,7 @@
 pub struct Traffic {
     /// Frames sent.
     pub sent_frames: u64,
-    /// Their bytes, with nng's length field, without TCP's and IP's headers.
+    /// Their bytes, with the length field, without TCP's and IP's headers.
     pub sent_bytes: u64,
     /// Frames received and accepted.
     pub received_frames: u64,
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -37,7 +37,12 @@
         }
     }
 
-    /// Takes in that a frame was sent, or that the connection would not take it.
+    /// Takes in that a new connection is open. What the one before lost says nothing of it.
+    pub fn connected(&mut self) {
+        self.unechoed = None;
+    }
+
+    /// Takes in that a frame is being sent.
     pub fn sent(&mut self, now: Duration, sequence: u64) {
         self.latest = self.latest.max(sequence);
         self.unechoed.get_or_insert((sequence, now));
--- a/crates/peer/tests/it/mesh.rs
+++ b/crates/peer/tests/it/mesh.rs
@@ -1,4 +1,5 @@
-use std::net::SocketAddr;
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpStream};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -6,7 +7,6 @@
 use acacia_peer::{Class, Error, Mesh, Parcel, Received, Settings};
 use acacia_wire::control::{Envelope, MAX_FRAME, Secret, seal};
 use crossbeam_channel::Receiver;
-use nng::{Protocol, Socket};
 
 use crate::relay::Relay;
 
@@ -67,10 +67,7 @@
 #[test]
 fn what_is_not_to_be_trusted_is_counted_and_dropped() {
     let (mesh, inbox) = open(2, 1);
-    let socket = Socket::new(Protocol::Push0).expect("a socket");
-    socket
-        .dial(&format!("tcp://{}", address(2, 1)))
-        .expect("connects");
+    let mut stream = TcpStream::connect(address(2, 1)).expect("connects");
     let envelope = |sequence| Envelope {
         sender: 2,
         incarnation: 1,
@@ -97,7 +94,9 @@
     ];
 
     for frame in &frames {
-        socket.send(frame.as_slice()).expect("sent");
+        let length = frame.len() as u64;
+        stream.write_all(&length.to_be_bytes()).expect("sent");
+        stream.write_all(frame).expect("sent");
     }
 
     eventually("all are refused", || {
--- a/crates/stand/src/relay.rs
+++ b/crates/stand/src/relay.rs
@@ -32,9 +32,7 @@
 /// Stands for the platform where a balancer's number is expected. No balancer has this number.
 pub const PLATFORM: u16 = u16::MAX;
 
-/// Length of nng's greeting on a connection, in bytes.
-const GREETING: usize = 8;
-/// Length of nng's header of a message, in bytes: the message's length.
+/// Bytes before each frame that tell its length.
 const LENGTH: usize = 8;
 /// Bytes taken from a connection at once. What a cut holds back beyond them stays with the kernel,
 /// and passes after the cut, as TCP sends it again.
@@ -242,7 +240,6 @@
 ) -> io::Result<()> {
     let number = shared.opened.fetch_add(1, Ordering::Relaxed);
     let mut onward = TcpStream::connect(real).await?;
-    exchange(&mut stream, &mut onward).await?;
     let mut start = [0; LENGTH + 2];
     stream.read_exact(&mut start).await?;
     let from = u16::from_be_bytes([start[LENGTH], start[LENGTH + 1]]);
@@ -259,15 +256,6 @@
     }
 }
 
-/// nng's greeting in both directions.
-async fn exchange(stream: &mut TcpStream, onward: &mut TcpStream) -> io::Result<()> {
-    let mut greeting = [0; GREETING];
-    stream.read_exact(&mut greeting).await?;
-    onward.write_all(&greeting).await?;
-    onward.read_exact(&mut greeting).await?;
-    stream.write_all(&greeting).await
-}
-
 /// Passes on one connection of balancer `from` to the platform.
 async fn platform(
     shared: Arc<Shared>,
