Open no flow in a data centre that operators evacuate

A mark is one more entry of the catalog: it has a revision, travels with configurations and servers, comes with a whole reading and goes with one, and is known to a balancer that starts before it serves. Its servers are Evacuated: they keep their flows and get no new ones, also where no other is left or entries lapse together; then callers are refused at once. The shorter of the bounds on configurations and evacuations sets the pace of readings. Servers and marks share one kind of entry (catalog::entries).

Ruled out: ending open flows, which the rule doesn't ask for and which would break feeds.

--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -37,6 +37,9 @@
     pub servers: Vec<Server>,
     /// Flows that this balancer remembers by a pin, of all services.
     pub pins: u64,
+    /// The data centres whose backend servers get no new flows, as operators evacuate them.
+    #[serde(default)]
+    pub evacuations: Vec<Evacuation>,
 }
 
 /// Where a balancer stands between its start and its end.
@@ -51,6 +54,17 @@
     Leaving,
 }
 
+/// A data centre under evacuation, as a balancer knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// The store's revision of the operators' mark.
+    pub revision: u64,
+    /// How long the balancer has had it in force, in milliseconds.
+    pub enforced_ms: u64,
+}
+
 /// Another balancer, as this one sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
@@ -119,6 +133,9 @@
         for peer in &mut self.peers {
             peer.heard_ms = peer.heard_ms.map(|age| age + ms);
         }
+        for evacuation in &mut self.evacuations {
+            evacuation.enforced_ms += ms;
+        }
         self
     }
 }
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,11 +1,9 @@
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::Arc,
-};
+use std::{collections::VecDeque, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    entries::Entries,
     route::{Config, Patch},
     server::Server,
 };
@@ -49,6 +47,15 @@
         /// What it says; nothing if the entry was removed or names no server.
         server: Option<Arc<Server>>,
     },
+    /// The operators' mark that a data centre's servers are to get no new flows.
+    Evacuation {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// The store's revision that made the change.
+        revision: u64,
+        /// Whether the mark stands; false once it was removed.
+        stands: bool,
+    },
 }
 
 impl Change {
@@ -64,24 +71,25 @@
         match self {
             Change::Config { revision, .. }
             | Change::Patch { revision, .. }
-            | Change::Server { revision, .. } => *revision,
+            | Change::Server { revision, .. }
+            | Change::Evacuation { revision, .. } => *revision,
         }
     }
 }
 
-/// The routes and servers as one balancer knows them.
+/// The routes, servers and evacuations as one balancer knows them.
 ///
-/// Load: answers of the store and messages of peers overtake each other, repeat, and come from
-/// replicas that lag. Harm: a configuration that was in force would revert, a server that is
-/// draining would get new flows again. Hence each item keeps its revision, and an older one
-/// changes nothing, wherever it comes from.
+/// Answers of the store and messages of peers overtake each other, repeat, and come from replicas
+/// that lag. Each item keeps its revision, and an older one changes nothing, so that no configuration
+/// reverts and no draining server gets new flows again.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     revision: u64,
     config: Option<Item<Arc<Config>>>,
     /// The last steps between configurations, each from the one before to the next.
     steps: VecDeque<Item<Arc<Patch>>>,
-    servers: BTreeMap<Arc<str>, Item<Option<Arc<Server>>>>,
+    servers: Entries<Arc<Server>>,
+    evacuations: Entries<()>,
     /// The revision up to which removals are forgotten.
     forgotten: u64,
 }
@@ -104,6 +112,13 @@
         self.servers.iter()
     }
 
+    /// The data centres under evacuation, each with the revision of its mark.
+    pub fn evacuations(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let marks = self.evacuations.iter();
+        let standing = marks.filter(|(_, item)| item.value.is_some());
+        standing.map(|(centre, item)| (centre, item.revision))
+    }
+
     /// Takes a change in; false if nothing changes by it, because something as new is known.
     ///
     /// ```
@@ -131,24 +146,27 @@
                 revision,
                 server,
             } => {
-                // Everything up to the forgotten revision was known: a server that is unknown now
-                // was removed by then, and a peer that was cut off tells of it late.
-                let known = self.servers.contains_key(&id);
-                if !known && revision <= self.forgotten {
-                    return false;
-                }
-                self.set_server(id, revision, server)
+                let known = self.servers.contains(&id);
+                self.may_be_news(known, revision) && self.servers.set(id, revision, server)
+            }
+            Change::Evacuation {
+                data_centre,
+                revision,
+                stands,
+            } => {
+                let known = self.evacuations.contains(&data_centre);
+                self.may_be_news(known, revision)
+                    && self
+                        .evacuations
+                        .set(data_centre, revision, stands.then_some(()))
             }
         }
     }
 
-    fn set_server(&mut self, id: Arc<str>, revision: u64, value: Option<Arc<Server>>) -> bool {
-        let known = self.servers.get(&id);
-        if known.is_some_and(|item| item.revision >= revision) {
-            return false;
-        }
-        self.servers.insert(id, Item { revision, value });
-        true
+    /// Whether an entry may be taken in. Everything up to the forgotten revision was known: an entry that
+    /// is unknown now was removed by then, and a peer that was cut off tells of it late.
+    fn may_be_news(&self, known: bool, revision: u64) -> bool {
+        known || revision > self.forgotten
     }
 
     /// Whether a change can be taken in: a step needs the configuration that it starts from.
@@ -157,7 +175,7 @@
         let own = self.config.as_ref().map_or(0, |item| item.revision);
         match change {
             Change::Patch { revision, patch } => own == patch.base || own >= *revision,
-            Change::Config { .. } | Change::Server { .. } => true,
+            Change::Config { .. } | Change::Server { .. } | Change::Evacuation { .. } => true,
         }
     }
 
@@ -215,8 +233,8 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Takes in a whole reading as of `revision`: servers that it doesn't hold are removed, unless
-    /// they are known from a later revision. Gives whether anything changed.
+    /// Takes in a whole reading as of `revision`: servers and evacuations that it doesn't hold are
+    /// removed, unless they are known from a later revision. Gives whether anything changed.
     ///
     /// Without it, a server that left while the history was unavailable would get flows for good.
     ///
@@ -231,7 +249,8 @@
         if revision < self.revision {
             return false;
         }
-        let mut held = Vec::with_capacity(reading.len());
+        let mut servers = Vec::with_capacity(reading.len());
+        let mut evacuations = Vec::new();
         let mut changed = false;
         for change in reading {
             changed |= match change {
@@ -240,23 +259,23 @@
                     revision,
                     server,
                 } => {
-                    held.push(Arc::clone(&id));
-                    self.set_server(id, revision, server)
+                    servers.push(Arc::clone(&id));
+                    self.servers.set(id, revision, server)
+                }
+                Change::Evacuation {
+                    data_centre,
+                    revision,
+                    stands,
+                } => {
+                    evacuations.push(Arc::clone(&data_centre));
+                    self.evacuations
+                        .set(data_centre, revision, stands.then_some(()))
                 }
                 other => self.apply(other),
             };
         }
-        held.sort_unstable();
-        for (id, item) in &mut self.servers {
-            let gone = item.value.is_some() && item.revision <= revision;
-            if gone && held.binary_search(id).is_err() {
-                *item = Item {
-                    revision,
-                    value: None,
-                };
-                changed = true;
-            }
-        }
+        changed |= self.servers.remove_all_but(servers, revision);
+        changed |= self.evacuations.remove_all_but(evacuations, revision);
         self.complete(revision);
         changed
     }
@@ -269,21 +288,26 @@
             revision: item.revision,
             server: item.value.clone(),
         });
+        let evacuations = self.evacuations.iter();
+        let evacuations = evacuations.map(|(data_centre, item)| Change::Evacuation {
+            data_centre: Arc::clone(data_centre),
+            revision: item.revision,
+            stands: item.value.is_some(),
+        });
         let mut changes = self.configuration_since(revision);
-        changes.extend(servers.filter(|change| change.revision() > revision));
+        let entries = servers.chain(evacuations);
+        changes.extend(entries.filter(|change| change.revision() > revision));
         changes.sort_by_key(Change::revision);
         changes
     }
 
-    /// Forgets removed servers whose removal is at or before `revision`: by then no flow of theirs
-    /// is open, and peers know of it but for those that were cut off; these need the whole, see
-    /// [`Catalog::forgotten`].
+    /// Forgets removals at or before `revision`: by then no flow of such a server is open, and peers know
+    /// of it but for those that were cut off; these need the whole, see [`Catalog::forgotten`].
     ///
-    /// Load: servers are replaced every day for months. Harm: 100 bytes for each that ever lived, in
-    /// memory and in each whole difference; with 21,000 a day, 60 MB a month.
+    /// Otherwise memory and whole differences would grow with every server that ever lived.
     pub fn forget(&mut self, revision: u64) {
-        self.servers
-            .retain(|_, item| item.value.is_some() || item.revision > revision);
+        self.servers.forget(revision);
+        self.evacuations.forget(revision);
         self.forgotten = self.forgotten.max(revision);
     }
 
--- a/crates/catalog/tests/it/catalog.rs
+++ b/crates/catalog/tests/it/catalog.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use crate::fixture::{added, config, removed};
+use crate::fixture::{added, config, evacuation, removed};
 
 /// A replica of the store that lags answers a reading, or a peer's message was held up. Taken as it
 /// comes, it would put an older configuration in force again: callers of a route that was just
@@ -54,6 +54,57 @@
     assert_eq!(names, ["old", "young"]);
 }
 
+fn evacuated(catalog: &Catalog) -> Vec<(&str, u64)> {
+    let marks = catalog.evacuations();
+    marks
+        .map(|(centre, revision)| (&**centre, revision))
+        .collect()
+}
+
+/// A late word of a mark that was taken back evacuates the data centre again.
+#[test]
+fn an_evacuation_that_was_taken_back_is_not_brought_back_by_an_older_word() {
+    let mut catalog = Catalog::default();
+    catalog.apply(evacuation("a", 3, true));
+    catalog.apply(evacuation("b", 4, true));
+    catalog.apply(evacuation("a", 5, false));
+
+    let changed = catalog.apply(evacuation("a", 3, true));
+
+    assert!(!changed);
+    assert_eq!(evacuated(&catalog), [("b", 4)]);
+}
+
+/// The store drops its history while a mark is set and another taken back, so that no event tells.
+#[test]
+fn a_whole_reading_sets_marks_and_takes_them_back() {
+    let mut catalog = Catalog::default();
+    catalog.replace(vec![evacuation("a", 3, true)], 5);
+
+    let changed = catalog.replace(vec![evacuation("b", 7, true)], 9);
+
+    assert!(changed);
+    assert_eq!(evacuated(&catalog), [("b", 7)]);
+    assert_eq!(
+        catalog.since(5),
+        [evacuation("b", 7, true), evacuation("a", 9, false)]
+    );
+}
+
+/// A peer that was cut off tells of a mark whose removal has been forgotten here.
+#[test]
+fn a_forgotten_evacuation_is_not_taken_from_a_late_peer() {
+    let mut catalog = Catalog::default();
+    catalog.apply(evacuation("a", 3, true));
+    catalog.apply(evacuation("a", 5, false));
+    catalog.forget(6);
+
+    let changed = catalog.apply(evacuation("a", 3, true));
+
+    assert!(!changed);
+    assert_eq!(evacuated(&catalog), []);
+}
+
 #[test]
 fn a_reading_older_than_what_is_complete_changes_nothing() {
     let mut catalog = Catalog::default();
--- a/crates/catalog/tests/it/fixture.rs
+++ b/crates/catalog/tests/it/fixture.rs
@@ -38,6 +38,15 @@
     }
 }
 
+/// The operators' mark on a data centre, set or taken back.
+pub fn evacuation(data_centre: &str, revision: u64, stands: bool) -> Change {
+    Change::Evacuation {
+        data_centre: data_centre.into(),
+        revision,
+        stands,
+    }
+}
+
 pub fn config(version: u64, revision: u64) -> Change {
     let config = Config {
         version,
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -1,6 +1,10 @@
 //! Every backend server that may still have flows, and what it is good for.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use acacia_catalog::{
     Catalog,
@@ -66,6 +70,8 @@
     limits: Limits,
     servers: BTreeMap<Arc<str>, Known>,
     config: Option<Arc<Config>>,
+    /// The data centres under evacuation.
+    evacuated: BTreeSet<Arc<str>>,
     revision: u64,
     restarted: Vec<Arc<str>>,
 }
@@ -94,6 +100,8 @@
     pub fn update(&mut self, catalog: &Catalog, now: Duration) {
         self.revision = catalog.revision();
         self.config = catalog.config().map(|item| Arc::clone(&item.value));
+        let evacuations = catalog.evacuations();
+        self.evacuated = evacuations.map(|(centre, _)| Arc::clone(centre)).collect();
         for (id, item) in catalog.servers() {
             match &item.value {
                 Some(server) => self.take(id, server, item.revision, now),
@@ -251,12 +259,16 @@
 
     fn standing(&self, known: &Known, now: Duration) -> Standing {
         let draining = known.server.state == State::Draining;
+        let evacuated = self.evacuated.contains(&known.server.data_centre);
+        let is_back_soon = |at: Duration| now.saturating_sub(at) < self.limits.missing;
         match known.missing {
             None if draining => Standing::Draining,
+            None if evacuated => Standing::Evacuated,
             None => Standing::Ready,
             Some(_) if draining => Standing::Gone,
             Some(_) if self.is_replaced(known) => Standing::Gone,
-            Some(at) if now.saturating_sub(at) < self.limits.missing => Standing::Missing,
+            Some(at) if is_back_soon(at) && evacuated => Standing::Evacuated,
+            Some(at) if is_back_soon(at) => Standing::Missing,
             Some(_) => Standing::Lost,
         }
     }
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -19,6 +19,9 @@
     Missing,
     /// It announced that it leaves: it keeps its flows.
     Draining,
+    /// Its data centre is under evacuation: it keeps its flows, and gets no new ones even where no
+    /// other server is left.
+    Evacuated,
     /// Its entry is missing for good, or its address has passed to another server, but nothing
     /// shows yet that it no longer answers. It keeps its flows.
     Lost,
--- a/crates/cookie/tests/it/fixture.rs
+++ b/crates/cookie/tests/it/fixture.rs
@@ -56,6 +56,15 @@
     }
 }
 
+/// The operators' mark on a data centre, set or taken back.
+pub fn evacuation(data_centre: &str, revision: u64, stands: bool) -> Change {
+    Change::Evacuation {
+        data_centre: data_centre.into(),
+        revision,
+        stands,
+    }
+}
+
 /// One route to `services` in equal parts.
 pub fn routed(services: &[&str], revision: u64) -> Change {
     let targets = services.iter().map(|service| Target {
--- a/crates/ctl/src/verb/status.rs
+++ b/crates/ctl/src/verb/status.rs
@@ -4,7 +4,7 @@
 
 use acacia_api::{
     Error, Status,
-    status::{Phase, Service},
+    status::{Evacuation, Phase, Service},
 };
 use acacia_code::Code;
 use serde::Serialize;
@@ -40,8 +40,18 @@
         .map(|(address, answer)| row(address, answer, newest))
         .collect();
     let header = [
-        "balancer", "dc", "phase", "revision", "lag", "age", "tables", "peers", "flows", "pins",
+        "balancer",
+        "dc",
+        "phase",
+        "revision",
+        "lag",
+        "age",
+        "tables",
+        "peers",
+        "flows",
+        "pins",
         "store",
+        "evacuated",
     ];
     let text = table(&header, rows.iter().map(cells));
     let silent = rows.iter().any(|row| matches!(row, Row::Silent { .. }));
@@ -87,9 +97,24 @@
         status.flows().map_or("-".into(), |flows| flows.to_string()),
         status.pins.to_string(),
         status.store_ms.map_or("-".into(), seconds),
+        evacuations(status),
     ]
 }
 
+/// Each data centre under evacuation, with the revision of its mark and how long it has been in force.
+fn evacuations(status: &Status) -> String {
+    let shown = |mark: &Evacuation| {
+        let (revision, age) = (mark.revision, seconds(mark.enforced_ms));
+        format!("{}:{revision}:{age}", mark.data_centre)
+    };
+    let marks: Vec<String> = status.evacuations.iter().map(shown).collect();
+    if marks.is_empty() {
+        "-".into()
+    } else {
+        marks.join(" ")
+    }
+}
+
 fn tables(status: &Status) -> String {
     let version = |service: &Service| format!("{}:{}", service.name, service.table);
     let versions = status.services.iter().map(version);
--- a/crates/node/src/control/core/status.rs
+++ b/crates/node/src/control/core/status.rs
@@ -113,6 +113,8 @@
             services: self.services(),
             // Flows of single backend servers are not counted here.
             servers: Vec::new(),
+            // Data centres are evacuated on the users' platform alone.
+            evacuations: Vec::new(),
             pins: (0..shards.count())
                 .map(|index| shards.at(index).len() as u64)
                 .sum(),
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -7,7 +7,7 @@
 mod news;
 mod speed;
 
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use acacia_catalog::{
     Catalog, Change,
@@ -66,8 +66,19 @@
     },
 }
 
+/// A data centre under evacuation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evacuation {
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// The store's revision of the operators' mark.
+    pub revision: u64,
+    /// How long it has been in force here.
+    pub enforced: Duration,
+}
+
 /// What operators look at first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Standing {
     /// The operators' number of the configuration in force; 0 for none.
     pub version: u64,
@@ -83,6 +94,8 @@
     pub reads: bool,
     /// How long the version has been in force; none before the first.
     pub enforced: Option<Duration>,
+    /// The data centres under evacuation.
+    pub evacuations: Vec<Evacuation>,
 }
 
 /// The control thread's state.
@@ -115,6 +128,8 @@
     reads: bool,
     /// The version in force, and since when.
     enforced: Option<(u64, Duration)>,
+    /// The data centres under evacuation: the revision of the mark, and since when it is in force.
+    evacuated: BTreeMap<Arc<str>, (u64, Duration)>,
     /// How long removals of servers are kept: the longest life of a flow.
     keep: Duration,
     /// When removals were last forgotten, and what was known then.
@@ -157,6 +172,7 @@
             random,
             reads: false,
             enforced: None,
+            evacuated: BTreeMap::new(),
             keep: settings.flow,
             mark: (now, 0),
         }
@@ -417,9 +433,31 @@
             silent: self.detector.silent().len(),
             reads: self.reads,
             enforced: self.enforced.map(|(_, since)| now.saturating_sub(since)),
+            evacuations: self.evacuations(now),
         }
     }
 
+    fn evacuations(&self, now: Duration) -> Vec<Evacuation> {
+        let marks = self.evacuated.iter();
+        let mark = |(centre, (revision, since)): (&Arc<str>, &(u64, Duration))| Evacuation {
+            data_centre: Arc::clone(centre),
+            revision: *revision,
+            enforced: now.saturating_sub(*since),
+        };
+        marks.map(mark).collect()
+    }
+
+    /// Takes note of the marks that are in force from `now` on.
+    fn enforce_evacuations(&mut self, now: Duration) {
+        let since = |centre: &Arc<str>| self.evacuated.get(centre).map(|(_, since)| *since);
+        let marks = self.catalog.evacuations();
+        let marks = marks.map(|(centre, revision)| {
+            let since = since(centre).unwrap_or(now);
+            (Arc::clone(centre), (revision, since))
+        });
+        self.evacuated = marks.collect();
+    }
+
     /// Routes and servers for the traffic threads, and when they change by time alone.
     pub fn snapshot(&mut self, now: Duration) -> (Snapshot, Option<Duration>) {
         self.roster.update(&self.catalog, now);
@@ -448,6 +486,7 @@
         {
             self.enforced = Some((version, now));
         }
+        self.enforce_evacuations(now);
         self.speeds.apply(&mut snapshot);
         snapshot.data_centre = Arc::clone(&self.own.data_centre);
         let recovers = self.weigh_failing(&mut snapshot, now);
--- a/crates/node/src/cookie/core/describe.rs
+++ b/crates/node/src/cookie/core/describe.rs
@@ -34,6 +34,13 @@
             revision,
             server: None,
         } => format!("event=server server={id} revision={revision} state=Removed"),
+        Change::Evacuation {
+            data_centre,
+            revision,
+            stands,
+        } => format!(
+            "event=evacuation data_centre={data_centre} revision={revision} stands={stands}"
+        ),
     }
 }
 
--- a/crates/node/src/cookie/meters.rs
+++ b/crates/node/src/cookie/meters.rs
@@ -153,7 +153,7 @@
         text
     }
 
-    fn gauges(&self, standing: &Standing) -> [(&'static str, &'static str, u128); 7] {
+    fn gauges(&self, standing: &Standing) -> [(&'static str, &'static str, u128); 8] {
         let ready = self.ready.get().map_or(0, Duration::as_millis);
         let age = standing.age.map_or(0, |age| age.as_millis());
         [
@@ -178,6 +178,11 @@
                 "Backend servers found silent",
                 standing.silent as u128,
             ),
+            (
+                "evacuations",
+                "Data centres under evacuation",
+                standing.evacuations.len() as u128,
+            ),
             (
                 "reads_for_others",
                 "Whether this balancer watches the store for the others",
--- a/crates/node/src/cookie/settings.rs
+++ b/crates/node/src/cookie/settings.rs
@@ -28,7 +28,8 @@
     pub ready: SocketAddrV4,
     /// Where the platform's store answers.
     pub platform: SocketAddrV4,
-    /// How soon after the store's answer a change must be in force.
+    /// How soon after the store's answer a change must be in force: the shorter of the bounds on
+    /// configurations and on evacuations.
     pub in_force: Duration,
     /// The longest life of a flow.
     pub flow: Duration,
@@ -52,12 +53,20 @@
     ),
     ("ready", &["listen"]),
     ("platform", &["address"]),
-    ("bounds", &["in_force_ms", "flow_s", "grace_s"]),
+    (
+        "bounds",
+        &["in_force_ms", "evacuation_ms", "flow_s", "grace_s"],
+    ),
     ("metrics", &["listen"]),
     ("admin", &["listen"]),
     ("log", &["level"]),
 ];
 
+/// Shortest bound on a change being in force, in milliseconds: pauses between calls follow from it.
+const SHORTEST_BOUND_MS: u64 = 500;
+/// What a bound on a change must be.
+const BOUND: &str = "whole milliseconds, 500 or more";
+
 impl Settings {
     /// Reads and checks `text`.
     ///
@@ -87,9 +96,12 @@
     let seeds = seeds(reader);
     let ready = reader.required("ready", "listen", ADDRESS);
     let platform = reader.required("platform", "address", ADDRESS);
-    let in_force = reader.required("bounds", "in_force_ms", "whole milliseconds, 500 or more");
-    if in_force.is_some_and(|ms: u64| ms < 500) {
-        reader.problem("bounds", "in_force_ms", "whole milliseconds, 500 or more");
+    let in_force = reader.required("bounds", "in_force_ms", BOUND);
+    let evacuation = reader.optional("bounds", "evacuation_ms", BOUND);
+    for (key, value) in [("in_force_ms", in_force), ("evacuation_ms", evacuation)] {
+        if value.is_some_and(|ms: u64| ms < SHORTEST_BOUND_MS) {
+            reader.problem("bounds", key, BOUND);
+        }
     }
     let flow = reader.required("bounds", "flow_s", "seconds");
     let grace = reader.required("bounds", "grace_s", "seconds");
@@ -111,7 +123,7 @@
         seeds: seeds?,
         ready: ready?,
         platform: platform?,
-        in_force: Duration::from_millis(in_force?),
+        in_force: Duration::from_millis(in_force?.min(evacuation.unwrap_or(u64::MAX))),
         flow: seconds(flow?)?,
         grace: seconds(grace?)?,
         metrics,
--- a/crates/node/src/cookie/status.rs
+++ b/crates/node/src/cookie/status.rs
@@ -1,12 +1,15 @@
 //! What operators are told of a balancer where packets carry a cookie.
 
-use std::net::{SocketAddr, SocketAddrV4};
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
 
 use acacia_api::{Status, status};
 
 use super::{
     control::{Control, lock},
-    core::Standing,
+    core::{Evacuation, Standing},
     rotation::Phase,
 };
 
@@ -30,12 +33,21 @@
         phase: shown(phase),
         revision: (standing.version > 0).then_some(standing.version),
         enforced_ms: enforced_ms(&standing),
+        evacuations: standing.evacuations.iter().map(evacuation).collect(),
         store_ms: standing.age.map(|age| age.as_millis() as u64),
         peers: list.iter().map(peer).collect(),
         ..Status::default()
     }
 }
 
+fn evacuation(evacuation: &Evacuation) -> status::Evacuation {
+    status::Evacuation {
+        data_centre: Arc::clone(&evacuation.data_centre),
+        revision: evacuation.revision,
+        enforced_ms: evacuation.enforced.as_millis() as u64,
+    }
+}
+
 fn enforced_ms(standing: &Standing) -> u64 {
     standing.enforced.map_or(0, |age| age.as_millis() as u64)
 }
--- a/crates/node/tests/it/cookie/fixture.rs
+++ b/crates/node/tests/it/cookie/fixture.rs
@@ -61,6 +61,15 @@
     }
 }
 
+/// The operators' mark on a data centre, set or taken back.
+pub fn evacuation(data_centre: &str, revision: u64, stands: bool) -> Change {
+    Change::Evacuation {
+        data_centre: data_centre.into(),
+        revision,
+        stands,
+    }
+}
+
 /// A configuration of so many routes; the version is the revision.
 pub fn config(revision: u64, routes: u16) -> Change {
     let route = |port: u16| Route {
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -2,6 +2,7 @@
 
 mod core;
 mod cut;
+mod evacuation;
 mod examine;
 mod exchange;
 mod failing;
