Find servers that refuse connections from openings that nothing follows

Cause: a server that refuses answers the caller directly, and the caller opens anew through any balancer, so that no packet is ever sent again at one balancer and nothing was suspected until the entry lapsed. Then the examination of a whole data centre's servers had one of them as its control, and showed nothing.

An opening that the caller's next packet hasn't followed in the usual time (mean and four deviations, 40 to 200 ms) makes its server suspected. The control of near servers is taken from another data centre, and from the own one after an examination that showed nothing, as a data centre may be cut off.

a_copy_of_an_opening_goes_elsewhere...: the second server of its copy is suspected as well now, when nothing has followed there either; the test asserts both, each at its time.

--- a/crates/cookie/src/flow.rs
+++ b/crates/cookie/src/flow.rs
@@ -135,6 +135,14 @@
         self.insert(packet.key, flow);
     }
 
+    /// The server of a flow of which nothing has passed since its opening at `sent`.
+    #[must_use]
+    pub fn unopened(&self, key: &Key, sent: Duration) -> Option<&Arc<str>> {
+        let flow = self.flows.get(key)?;
+        let waits = flow.opening && flow.sent == Some(sent);
+        waits.then_some(&flow.server)
+    }
+
     /// Takes in a packet of an open flow and tells what it shows.
     pub fn passed(
         &mut self,
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -1,6 +1,7 @@
 //! From a packet to what is done with it.
 
 mod open;
+mod unopened;
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,6 +13,8 @@
     packet::{Kind, Packet},
 };
 
+use unopened::Unopened;
+
 use crate::{
     cookie::Cookie,
     flow::{Flow, Sign, Table},
@@ -121,6 +124,7 @@
 #[derive(Debug, Default)]
 pub struct Resolver {
     openings: Map<Key, Opening>,
+    unopened: Unopened,
     flows: Table,
     counts: Counts,
     delays: Delays,
@@ -168,6 +172,7 @@
 
     /// What the control thread is to be told since the last time.
     pub fn take_notices(&mut self, now: Duration) -> Vec<Notice> {
+        self.notice_unopened(now);
         let seen = self.counts.take(now);
         if !seen.is_empty() {
             self.notices.push(Notice::Seen(seen));
@@ -256,6 +261,7 @@
             Sign::Opened(took) => {
                 self.lives(&server.id, now);
                 self.counts.opened(&server.id, took);
+                self.unopened.opened(took);
                 let server = Arc::clone(&server.id);
                 self.timings.push(Timing::Opening { server, took });
             }
@@ -294,6 +300,17 @@
         }
     }
 
+    /// Takes note of the servers whose openings nothing has followed. A server that refuses connections
+    /// answers callers directly, and they open anew: no packet is ever sent again here.
+    fn notice_unopened(&mut self, now: Duration) {
+        for (sent, key) in self.unopened.due(now) {
+            let server = self.flows.unopened(&key, sent).map(Arc::clone);
+            if let Some(server) = server {
+                self.notice(&server, now);
+            }
+        }
+    }
+
     /// Forgets what is too old to matter, now and then.
     fn sweep(&mut self, now: Duration) {
         if now < self.swept + SWEEP {
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -63,6 +63,7 @@
             at,
             server: Arc::clone(&server.id),
         };
+        self.unopened.sent(packet.key, now);
         self.openings.insert(packet.key, opening);
         self.flows.opened(packet, server.cookie, &server.id, now);
         Action::Forward {
--- a/crates/cookie/tests/it/main.rs
+++ b/crates/cookie/tests/it/main.rs
@@ -12,3 +12,4 @@
 mod silence;
 mod speed;
 mod trial;
+mod unopened;
--- a/crates/cookie/tests/it/resolver.rs
+++ b/crates/cookie/tests/it/resolver.rs
@@ -111,7 +111,8 @@
 
     let (other, _) = sent(&copy, &snapshot).expect("a server");
     assert_ne!(other, silent);
-    assert_eq!(resolver.take_notices(ms(400)), [Notice::Unanswered(silent)]);
+    assert_eq!(resolver.take_notices(ms(210)), [Notice::Unanswered(silent)]);
+    assert_eq!(resolver.take_notices(ms(400)), [Notice::Unanswered(other)]);
 }
 
 /// A server drains. Copies of an opening that had reached it before must not reach it any more:
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -120,6 +120,10 @@
     /// Peers that have told what they saw since the speeds were last evaluated.
     reports: usize,
     isolated: bool,
+    /// Where the control of an examination of near servers is taken from. When a whole data centre's
+    /// servers go down, none of its own can be the control; when it is cut off, none of another one can.
+    /// So it changes whenever an examination has shown nothing.
+    control_is_near: bool,
     /// Whether a step of the configuration was missed, so that the whole is to be fetched.
     missed: bool,
     random: Pcg64,
@@ -167,6 +171,7 @@
             untold: Vec::new(),
             reports: 0,
             isolated: false,
+            control_is_near: false,
             missed: false,
             share: random.random(),
             random,
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -117,11 +117,13 @@
         let next = self.detector.next();
         let targets = self.targets(&due.doubted);
         let silent = self.targets(&due.silent);
+        let near = self.has_near(&due.doubted);
+        let near_control = !near || self.control_is_near;
         let control = match targets.is_empty() {
             true => None,
             false => self
-                .control(true, &due.doubted)
-                .or_else(|| self.control(false, &due.doubted)),
+                .control(near_control, &due.doubted)
+                .or_else(|| self.control(!near_control, &due.doubted)),
         };
         let examination = Examination {
             targets,
@@ -140,13 +142,21 @@
         servers.iter().filter_map(target).collect()
     }
 
-    /// A server that nothing speaks against, in the own data centre or anywhere.
+    /// Whether one of the servers is in the own data centre.
+    fn has_near(&self, servers: &[Arc<str>]) -> bool {
+        let known = servers.iter().filter_map(|server| self.roster.get(server));
+        known
+            .into_iter()
+            .any(|server| server.data_centre == self.own.data_centre)
+    }
+
+    /// A server that nothing speaks against, in the own data centre or in another one.
     fn control(&mut self, near: bool, except: &[Arc<str>]) -> Option<SocketAddrV4> {
         let (detector, centre) = (&self.detector, &self.own.data_centre);
         let trusted = self.roster.present().filter(|server| {
             detector.is_trusted(&server.id)
                 && !except.contains(&server.id)
-                && (!near || server.data_centre == *centre)
+                && (server.data_centre == *centre) == near
         });
         trusted
             .choose(&mut self.random)
@@ -156,6 +166,12 @@
     /// An examination has ended.
     pub fn examined(&mut self, findings: Vec<(Arc<str>, Finding)>, now: Duration) -> Outcome {
         let (mut silent, mut back) = (Vec::new(), Vec::new());
+        let unknown = |(_, finding): &&(Arc<str>, Finding)| *finding == Finding::Unknown;
+        let unknown = findings.iter().filter(unknown);
+        let unknown: Vec<Arc<str>> = unknown.map(|(server, _)| Arc::clone(server)).collect();
+        if self.has_near(&unknown) {
+            self.control_is_near = !self.control_is_near;
+        }
         for (server, finding) in findings {
             match self.detector.found(&server, finding, now) {
                 Verdict::Same => {}
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -7,5 +7,6 @@
 mod exchange;
 mod failing;
 mod fixture;
+mod refused;
 mod settings;
 mod speed;
