Keep the bound on servers that have just started, for the sum over all balancers

Cause: warmup_per_s of the configuration was not read, and each balancer sent cold servers its part.

While half of a service's servers are warm, they take all new flows: servers warm up by time, not by requests. Otherwise each balancer sends a random part of the flows it sees to cold servers, so small that the sum, nearly Poisson distributed, stays below the bound whoever sends it (cookie::cold). The size of the fleet is the largest of the last ten minutes, so that a cut doesn't raise the parts; a balancer that has just started sends none. A server that was silent, or whose data centre was evacuated, is taken for cold for as long as one is after its start.

Ruled out: an equal share for each balancer, which of hundreds is less than one flow and breaks the bound in the model; few openers by rendezvous, whose number depends on lists that disagree; leases in the store, a call for each cold server and nothing while the store is away.

--- a/crates/bench/src/speed/cookie.rs
+++ b/crates/bench/src/speed/cookie.rs
@@ -148,7 +148,7 @@
     let config = Config {
         version: 1,
         routes: vec![route],
-        idle: None,
+        ..Config::default()
     };
     catalog.apply(Change::Config {
         revision: u64::from(servers) + 1,
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -203,6 +203,35 @@
     }
 }
 
+/// How long the largest size of the fleet is remembered. A balancer that is cut off from the others for
+/// less still takes them for there.
+const SIZE_KEPT: Duration = Duration::from_secs(600);
+
+/// The largest number of balancers that were known lately.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Peak {
+    count: usize,
+    at: Duration,
+}
+
+impl Peak {
+    /// Takes in how many are known now; gives the largest number of late.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut peak = acacia_catalog::member::Peak::default();
+    /// assert_eq!(peak.follow(60, Duration::ZERO), 60);
+    /// assert_eq!(peak.follow(20, Duration::from_secs(30)), 60);
+    /// assert_eq!(peak.follow(20, Duration::from_secs(900)), 20);
+    /// ```
+    pub fn follow(&mut self, count: usize, now: Duration) -> usize {
+        if count >= self.count || now >= self.at + SIZE_KEPT {
+            *self = Peak { count, at: now };
+        }
+        self.count
+    }
+}
+
 /// The place of a balancer in an order on which all agree that know the same members; the highest
 /// comes first (rendezvous hashing: a birth or death moves nobody else).
 #[must_use]
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -69,8 +69,20 @@
     pub objective: Objective,
 }
 
-/// The operators' configuration.
+/// What the operators say of a service's backend servers that have just started. Only services with
+/// a limit are listed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// The service's name.
+    pub service: Arc<str>,
+    /// How long a server stays cold after its start, in milliseconds.
+    pub time_ms: u32,
+    /// Requests that a cold server bears in a thousand seconds.
+    pub requests: u32,
+}
+
+/// The operators' configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Config {
     /// The operators' own number of it; rises in uneven steps.
     pub version: u64,
@@ -78,6 +90,8 @@
     pub routes: Vec<Route>,
     /// How long a flow may be idle before it may be forgotten; unlimited if none.
     pub idle: Option<Duration>,
+    /// Limits of servers that have just started, by service.
+    pub warmups: Vec<Warmup>,
 }
 
 /// What leads from one configuration to the next.
@@ -97,6 +111,8 @@
     pub remove: Vec<Arc<str>>,
     /// See [`Config::idle`].
     pub idle: Option<Duration>,
+    /// See [`Config::warmups`]; none where they are as before.
+    pub warmups: Option<Vec<Warmup>>,
 }
 
 impl Patch {
@@ -104,7 +120,7 @@
     ///
     /// ```
     /// use acacia_catalog::route::{Config, Patch};
-    /// let old = Config { version: 1, routes: Vec::new(), idle: None };
+    /// let old = Config { version: 1, ..Config::default() };
     /// let new = Config { version: 3, ..old.clone() };
     /// assert_eq!(Patch::between(&old, 9, &new).apply(&old), new);
     /// ```
@@ -125,6 +141,7 @@
                 .map(|route| Arc::clone(&route.name))
                 .collect(),
             idle: new.idle,
+            warmups: (old.warmups != new.warmups).then(|| new.warmups.clone()),
         }
     }
 
@@ -148,6 +165,7 @@
             version: self.version,
             routes,
             idle: self.idle,
+            warmups: self.warmups.as_ref().unwrap_or(&old.warmups).clone(),
         }
     }
 }
--- a/crates/catalog/tests/it/catalog.rs
+++ b/crates/catalog/tests/it/catalog.rs
@@ -132,7 +132,7 @@
     let config = Config {
         version,
         routes: names.iter().map(route).collect(),
-        idle: None,
+        ..Config::default()
     };
     Change::Config {
         revision: version,
--- a/crates/catalog/tests/it/fixture.rs
+++ b/crates/catalog/tests/it/fixture.rs
@@ -50,8 +50,7 @@
 pub fn config(version: u64, revision: u64) -> Change {
     let config = Config {
         version,
-        routes: Vec::new(),
-        idle: None,
+        ..Config::default()
     };
     Change::Config {
         revision,
--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -61,6 +61,7 @@
     40 PlatformUnsupported "platform-unsupported": "The platform does not offer a call."; "Check that the settings name the right kind of platform".
     41 EntryMalformed "entry-malformed": "An entry in the store can't be understood; it names no server, and the others hold."; "Look for who wrote the entry named in the log line".
     42 ObjectiveAbsurd "objective-absurd": "A route's latency objective or priority makes no sense; the route holds without it."; "Correct the route named in the log line".
+    43 WarmupAbsurd "warmup-absurd": "What a service's configuration says of servers that have just started makes no sense; the service holds without a limit on them."; "Correct the service named in the log line".
     44 TablesUndecodable "tables-undecodable": "The bucket tables in the platform's store can't be decoded."; "Remove the key acaciatrack/tables; the balancers write again what they have in force".
     45 TablesLater "tables-later": "A later version of the balancer wrote the bucket tables."; "Finish the update of the balancers, or remove the key acaciatrack/tables after going back".
     46 TablesInconsistent "tables-inconsistent": "The bucket tables in the platform's store contradict themselves."; "Remove the key acaciatrack/tables; the balancers write again what they have in force".
@@ -104,6 +105,7 @@
     240 PinsFull "pins-full": "The table of pins is full."; "Look for a flood; otherwise add balancers".
     241 FlowServerGone "flow-server-gone": "The flow's server has left or is lost; the caller is told so."; "Nothing, unless the server should be there".
     242 ServersBusy "servers-busy": "A new flow was refused: no backend server of its service would answer it in time."; "Nothing in a short burst; add backend servers if it lasts".
+    243 ServersCold "servers-cold": "A new flow was refused: all backend servers of its service have just started and bear no more at present."; "Nothing, unless it lasts for longer than they take to warm up".
     260 LoadShareUsed "load-share-used": "A new flow was refused: its class is beyond its share and nothing is left to borrow."; "Compare the class's demand with its share; add backend servers if paying callers are refused".
     261 LoadConnectionsUsed "load-connections-used": "A new flow was refused: its class's part of the connections is in use."; "Raise the class's share, or add backend servers".
     262 LoadNoServer "load-no-server": "A new flow was refused: its service has no backend server."; "Add a backend server to the service".
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! Nothing here opens a socket or reads a clock.
 
+pub mod cold;
 pub mod cookie;
 pub mod failing;
 pub mod flow;
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -16,6 +16,7 @@
 use unopened::Unopened;
 
 use crate::{
+    cold,
     cookie::Cookie,
     flow::{Flow, Sign, Table},
     snapshot::{Server, Snapshot, Standing},
@@ -130,6 +131,8 @@
     delays: Delays,
     /// How much is expected of each service's servers before they are given a new flow.
     limits: Map<Arc<str>, Limit>,
+    /// What cold servers were sent lately.
+    warming: cold::Sent,
     swept: Duration,
     /// When each server last answered something here.
     answered: Map<Arc<str>, Duration>,
@@ -324,5 +327,6 @@
         }
         self.answered.retain(|_, at| *at + IDLE > now);
         self.noticed.retain(|_, at| *at + IDLE > now);
+        self.warming.sweep(now);
     }
 }
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -45,10 +45,9 @@
             Some(opening) => self.open_again(snapshot, route, packet, opening, now),
             None => self.place(snapshot, route, packet.key.hash(), None, now),
         };
-        let Some(mut position) = position else {
-            return Action::Reset {
-                code: Code::ServerNone,
-            };
+        let mut position = match position {
+            Ok(position) => position,
+            Err(code) => return Action::Reset { code },
         };
         if before.is_none() {
             position = match self.admit(snapshot, route, position, now) {
@@ -81,7 +80,7 @@
         packet: &Packet,
         opening: &Opening,
         now: Duration,
-    ) -> Option<u32> {
+    ) -> Result<u32, Code> {
         let same = position(snapshot, &opening.server);
         let waited = now >= opening.at + PATIENCE;
         let lives = self
@@ -97,8 +96,8 @@
                 Standing::Ready | Standing::Missing
             )
         });
-        if usable.is_some() && (lives || !waited) {
-            return usable;
+        if let Some(usable) = usable.filter(|_| lives || !waited) {
+            return Ok(usable);
         }
         let other = self.place(
             snapshot,
@@ -107,21 +106,69 @@
             Some(&opening.server),
             now,
         );
-        other.or(same)
+        other.or_else(|code| same.ok_or(code))
     }
 
     /// The server for a new flow, another than `except` where there is one.
+    ///
+    /// # Errors
+    /// Why there is none.
     fn place(
-        &self,
+        &mut self,
         snapshot: &Snapshot,
         route: &Route,
         flow: u64,
         except: Option<&Arc<str>>,
         now: Duration,
+    ) -> Result<u32, Code> {
+        let pool = split(snapshot, route, flow).ok_or(Code::ServerNone)?;
+        let cold = self.place_cold(snapshot, pool, flow, except, now);
+        let placed = cold.or_else(|| self.least_loaded(snapshot, &pool.open, flow, except, now));
+        placed.ok_or(match pool.cold.is_empty() {
+            true => Code::ServerNone,
+            false => Code::ServersCold,
+        })
+    }
+
+    /// The cold server that is to take a new flow, if one is.
+    ///
+    /// While half of a service's servers are warm, they take all: its cold ones warm up by time, not by
+    /// requests.
+    fn place_cold(
+        &mut self,
+        snapshot: &Snapshot,
+        pool: &Pool,
+        flow: u64,
+        except: Option<&Arc<str>>,
+        now: Duration,
+    ) -> Option<u32> {
+        let ration = pool.ration?;
+        let cold = pool.cold.len();
+        let draws = self.warming.draws(&pool.service, &ration, cold, flow, now);
+        if !draws || pool.open.len() >= cold {
+            return None;
+        }
+        let has_room = |position: &u32| {
+            let server = &snapshot.servers[*position as usize];
+            self.warming.has_room(&server.id, &ration, now)
+        };
+        let free: Vec<u32> = pool.cold.iter().copied().filter(has_room).collect();
+        let placed = self.least_loaded(snapshot, &free, flow, except, now)?;
+        let server = &snapshot.servers[placed as usize];
+        self.warming.add(&server.id, now);
+        Some(placed)
+    }
+
+    fn least_loaded(
+        &self,
+        snapshot: &Snapshot,
+        positions: &[u32],
+        flow: u64,
+        except: Option<&Arc<str>>,
+        now: Duration,
     ) -> Option<u32> {
-        let pool = split(snapshot, route, flow)?;
         let server = |position: u32| &snapshot.servers[position as usize];
-        let others = pool.open.iter().copied();
+        let others = positions.iter().copied();
         let others = others.filter(|position| Some(&server(*position).id) != except);
         let candidates = others.map(|position| candidate(snapshot, position));
         choose(flow, candidates, |position| {
@@ -208,10 +255,8 @@
 fn split<'a>(snapshot: &'a Snapshot, route: &Route, flow: u64) -> Option<&'a Pool> {
     let pool = |position: u32| &snapshot.pools[position as usize];
     let open = || {
-        route
-            .pools
-            .iter()
-            .filter(|(position, weight)| *weight > 0 && !pool(*position).open.is_empty())
+        let pools = route.pools.iter();
+        pools.filter(|(position, weight)| *weight > 0 && !pool(*position).is_empty())
     };
     let total: u64 = open().map(|(_, weight)| u64::from(*weight)).sum();
     let mut draw = mix(flow) % total.max(1);
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -8,13 +8,14 @@
 
 use acacia_catalog::{
     Catalog,
-    route::{self, Config},
+    route::{self, Config, Warmup},
     server::{self, State},
 };
 use acacia_load::overload::Demand;
 use acacia_wire::collections::Map;
 
 use crate::{
+    cold::Ration,
     cookie::{self, Cookie, VARIANTS},
     silence::Detector,
     snapshot::{Pool, Route, Server, Snapshot, Standing},
@@ -39,6 +40,27 @@
     }
 }
 
+/// What is sent to servers that have just started, of services with a limit on them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Warming {
+    /// Factor on the requests a second that the operators state.
+    pub overshoot: f64,
+    /// Requests a second beyond them.
+    pub slack: f64,
+    /// Balancers of the fleet, this one included; none as long as this one can't know.
+    pub balancers: Option<u32>,
+}
+
+impl Default for Warming {
+    fn default() -> Self {
+        Warming {
+            overshoot: 1.0,
+            slack: 0.0,
+            balancers: None,
+        }
+    }
+}
+
 /// Weight of a server that has just started against one that is warm: its first requests take
 /// about 1.6 times as long.
 const COLD: f64 = 0.6;
@@ -51,8 +73,10 @@
     since: u64,
     /// When its entry went missing.
     missing: Option<Duration>,
-    /// Until when it is slow after its start.
+    /// Until when it is slow after its start, by its entry.
     warm: Duration,
+    /// Until when it may be, as it may have started again without a word.
+    suspect: Duration,
     /// All its cookies.
     cookies: [Cookie; VARIANTS as usize],
 }
@@ -72,6 +96,7 @@
     config: Option<Arc<Config>>,
     /// The data centres under evacuation.
     evacuated: BTreeSet<Arc<str>>,
+    warming: Warming,
     revision: u64,
     restarted: Vec<Arc<str>>,
 }
@@ -101,7 +126,11 @@
         self.revision = catalog.revision();
         self.config = catalog.config().map(|item| Arc::clone(&item.value));
         let evacuations = catalog.evacuations();
-        self.evacuated = evacuations.map(|(centre, _)| Arc::clone(centre)).collect();
+        let evacuated = evacuations.map(|(centre, _)| Arc::clone(centre)).collect();
+        let before = std::mem::replace(&mut self.evacuated, evacuated);
+        for centre in &before - &self.evacuated {
+            self.suspect_cold(now, |server| server.data_centre == centre);
+        }
         for (id, item) in catalog.servers() {
             match &item.value {
                 Some(server) => self.take(id, server, item.revision, now),
@@ -138,6 +167,7 @@
                     since: revision,
                     missing: None,
                     warm,
+                    suspect: Duration::ZERO,
                     cookies: std::array::from_fn(|variant| Cookie::of(id, variant as u32)),
                 };
                 self.servers.insert(Arc::clone(id), known);
@@ -158,7 +188,10 @@
     #[must_use]
     pub fn next_change(&self, now: Duration) -> Option<Duration> {
         let missing = self.limits.missing;
-        let ends = |known: &Known| [known.missing.map(|at| at + missing), Some(known.warm)];
+        let ends = |known: &Known| {
+            let back = known.missing.map(|at| at + missing);
+            [back, Some(known.warm), Some(known.suspect)]
+        };
         self.servers
             .values()
             .flat_map(ends)
@@ -167,6 +200,65 @@
             .min()
     }
 
+    /// Sets what is sent to servers that have just started.
+    pub fn set_warming(&mut self, warming: Warming) {
+        self.warming = warming;
+    }
+
+    /// A server that was silent answers again: it may have started anew, and its entry may not say so yet.
+    pub fn returned(&mut self, id: &str, now: Duration) {
+        self.suspect_cold(now, |server| &*server.id == id);
+    }
+
+    /// Takes servers for cold for as long as one of their service is after its start.
+    fn suspect_cold(&mut self, now: Duration, which: impl Fn(&server::Server) -> bool) {
+        let config = self.config.as_deref();
+        for known in self.servers.values_mut() {
+            if let Some(warmup) = config.and_then(|config| warmup(config, &known.server))
+                && which(&known.server)
+            {
+                let end = now + Duration::from_millis(warmup.time_ms.into());
+                known.suspect = known.suspect.max(end);
+            }
+        }
+    }
+
+    /// Whether a server has just started, or may have, and its service limits what such a server gets.
+    fn is_limited(&self, known: &Known, now: Duration) -> bool {
+        let is_cold = known.warm.max(known.suspect) > now;
+        let config = self.config.as_deref();
+        is_cold && config.is_some_and(|config| warmup(config, &known.server).is_some())
+    }
+
+    /// Takes the limited servers out of those that take any new flow.
+    fn separate_cold(&self, snapshot: &mut Snapshot, known: &[&Known], now: Duration) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        for pool in &mut snapshot.pools {
+            let is_limited = |position: &u32| self.is_limited(known[*position as usize], now);
+            pool.cold = pool
+                .open
+                .extract_if(.., |position| is_limited(position))
+                .collect();
+            let limit = config.warmups.iter();
+            let mut limit = limit.filter(|warmup| warmup.service == pool.service);
+            pool.ration = limit.next().and_then(|warmup| self.ration(warmup));
+        }
+    }
+
+    fn ration(&self, warmup: &Warmup) -> Option<Ration> {
+        let Warming {
+            overshoot,
+            slack,
+            balancers,
+        } = self.warming;
+        Some(Ration {
+            bound: f64::from(warmup.requests) / 1_000.0 * overshoot + slack,
+            balancers: balancers?,
+        })
+    }
+
     /// Routes and servers as traffic threads need them.
     #[must_use]
     pub fn snapshot(&self, detector: &Detector, now: Duration) -> Snapshot {
@@ -192,6 +284,7 @@
         }
         if let Some(config) = &self.config {
             fill_routes(&mut snapshot, config, &known);
+            self.separate_cold(&mut snapshot, &known, now);
         }
         snapshot
     }
@@ -274,6 +367,12 @@
     }
 }
 
+/// The limit on a server that has just started.
+fn warmup<'a>(config: &'a Config, server: &server::Server) -> Option<&'a Warmup> {
+    let mut limits = config.warmups.iter();
+    limits.find(|warmup| warmup.service == server.service)
+}
+
 /// Cookies that two servers have, in order.
 fn shared_cookies(known: &[&Known]) -> Vec<Cookie> {
     let mut all: Vec<Cookie> = known.iter().flat_map(|known| known.cookies).collect();
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -6,7 +6,7 @@
 use acacia_load::{delay::Idle, overload::Demand};
 use acacia_wire::collections::Map;
 
-use crate::cookie::Cookie;
+use crate::{cold::Ration, cookie::Cookie};
 
 /// What a balancer does with a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +65,22 @@
     pub service: Arc<str>,
     /// Positions of those that take new flows.
     pub open: Vec<u32>,
+    /// Positions of those that would, but have just started and are limited by `ration`.
+    pub cold: Vec<u32>,
+    /// What the fleet may send to each cold server; none where nothing may be sent to them.
+    pub ration: Option<Ration>,
+}
+
+impl Pool {
+    /// Whether no server takes new flows, not even a limited number.
+    ///
+    /// ```
+    /// assert!(acacia_cookie::snapshot::Pool::default().is_empty());
+    /// ```
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty() && self.cold.is_empty()
+    }
 }
 
 /// A route's targets.
--- a/crates/cookie/tests/it/fixture.rs
+++ b/crates/cookie/tests/it/fixture.rs
@@ -80,7 +80,7 @@
     let config = Config {
         version: revision,
         routes: vec![route],
-        idle: None,
+        ..Config::default()
     };
     Change::Config {
         revision,
@@ -92,8 +92,7 @@
 pub fn unrouted(revision: u64) -> Change {
     let config = Config {
         version: revision,
-        routes: Vec::new(),
-        idle: None,
+        ..Config::default()
     };
     Change::Config {
         revision,
--- a/crates/cookie/tests/it/main.rs
+++ b/crates/cookie/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of flow resolution by cookies: several resolvers whose views differ, without sockets.
 
+mod cold;
 mod evacuation;
 mod failing;
 mod fixture;
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -11,13 +11,13 @@
 
 use acacia_catalog::{
     Catalog, Change,
-    member::{List, Member},
+    member::{List, Member, Peak},
     spread::{Pace, Reading, Turn, is_reader},
 };
 use acacia_cookie::{
     Roster, Snapshot,
     failing::{Ledger, Marks},
-    roster::Limits,
+    roster::{Limits, Warming},
     silence::Detector,
     speed::{Seen, Speeds},
 };
@@ -38,6 +38,9 @@
 /// How long a balancer that has just started waits for its peers before it takes itself for the only one:
 /// two rounds of gossip.
 const JOINING: Duration = Duration::from_secs(1);
+/// How long a balancer that has just started doesn't know how many there are: by then its peers have
+/// named nearly all.
+const COUNTING: Duration = Duration::from_secs(3);
 
 /// What to do about a piece of news.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -106,6 +109,10 @@
     born: Duration,
     seeds: Vec<SocketAddrV4>,
     list: List,
+    /// The largest size of the fleet of late.
+    size: Peak,
+    /// What the settings say of servers that have just started.
+    warming: Warming,
     catalog: Catalog,
     reading: Reading,
     roster: Roster,
@@ -158,6 +165,8 @@
             born: now,
             seeds: settings.seeds.clone(),
             list: List::default(),
+            size: Peak::default(),
+            warming: warming(settings),
             catalog: Catalog::default(),
             reading: Reading::new(Pace::within(settings.in_force)),
             roster: Roster::new(Limits {
@@ -187,6 +196,7 @@
     pub fn renew(&mut self, settings: &Settings) {
         self.seeds = settings.seeds.clone();
         self.reading.set_pace(Pace::within(settings.in_force));
+        self.warming = warming(settings);
     }
 
     /// The pace of readings.
@@ -256,8 +266,18 @@
     /// Whether this balancer has just started and has not met its peers yet. When a whole fleet starts at
     /// once, each member would otherwise take itself for the reader and open a watch of its own.
     fn is_joining(&self, now: Duration) -> bool {
-        let has_peers = self.seeds.iter().any(|seed| *seed != self.own.address);
-        self.list.is_empty() && has_peers && now < self.born + JOINING
+        self.list.is_empty() && self.has_seeds() && now < self.born + JOINING
+    }
+
+    fn has_seeds(&self) -> bool {
+        self.seeds.iter().any(|seed| *seed != self.own.address)
+    }
+
+    /// How many balancers there are, this one included; none as long as it can't know.
+    fn balancers(&mut self, now: Duration) -> Option<u32> {
+        let known = self.size.follow(self.list.len(), now);
+        let is_counting = now < self.born + COUNTING || known == 0 && self.has_seeds();
+        (!is_counting).then(|| known as u32 + 1)
     }
 
     /// The store has answered a call that left at `sent` with `changes` up to `revision`.
@@ -465,6 +485,11 @@
 
     /// Routes and servers for the traffic threads, and when they change by time alone.
     pub fn snapshot(&mut self, now: Duration) -> (Snapshot, Option<Duration>) {
+        let balancers = self.balancers(now);
+        self.roster.set_warming(Warming {
+            balancers,
+            ..self.warming
+        });
         self.roster.update(&self.catalog, now);
         for id in self.roster.take_restarted() {
             log::info!("event=server-restarted server={id}");
@@ -495,7 +520,16 @@
         self.speeds.apply(&mut snapshot);
         snapshot.data_centre = Arc::clone(&self.own.data_centre);
         let recovers = self.weigh_failing(&mut snapshot, now);
-        let next = [self.roster.next_change(now), recovers];
+        let counted = Some(self.born + COUNTING).filter(|at| *at > now);
+        let next = [self.roster.next_change(now), recovers, counted];
         (snapshot, next.into_iter().flatten().min())
     }
 }
+
+fn warming(settings: &Settings) -> Warming {
+    Warming {
+        overshoot: settings.cold_overshoot,
+        slack: settings.cold_slack,
+        balancers: None,
+    }
+}
--- a/crates/node/src/cookie/core/describe.rs
+++ b/crates/node/src/cookie/core/describe.rs
@@ -12,11 +12,7 @@
 pub fn change(change: &Change, before: Option<&Item<Arc<Config>>>) -> String {
     match change {
         Change::Config { revision, config } => {
-            let empty = Config {
-                version: 0,
-                routes: Vec::new(),
-                idle: None,
-            };
+            let empty = Config::default();
             let old = before.map_or(&empty, |item| &item.value);
             step(*revision, &Patch::between(old, 0, config))
         }
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -101,6 +101,7 @@
         for server in servers {
             if self.detector.reported_back(server, now) == Verdict::Back {
                 log::info!("event=server-back server={server} by=peer");
+                self.roster.returned(server, now);
                 changed = true;
             }
         }
@@ -177,6 +178,7 @@
                 Verdict::Same => {}
                 Verdict::Back => {
                     log::info!("event=server-back server={server} by=probe");
+                    self.roster.returned(&server, now);
                     back.push(server);
                 }
                 Verdict::Silent => {
--- a/crates/node/src/cookie/settings.rs
+++ b/crates/node/src/cookie/settings.rs
@@ -31,6 +31,10 @@
     /// How soon after the store's answer a change must be in force: the shorter of the bounds on
     /// configurations and on evacuations.
     pub in_force: Duration,
+    /// Factor on the requests a second that a server bears after its start.
+    pub cold_overshoot: f64,
+    /// Requests a second that such a server bears beyond them.
+    pub cold_slack: f64,
     /// The longest life of a flow.
     pub flow: Duration,
     /// How long after a request to end the process may live.
@@ -55,7 +59,14 @@
     ("platform", &["address"]),
     (
         "bounds",
-        &["in_force_ms", "evacuation_ms", "flow_s", "grace_s"],
+        &[
+            "in_force_ms",
+            "evacuation_ms",
+            "cold_overshoot",
+            "cold_slack",
+            "flow_s",
+            "grace_s",
+        ],
     ),
     ("metrics", &["listen"]),
     ("admin", &["listen"]),
@@ -64,6 +75,10 @@
 
 /// Shortest bound on a change being in force, in milliseconds: pauses between calls follow from it.
 const SHORTEST_BOUND_MS: u64 = 500;
+/// Largest figure of what a server bears after its start. More is no limit.
+const MOST_COLD: f64 = 1e6;
+/// What such a figure must be.
+const NUMBER: &str = "a number from 0 to 1000000";
 /// What a bound on a change must be.
 const BOUND: &str = "whole milliseconds, 500 or more";
 
@@ -110,6 +125,13 @@
             reader.problem("bounds", key, "seconds");
         }
     }
+    let overshoot = reader.optional("bounds", "cold_overshoot", NUMBER);
+    let slack = reader.optional("bounds", "cold_slack", NUMBER);
+    for (key, value) in [("cold_overshoot", overshoot), ("cold_slack", slack)] {
+        if value.is_some_and(|value: f64| !(0.0..=MOST_COLD).contains(&value)) {
+            reader.problem("bounds", key, NUMBER);
+        }
+    }
     let metrics = reader.optional("metrics", "listen", ADDRESS);
     let admin = reader.optional("admin", "listen", ADDRESS);
     let log = reader.optional("log", "level", "off, error, warn, info, debug or trace");
@@ -124,6 +146,8 @@
         ready: ready?,
         platform: platform?,
         in_force: Duration::from_millis(in_force?.min(evacuation.unwrap_or(u64::MAX))),
+        cold_overshoot: overshoot.unwrap_or(1.0),
+        cold_slack: slack.unwrap_or_default(),
         flow: seconds(flow?)?,
         grace: seconds(grace?)?,
         metrics,
--- a/crates/node/tests/it/cookie/fixture.rs
+++ b/crates/node/tests/it/cookie/fixture.rs
@@ -87,7 +87,7 @@
     let config = Config {
         version: revision,
         routes: (1..=routes).map(route).collect(),
-        idle: None,
+        ..Config::default()
     };
     Change::Config {
         revision,
