Let less urgent callers make room where more is asked than servers can do

Cause, from logs of the shifted work at six and ten times the traffic: urgency went by the configuration, and among its routes that nobody uses some are more and some less urgent than those in use, so that all made room and none did. And a limit on each server's expected time refuses nobody: servers' queues are full long before answers are late, and among 120 servers, of each of which a balancer sees few answers, one always seems free.

Urgency goes by the priorities that a service's new flows have had of late. Where more than the servers can do is asked (requests here, times the balancers, times what an answer takes when nothing waits, over slots) and answers wait, a growing part of the less urgent new flows is refused at once.

--- a/crates/cookie/src/cold.rs
+++ b/crates/cookie/src/cold.rs
@@ -9,13 +9,11 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
+use acacia_load::arrival::Rate;
 use acacia_wire::{collections::Map, flow::mix};
 
 /// Standard deviations between the mean number of new flows in a second and the bound.
 const MARGIN: f64 = 7.0;
-/// Time constants of the rate of new flows. The larger rate counts: the short one sees a burst begin, the
-/// long one is steady where few flows come.
-const MEMORIES: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(2)];
 /// For how long a new flow counts at its server: the second of the bound, and what packets may be held
 /// up on their way.
 const COUNTED: Duration = Duration::from_millis(1_300);
@@ -61,38 +59,6 @@
     }
 }
 
-/// New flows of a service, each counting less the older it is.
-#[derive(Debug)]
-struct Rate {
-    sums: [f64; MEMORIES.len()],
-    since: Duration,
-    at: Duration,
-}
-
-impl Rate {
-    fn new(now: Duration) -> Self {
-        Rate {
-            sums: [0.0; MEMORIES.len()],
-            since: now,
-            at: now,
-        }
-    }
-
-    /// Takes in a new flow; gives how many there are a second.
-    fn add(&mut self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        let age = now.saturating_sub(self.since).as_secs_f64();
-        self.at = self.at.max(now);
-        let rates = self.sums.iter_mut().zip(MEMORIES).map(|(sum, memory)| {
-            let memory = memory.as_secs_f64();
-            *sum = *sum * (-passed / memory).exp() + 1.0;
-            // A sum that has just begun holds the flows of a shorter time.
-            *sum / (memory * (1.0 - (-age / memory).exp()))
-        });
-        rates.fold(0.0, f64::max)
-    }
-}
-
 /// What one balancer has sent to cold servers.
 #[derive(Debug, Default)]
 pub struct Sent {
@@ -124,7 +90,9 @@
         now: Duration,
     ) -> bool {
         let rate = self.rates.entry(Arc::clone(service));
-        let rate = rate.or_insert_with(|| Rate::new(now)).add(now);
+        let rate = rate.or_insert_with(|| Rate::new(now));
+        rate.add(now);
+        let rate = rate.a_second(now);
         let uniform = (mix(flow ^ SALT) >> 11) as f64 / (1u64 << 53) as f64;
         uniform < ration.part(servers, rate)
     }
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -6,7 +6,9 @@
 use std::{sync::Arc, time::Duration};
 
 use acacia_code::Code;
-use acacia_load::{delay::Delays, overload::Limit};
+use acacia_load::{
+    arrival::Rate, delay::Delays, overload::Limit, throttle::Throttle, urgency::Priorities,
+};
 use acacia_wire::{
     collections::Map,
     flow::Key,
@@ -131,6 +133,12 @@
     delays: Delays,
     /// How much is expected of each service's servers before they are given a new flow.
     limits: Map<Arc<str>, Limit>,
+    /// Requests of each service that pass here.
+    requests: Map<Arc<str>, Rate>,
+    /// How urgent each service's callers are of late.
+    priorities: Map<Arc<str>, Priorities>,
+    /// How many of each service's less urgent callers are refused.
+    throttles: Map<Arc<str>, Throttle>,
     /// What cold servers were sent lately.
     warming: cold::Sent,
     swept: Duration,
@@ -211,6 +219,9 @@
         let is_service = |name: &Arc<str>| snapshot.pools.iter().any(|pool| pool.service == *name);
         self.delays.retain(is_server, is_service);
         self.limits.retain(|name, _| is_service(name));
+        self.throttles.retain(|name, _| is_service(name));
+        self.priorities.retain(|name, _| is_service(name));
+        self.requests.retain(|name, _| is_service(name));
     }
 
     /// A packet of a flow that is open.
@@ -243,6 +254,10 @@
             };
         }
         let sign = self.flows.passed(packet, cookie, &server.id, now);
+        if packet.payload > 0 && sign != Sign::Unanswered {
+            let requests = self.requests.entry(Arc::clone(&server.service));
+            requests.or_insert_with(|| Rate::new(now)).add(now);
+        }
         self.learn(sign, server, now);
         Action::Forward {
             server: position,
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -388,7 +388,6 @@
 
 fn fill_routes(snapshot: &mut Snapshot, config: &Config, known: &[&Known]) {
     snapshot.version = config.version;
-    let least = least_urgent(config);
     let mut positions: Map<Arc<str>, u32> = Map::default();
     for route in &config.routes {
         let mut pools = Vec::with_capacity(route.targets.len());
@@ -398,7 +397,7 @@
             pools.push((position, target.weight));
         }
         let name = Arc::clone(&route.name);
-        let demand = demand(route, &least);
+        let demand = demand(route);
         let seen = Route {
             name,
             pools,
@@ -410,38 +409,19 @@
     for (service, position) in positions {
         let pool = &mut pools[position as usize];
         pool.open = open(snapshot, known, &service);
+        let slots = |position: &u32| u32::from(snapshot.servers[*position as usize].slots);
+        pool.slots = pool.open.iter().map(slots).sum();
         pool.service = service;
     }
     snapshot.pools = pools;
 }
 
-/// The priority of the least urgent route to each service, among those that state one.
-fn least_urgent(config: &Config) -> Map<&str, u32> {
-    let mut least: Map<&str, u32> = Map::default();
-    for route in &config.routes {
-        let Some(priority) = route.objective.priority else {
-            continue;
-        };
-        for target in &route.targets {
-            let known = least.entry(&target.service).or_default();
-            *known = priority.max(*known);
-        }
-    }
-    least
-}
-
-/// What a route's callers expect. They are urgent if a less urgent route shares a service with them.
-fn demand(route: &route::Route, least: &Map<&str, u32>) -> Option<Demand> {
-    let latency = route.objective.latency?;
-    let mut shared = route.targets.iter();
-    let urgent = route.objective.priority.is_some_and(|own| {
-        shared.any(|target| {
-            least
-                .get(&*target.service)
-                .is_some_and(|least| *least > own)
-        })
-    });
-    Some(Demand { latency, urgent })
+/// What a route's callers expect.
+fn demand(route: &route::Route) -> Option<Demand> {
+    Some(Demand {
+        latency: route.objective.latency?,
+        priority: route.objective.priority,
+    })
 }
 
 /// The servers of a service that take new flows: the ready ones, or where there is none, those whose
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -67,6 +67,8 @@
     pub open: Vec<u32>,
     /// Positions of those that would, but have just started and are limited by `ration`.
     pub cold: Vec<u32>,
+    /// Requests that all that take new flows work on at once.
+    pub slots: u32,
     /// What the fleet may send to each cold server; none where nothing may be sent to them.
     pub ration: Option<Ration>,
 }
@@ -103,6 +105,8 @@
     pub revision: u64,
     /// The data centre that this is seen from.
     pub data_centre: Arc<str>,
+    /// Balancers that share the callers' packets, this one included.
+    pub balancers: u32,
     /// The routes by what callers use.
     pub routes: Map<Front, Route>,
     /// The pools of all services that routes name.
--- a/crates/cookie/tests/it/overload.rs
+++ b/crates/cookie/tests/it/overload.rs
@@ -50,10 +50,12 @@
         let mut route = route.clone();
         route.demand = refuses.then_some(Demand {
             latency: LATENCY,
-            urgent,
+            priority: Some(if urgent { 1 } else { 2 }),
         });
         snapshot.routes.insert(Front { port, ..FRONT }, route);
     }
+    snapshot.balancers = BALANCERS as u32;
+    snapshot.pools[0].slots = (SERVERS * SLOTS) as u32;
     for (at, server) in snapshot.servers.iter_mut().enumerate() {
         server.weight = speed(at);
         server.idle = Some(Idle {
@@ -315,3 +317,15 @@
         "{with:?} {without:?}"
     );
 }
+
+/// A feed floods the servers with twice what they can do, and these turn reservations away like the rest.
+#[test]
+fn under_a_flood_the_urgent_are_served_before_the_less_urgent() {
+    let [ordinary, urgent] = play(2.0, true);
+
+    assert!(part(urgent) > 0.9, "{urgent:?}");
+    assert!(
+        part(urgent) > 3.0 * part(ordinary),
+        "{urgent:?} {ordinary:?}"
+    );
+}
--- a/crates/load/src/delay.rs
+++ b/crates/load/src/delay.rs
@@ -2,6 +2,8 @@
 
 use acacia_wire::collections::Map;
 
+use crate::baseline::Baseline;
+
 /// Time constant of [`Delay`]. The queue of a busy server fills and drains within a fifth of a second
 /// to a second; over a shorter time, a balancer of nine sees next to no answer of a server.
 const MEMORY: Duration = Duration::from_millis(400);
@@ -130,6 +132,7 @@
 pub struct Delays {
     servers: Map<Arc<str>, Server>,
     services: Map<Arc<str>, Delay>,
+    baselines: Map<Arc<str>, Baseline>,
 }
 
 impl Delays {
@@ -159,6 +162,8 @@
         server.silent = None;
         server.unanswered *= FORGIVEN;
         server.delay.add(took, now);
+        let baseline = self.baselines.entry(Arc::clone(service)).or_default();
+        baseline.add(took, now);
         let service = self.services.entry(Arc::clone(service)).or_default();
         service.add(took, now);
     }
@@ -203,6 +208,13 @@
         service.mean(UNSEEN, UNSEEN_WEIGHT, now)
     }
 
+    /// How long an answer of a service's servers takes when nothing waits, in seconds; nothing before the
+    /// first.
+    #[must_use]
+    pub fn baseline(&self, service: &str) -> Option<f64> {
+        self.baselines.get(service)?.mean()
+    }
+
     /// How long none of a service has answered, in seconds; 0 before the first answer.
     ///
     /// While all flows are refused, no answer shows how queues drain; they drain for as long as nothing new
@@ -229,6 +241,7 @@
     ) {
         self.servers.retain(|server, _| is_server(server));
         self.services.retain(|service, _| is_service(service));
+        self.baselines.retain(|service, _| is_service(service));
     }
 
     /// How many servers are known.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -16,6 +16,10 @@
 
 /// Token buckets of work: shares guaranteed under contention and lent when idle.
 pub mod admit;
+/// How many requests or flows come a second.
+pub mod arrival;
+/// What the answers of a service take when nothing waits.
+pub mod baseline;
 /// The control thread's part: merges reports, estimates, makes plans and weights.
 pub mod controller;
 /// How long answers take at present.
@@ -50,7 +54,11 @@
 pub mod speed;
 /// Counts of what one traffic thread has seen since the last tick.
 pub mod tally;
+/// How many of the less urgent are refused where servers are busy all the time.
+pub mod throttle;
 /// Sampled sight of flows: from decoded packets to events.
 pub mod track;
+/// Which new flows are more urgent than others that use the same servers.
+pub mod urgency;
 /// Weights of the table of new flows.
 pub mod weight;
--- a/crates/load/src/overload.rs
+++ b/crates/load/src/overload.rs
@@ -74,8 +74,8 @@
 pub struct Demand {
     /// Within which time an answer is worth all to them.
     pub latency: Duration,
-    /// Whether a less urgent route uses the same servers.
-    pub urgent: bool,
+    /// How urgent they are, 0 being the most; none if the operators don't say.
+    pub priority: Option<u32>,
 }
 
 /// What a flow is let in by.
@@ -83,6 +83,8 @@
 pub struct Terms {
     /// What its callers expect.
     pub demand: Demand,
+    /// Whether less urgent flows use the same servers.
+    pub urgent: bool,
     /// See [`Limit::part`].
     pub part: f64,
 }
@@ -106,13 +108,12 @@
     /// ```
     /// use std::time::Duration;
     /// use acacia_load::overload::{Demand, Prospect, Terms};
-    /// let demand = Demand { latency: Duration::from_millis(200), urgent: false };
-    /// let terms = Terms { demand, part: 0.35 };
+    /// let demand = Demand { latency: Duration::from_millis(200), priority: None };
+    /// let terms = Terms { demand, urgent: false, part: 0.35 };
     /// let prospect = |expected| Prospect { expected, idle: Some(0.04) };
     /// assert!(terms.admits(&prospect(0.06)));
     /// assert!(!terms.admits(&prospect(0.08)));
-    /// let urgent = Demand { urgent: true, ..demand };
-    /// assert!(Terms { demand: urgent, ..terms }.admits(&prospect(0.08)));
+    /// assert!(Terms { urgent: true, ..terms }.admits(&prospect(0.08)));
     /// ```
     #[must_use]
     pub fn admits(&self, server: &Prospect) -> bool {
@@ -124,11 +125,7 @@
     #[must_use]
     pub fn limit(&self, server: &Prospect) -> f64 {
         let latency = self.demand.latency.as_secs_f64();
-        let part = if self.demand.urgent {
-            URGENT
-        } else {
-            self.part
-        };
+        let part = if self.urgent { URGENT } else { self.part };
         match server.idle {
             Some(_) if !self.is_met_by(server) => part * latency,
             Some(idle) => (part * latency).max(QUEUED * idle),
@@ -164,8 +161,8 @@
 /// ```
 /// use std::time::Duration;
 /// use acacia_load::overload::{Demand, Prospect, Terms, admit};
-/// let demand = Demand { latency: Duration::from_millis(200), urgent: false };
-/// let terms = Terms { demand, part: 0.35 };
+/// let demand = Demand { latency: Duration::from_millis(200), priority: None };
+/// let terms = Terms { demand, urgent: false, part: 0.35 };
 /// let prospect = |server: u32| Prospect {
 ///     expected: [0.15, 0.05, 0.3][server as usize],
 ///     idle: Some(0.04),
--- a/crates/load/tests/it/main.rs
+++ b/crates/load/tests/it/main.rs
@@ -9,5 +9,6 @@
 mod overload;
 mod place;
 mod report;
+mod throttle;
 mod track;
 mod weight;
--- a/crates/load/tests/it/overload.rs
+++ b/crates/load/tests/it/overload.rs
@@ -6,7 +6,11 @@
 fn terms(latency_ms: u64, urgent: bool) -> Terms {
     let latency = Duration::from_millis(latency_ms);
     Terms {
-        demand: Demand { latency, urgent },
+        demand: Demand {
+            latency,
+            priority: None,
+        },
+        urgent,
         part: 0.35,
     }
 }
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -519,6 +519,7 @@
         self.enforce_evacuations(now);
         self.speeds.apply(&mut snapshot);
         snapshot.data_centre = Arc::clone(&self.own.data_centre);
+        snapshot.balancers = self.list.len() as u32 + 1;
         let recovers = self.weigh_failing(&mut snapshot, now);
         let counted = Some(self.born + COUNTING).filter(|at| *at > now);
         let next = [self.roster.next_change(now), recovers, counted];
