--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -25,9 +25,8 @@
 /// What a route's callers expect of their requests. What the operators left out or stated absurdly
 /// is not there.
 ///
-/// It travels as two numbers. Load: a configuration of 1,400 routes goes from balancer to balancer over
-/// links of 10 Mbit/s. Harm: with its fields' names it adds some 60 bytes to each route, worked out from
-/// their text; links stay full for longer, probes of living servers are lost, and their flows are ended.
+/// It travels as two numbers, without the names of its fields: a large configuration fills small links, and
+/// callers' packets and probes wait behind it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(from = "(u32, u32)", into = "(u32, u32)")]
 pub struct Objective {
@@ -96,9 +95,8 @@
 
 /// What leads from one configuration to the next.
 ///
-/// Load: a large configuration of which each change touches a route or two. Harm: sent whole to
-/// every balancer, it fills the links of the small ones that pass it on (40 KB to twenty peers take
-/// 0.6 s at 10 Mbit/s), and callers' packets wait behind it.
+/// Sent whole for each change of a route or two, a large configuration would fill the links of the small
+/// balancers that pass it on, and callers' packets would wait behind it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Patch {
     /// The store's revision of the configuration that it applies to.
--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -106,6 +106,7 @@
     241 FlowServerGone "flow-server-gone": "The flow's server has left or is lost; the caller is told so."; "Nothing, unless the server should be there".
     242 ServersBusy "servers-busy": "A new flow was refused: no backend server of its service would answer it in time."; "Nothing in a short burst; add backend servers if it lasts".
     243 ServersCold "servers-cold": "A new flow was refused: all backend servers of its service have just started and bear no more at present."; "Nothing, unless it lasts for longer than they take to warm up".
+    244 LessUrgent "less-urgent": "A new flow was refused: more is asked than the backend servers of its service can do, and more urgent flows use them."; "Nothing in a short burst; add backend servers if it lasts".
     260 LoadShareUsed "load-share-used": "A new flow was refused: its class is beyond its share and nothing is left to borrow."; "Compare the class's demand with its share; add backend servers if paying callers are refused".
     261 LoadConnectionsUsed "load-connections-used": "A new flow was refused: its class's part of the connections is in use."; "Raise the class's share, or add backend servers".
     262 LoadNoServer "load-no-server": "A new flow was refused: its service has no backend server."; "Add a backend server to the service".
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -2,6 +2,7 @@
 
 mod open;
 mod unopened;
+mod urgency;
 
 use std::{sync::Arc, time::Duration};
 
@@ -55,6 +56,8 @@
 /// What an opening was refused by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Busy {
+    /// Why.
+    pub code: Code,
     /// The position in the snapshot of the server that would answer first.
     pub server: u32,
     /// How long its answer would take.
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -4,11 +4,7 @@
 
 use acacia_catalog::route::Front;
 use acacia_code::Code;
-use acacia_load::{
-    overload::{self, Demand, Prospect, Terms},
-    throttle::Pressure,
-    urgency::Rank,
-};
+use acacia_load::overload::{self, Prospect, Terms};
 use acacia_wire::{flow::mix, packet::Packet};
 
 use super::{Action, Busy, Opening, Resolver};
@@ -20,8 +16,6 @@
 
 /// A copy of an opening that follows it within less has waited somewhere before this balancer.
 const PATIENCE: Duration = Duration::from_millis(120);
-/// Tells the draw among less urgent flows from the flow's other uses of its hash.
-const SALT: u64 = 0x7969_656c_64;
 
 impl Resolver {
     /// Decides on an opening.
@@ -230,62 +224,13 @@
         };
         let others = pool.map_or(&[][..], |pool| &pool.open).iter().copied();
         overload::admit(&terms, placed, others, prospect).map_err(|refusal| Busy {
+            code: Code::ServersBusy,
             server: refusal.server,
             expected: seconds(refusal.expected),
             limit: seconds(refusal.limit),
         })
     }
 
-    /// How urgent a new flow is beside others of its service.
-    fn rank(&mut self, service: &Arc<str>, demand: &Demand, now: Duration) -> Rank {
-        let Some(priority) = demand.priority else {
-            return Rank::default();
-        };
-        let known = self.priorities.entry(Arc::clone(service)).or_default();
-        known.add(priority, now)
-    }
-
-    /// Refuses some of the flows that share their servers with more urgent ones, see [`Throttle`].
-    ///
-    /// # Errors
-    /// By what the flow is to be refused.
-    fn make_room(
-        &mut self,
-        snapshot: &Snapshot,
-        service: &Arc<str>,
-        flow: u64,
-        placed: u32,
-        now: Duration,
-    ) -> Result<(), Busy> {
-        let Some(baseline) = self.delays.baseline(service) else {
-            return Ok(());
-        };
-        let quiet = self.delays.quiet(service, now);
-        let mean = self.delays.usual(service, now) - quiet;
-        let pools = snapshot.pools.iter();
-        let slots: u32 = pools
-            .filter(|pool| pool.service == *service)
-            .map(|pool| pool.slots)
-            .sum();
-        let requests = self.requests.get(service);
-        let here = requests.map_or(0.0, |rate| rate.a_second(now));
-        let pressure = Pressure {
-            demand: here * f64::from(snapshot.balancers) * baseline / f64::from(slots.max(1)),
-            wait: mean / baseline,
-        };
-        let throttle = self.throttles.entry(Arc::clone(service)).or_default();
-        let part = throttle.follow(&pressure, now);
-        let uniform = (mix(flow ^ SALT) >> 11) as f64 / (1u64 << 53) as f64;
-        if uniform >= part {
-            return Ok(());
-        }
-        Err(Busy {
-            server: placed,
-            expected: seconds(mean),
-            limit: seconds(baseline),
-        })
-    }
-
     /// What a server has to do, in proportion to its weight.
     ///
     /// Requests in hand count, by how long an answer takes at present and by how many were given up on
@@ -300,7 +245,7 @@
 }
 
 /// As a duration; nothing of what is estimated is negative or endless.
-fn seconds(seconds: f64) -> Duration {
+pub(super) fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
 
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -1,5 +1,7 @@
 //! Every backend server that may still have flows, and what it is good for.
 
+mod warming;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -8,19 +10,20 @@
 
 use acacia_catalog::{
     Catalog,
-    route::{self, Config, Warmup},
+    route::{self, Config},
     server::{self, State},
 };
 use acacia_load::overload::Demand;
 use acacia_wire::collections::Map;
 
 use crate::{
-    cold::Ration,
     cookie::{self, Cookie, VARIANTS},
     silence::Detector,
     snapshot::{Pool, Route, Server, Snapshot, Standing},
 };
 
+pub use warming::Warming;
+
 /// The times by which a server whose entry is missing is judged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -40,29 +43,7 @@
     }
 }
 
-/// What is sent to servers that have just started, of services with a limit on them.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Warming {
-    /// Factor on the requests a second that the operators state.
-    pub overshoot: f64,
-    /// Requests a second beyond them.
-    pub slack: f64,
-    /// Balancers of the fleet, this one included; none as long as this one can't know.
-    pub balancers: Option<u32>,
-}
-
-impl Default for Warming {
-    fn default() -> Self {
-        Warming {
-            overshoot: 1.0,
-            slack: 0.0,
-            balancers: None,
-        }
-    }
-}
-
-/// Weight of a server that has just started against one that is warm: its first requests take
-/// about 1.6 times as long.
+/// Weight of a server that has just started against one that is warm, as its first requests take longer.
 const COLD: f64 = 0.6;
 
 #[derive(Debug, Clone)]
@@ -200,65 +181,6 @@
             .min()
     }
 
-    /// Sets what is sent to servers that have just started.
-    pub fn set_warming(&mut self, warming: Warming) {
-        self.warming = warming;
-    }
-
-    /// A server that was silent answers again: it may have started anew, and its entry may not say so yet.
-    pub fn returned(&mut self, id: &str, now: Duration) {
-        self.suspect_cold(now, |server| &*server.id == id);
-    }
-
-    /// Takes servers for cold for as long as one of their service is after its start.
-    fn suspect_cold(&mut self, now: Duration, which: impl Fn(&server::Server) -> bool) {
-        let config = self.config.as_deref();
-        for known in self.servers.values_mut() {
-            if let Some(warmup) = config.and_then(|config| warmup(config, &known.server))
-                && which(&known.server)
-            {
-                let end = now + Duration::from_millis(warmup.time_ms.into());
-                known.suspect = known.suspect.max(end);
-            }
-        }
-    }
-
-    /// Whether a server has just started, or may have, and its service limits what such a server gets.
-    fn is_limited(&self, known: &Known, now: Duration) -> bool {
-        let is_cold = known.warm.max(known.suspect) > now;
-        let config = self.config.as_deref();
-        is_cold && config.is_some_and(|config| warmup(config, &known.server).is_some())
-    }
-
-    /// Takes the limited servers out of those that take any new flow.
-    fn separate_cold(&self, snapshot: &mut Snapshot, known: &[&Known], now: Duration) {
-        let Some(config) = &self.config else {
-            return;
-        };
-        for pool in &mut snapshot.pools {
-            let is_limited = |position: &u32| self.is_limited(known[*position as usize], now);
-            pool.cold = pool
-                .open
-                .extract_if(.., |position| is_limited(position))
-                .collect();
-            let limit = config.warmups.iter();
-            let mut limit = limit.filter(|warmup| warmup.service == pool.service);
-            pool.ration = limit.next().and_then(|warmup| self.ration(warmup));
-        }
-    }
-
-    fn ration(&self, warmup: &Warmup) -> Option<Ration> {
-        let Warming {
-            overshoot,
-            slack,
-            balancers,
-        } = self.warming;
-        Some(Ration {
-            bound: f64::from(warmup.requests) / 1_000.0 * overshoot + slack,
-            balancers: balancers?,
-        })
-    }
-
     /// Routes and servers as traffic threads need them.
     #[must_use]
     pub fn snapshot(&self, detector: &Detector, now: Duration) -> Snapshot {
@@ -367,12 +289,6 @@
     }
 }
 
-/// The limit on a server that has just started.
-fn warmup<'a>(config: &'a Config, server: &server::Server) -> Option<&'a Warmup> {
-    let mut limits = config.warmups.iter();
-    limits.find(|warmup| warmup.service == server.service)
-}
-
 /// Cookies that two servers have, in order.
 fn shared_cookies(known: &[&Known]) -> Vec<Cookie> {
     let mut all: Vec<Cookie> = known.iter().flat_map(|known| known.cookies).collect();
--- a/crates/ctl/tests/it/fixture.rs
+++ b/crates/ctl/tests/it/fixture.rs
@@ -4,7 +4,10 @@
     sync::{Arc, Mutex},
 };
 
-use acacia_api::{Status, status::Peer};
+use acacia_api::{
+    Status,
+    status::{Evacuation, Peer},
+};
 use acacia_burn::{Count, Ledger, Mark, Source};
 use acacia_config::{Config, Server, Service, document::Document, print};
 use acacia_ctl::{Cli, Moment, Report, run};
@@ -102,6 +105,11 @@
             id,
             revision: one.lock().expect("a lock").as_ref().map(|d| d.revision),
             peers: peers.clone(),
+            evacuations: vec![Evacuation {
+                data_centre: "hervanta".into(),
+                revision: 412,
+                enforced_ms: 3_250,
+            }],
             ..Status::default()
         };
         let document = move || {
--- a/crates/ctl/tests/it/verb.rs
+++ b/crates/ctl/tests/it/verb.rs
@@ -144,6 +144,8 @@
         status.text
     );
     assert_eq!(lags.iter().filter(|lag| **lag == &json!(1)).count(), 1);
+    assert_eq!(status.text.matches("hervanta:412:3.").count(), 3);
+    assert_eq!(status.data[0]["status"]["evacuations"][0]["revision"], 412);
     site.end().await;
 }
 
--- a/crates/load/src/throttle.rs
+++ b/crates/load/src/throttle.rs
@@ -2,14 +2,14 @@
 
 /// Requests, over what the servers can do, from which on the less urgent make room. Above 1: some of what
 /// comes would be turned away, and places that are kept free are lost.
-const FULL: f64 = 1.05;
+const FULL: f64 = 1.15;
 /// Times that an answer takes, over what it takes when nothing waits, below which nobody makes room: the
 /// requests seen here may come from a few busy callers.
-const WAITS: f64 = 1.5;
+pub const WAITS: f64 = 1.5;
 /// Time in which all of the less urgent are refused where twice of what is borne is asked.
-const RISE: Duration = Duration::from_millis(300);
+const RISE: Duration = Duration::from_millis(200);
 /// Time in which none is refused any more where nothing is asked.
-const FALL: Duration = Duration::from_millis(500);
+const FALL: Duration = Duration::from_millis(300);
 /// Longest time between two looks that counts. After a quiet time the first answers say little.
 const STEP_MOST: Duration = Duration::from_millis(100);
 
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -6,6 +6,7 @@
 mod gossip;
 mod news;
 mod speed;
+mod standing;
 
 use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc, time::Duration};
 
@@ -25,6 +26,7 @@
 use rand_pcg::Pcg64;
 
 pub use examine::{Examination, Target};
+pub use standing::{Evacuation, Standing};
 
 use super::{
     message::{Known, Message, Parcel},
@@ -69,38 +71,6 @@
     },
 }
 
-/// A data centre under evacuation.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Evacuation {
-    /// The data centre.
-    pub data_centre: Arc<str>,
-    /// The store's revision of the operators' mark.
-    pub revision: u64,
-    /// How long it has been in force here.
-    pub enforced: Duration,
-}
-
-/// What operators look at first.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Standing {
-    /// The operators' number of the configuration in force; 0 for none.
-    pub version: u64,
-    /// The store's revision up to which everything is known.
-    pub revision: u64,
-    /// How long ago that was the store's newest; none if it never was.
-    pub age: Option<Duration>,
-    /// Other balancers known.
-    pub peers: usize,
-    /// Backend servers found silent.
-    pub silent: usize,
-    /// Whether this balancer watches the store for the others.
-    pub reads: bool,
-    /// How long the version has been in force; none before the first.
-    pub enforced: Option<Duration>,
-    /// The data centres under evacuation.
-    pub evacuations: Vec<Evacuation>,
-}
-
 /// The control thread's state.
 #[derive(Debug)]
 pub struct Core {
@@ -447,42 +417,6 @@
         }
     }
 
-    /// What operators look at first.
-    #[must_use]
-    pub fn standing(&self, now: Duration) -> Standing {
-        Standing {
-            version: self.version().unwrap_or_default(),
-            revision: self.catalog.revision(),
-            age: self.reading.fresh().map(|fresh| now.saturating_sub(fresh)),
-            peers: self.list.len(),
-            silent: self.detector.silent().len(),
-            reads: self.reads,
-            enforced: self.enforced.map(|(_, since)| now.saturating_sub(since)),
-            evacuations: self.evacuations(now),
-        }
-    }
-
-    fn evacuations(&self, now: Duration) -> Vec<Evacuation> {
-        let marks = self.evacuated.iter();
-        let mark = |(centre, (revision, since)): (&Arc<str>, &(u64, Duration))| Evacuation {
-            data_centre: Arc::clone(centre),
-            revision: *revision,
-            enforced: now.saturating_sub(*since),
-        };
-        marks.map(mark).collect()
-    }
-
-    /// Takes note of the marks that are in force from `now` on.
-    fn enforce_evacuations(&mut self, now: Duration) {
-        let since = |centre: &Arc<str>| self.evacuated.get(centre).map(|(_, since)| *since);
-        let marks = self.catalog.evacuations();
-        let marks = marks.map(|(centre, revision)| {
-            let since = since(centre).unwrap_or(now);
-            (Arc::clone(centre), (revision, since))
-        });
-        self.evacuated = marks.collect();
-    }
-
     /// Routes and servers for the traffic threads, and when they change by time alone.
     pub fn snapshot(&mut self, now: Duration) -> (Snapshot, Option<Duration>) {
         let balancers = self.balancers(now);
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -149,7 +149,7 @@
         Action::Refuse { busy } => {
             refused(frame, &busy, snapshot);
             context.counter.kind(Kind::Refused, 1);
-            context.counter.code(Code::ServersBusy);
+            context.counter.code(busy.code);
             burn::refused(&context.ledger, &frame.packet.key, snapshot);
             let acknowledged = frame.packet.acknowledgement;
             reset(&frame.packet.key, acknowledged, context, to_send);
@@ -177,7 +177,7 @@
 
 /// Tells of an opening that was refused under load, and by what.
 fn refused(frame: &Frame, busy: &Busy, snapshot: &Snapshot) {
-    let (code, server) = (Code::ServersBusy, &snapshot.servers[busy.server as usize]);
+    let (code, server) = (busy.code, &snapshot.servers[busy.server as usize]);
     let (expected, limit) = (busy.expected.as_millis(), busy.limit.as_millis());
     let (id, copies) = (&server.id, frame.copies);
     let what = format_args!(
--- a/crates/node/tests/it/cookie/refused.rs
+++ b/crates/node/tests/it/cookie/refused.rs
@@ -26,7 +26,7 @@
 
 /// Whether the server is in data centre `a`, whose servers refuse.
 fn refuses(number: u64) -> bool {
-    number % 3 == 0
+    number.is_multiple_of(3)
 }
 
 /// 67 balancers that know 50 servers in each of three data centres.
