Let one look after a pause refuse at most a quarter of the less urgent flows

With the shorter rise, the single look that follows a pause refused half, which a_single_look_after_a_pause_refuses_only_a_part rules out. Longest step that counts: 100 -> 50 ms.

--- a/crates/load/src/throttle.rs
+++ b/crates/load/src/throttle.rs
@@ -11,7 +11,7 @@
 /// Time in which none is refused any more where nothing is asked.
 const FALL: Duration = Duration::from_millis(300);
 /// Longest time between two looks that counts. After a quiet time the first answers say little.
-const STEP_MOST: Duration = Duration::from_millis(100);
+const STEP_MOST: Duration = Duration::from_millis(50);
 
 /// What is known of a service's load.
 #[derive(Debug, Clone, Copy, PartialEq)]
