Refuse the copy of an opening whose server has been evacuated where no other is left

Found by reading the change: with every data centre evacuated, a copy went to the server that the opening had been placed at, 0.2 to 0.6 s after the mark. The test fails without it.

--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -107,6 +107,9 @@
             Some(&opening.server),
             now,
         );
+        let is_evacuated =
+            |position: &u32| snapshot.servers[*position as usize].standing == Standing::Evacuated;
+        let same = same.filter(|position| !is_evacuated(position));
         other.or_else(|code| same.ok_or(code))
     }
 
--- a/crates/cookie/tests/it/evacuation.rs
+++ b/crates/cookie/tests/it/evacuation.rs
@@ -136,6 +136,24 @@
     assert!(["h-3", "h-4"].contains(&&*server), "{server}");
 }
 
+/// The copy of an opening goes to the server that it was placed at, as no other is left.
+#[test]
+fn a_copy_of_an_opening_is_refused_where_all_servers_have_been_evacuated_since() {
+    let mut resolver = Resolver::default();
+    let before = seen([]);
+    resolver.resolve(&before, &opening(1), None, ms(1));
+    let after = seen([evacuation("a", 6, true), evacuation("b", 7, true)]);
+
+    let action = resolver.resolve(&after, &opening(1), None, ms(201));
+
+    assert_eq!(
+        action,
+        Action::Reset {
+            code: Code::ServerNone
+        }
+    );
+}
+
 #[test]
 fn a_data_centre_is_in_use_again_once_the_mark_is_gone() {
     let snapshot = seen([evacuation("a", 6, true), evacuation("a", 9, false)]);
