--- a/crates/node/tests/it/cookie/settings.rs
+++ b/crates/node/tests/it/cookie/settings.rs
@@ -25,6 +25,18 @@
     );
 }
 
+#[rstest]
+#[case::shorter("evacuation_ms = 2000", 2_000)]
+#[case::longer("evacuation_ms = 5000", 3_000)]
+#[case::none("", 3_000)]
+fn the_shorter_bound_sets_the_pace(#[case] line: &str, #[case] expected_ms: u128) {
+    let text = text(3, "a").replace("[bounds]", &format!("[bounds]\n{line}"));
+
+    let settings = Settings::parse(&text).unwrap();
+
+    assert_eq!(settings.in_force.as_millis(), expected_ms);
+}
+
 /// A balancer that is the first of all has nobody to ask.
 #[test]
 fn there_may_be_no_seeds() {
@@ -51,6 +63,26 @@
     "[control] seeds: found 10.0.0.1:8101,somewhere"
 )]
 #[case::negative("grace_s = 6", "grace_s = -1", "[bounds] grace_s: found -1")]
+#[case::evacuation_too_small(
+    "[bounds]",
+    "[bounds]\nevacuation_ms = 3",
+    "[bounds] evacuation_ms: found 3"
+)]
+#[case::negative_overshoot(
+    "[bounds]",
+    "[bounds]\ncold_overshoot = -0.5",
+    "[bounds] cold_overshoot: found -0.5"
+)]
+#[case::endless_slack(
+    "[bounds]",
+    "[bounds]\ncold_slack = inf",
+    "[bounds] cold_slack: found inf"
+)]
+#[case::slack_in_words(
+    "[bounds]",
+    "[bounds]\ncold_slack = five",
+    "[bounds] cold_slack: found five"
+)]
 fn a_bad_value_is_named(#[case] from: &str, #[case] to: &str, #[case] expected: &str) {
     let error = Settings::parse(&text(3, "a").replace(from, to)).unwrap_err();
 
