Draw by one function, fade by one, and forget the rates of services that are gone

Found by reading the change: two draws of a part and two fadings of a sum stood twice; the rates of new flows to cold servers were kept for services that had left the configuration; a connection closed as idle left no line.

--- a/crates/cookie/src/cold.rs
+++ b/crates/cookie/src/cold.rs
@@ -10,7 +10,10 @@
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use acacia_load::arrival::Rate;
-use acacia_wire::{collections::Map, flow::mix};
+use acacia_wire::{
+    collections::Map,
+    flow::{mix, uniform},
+};
 
 /// Standard deviations between the mean number of new flows in a second and the bound.
 const MARGIN: f64 = 7.0;
@@ -93,8 +96,7 @@
         let rate = rate.or_insert_with(|| Rate::new(now));
         rate.add(now);
         let rate = rate.a_second(now);
-        let uniform = (mix(flow ^ SALT) >> 11) as f64 / (1u64 << 53) as f64;
-        uniform < ration.part(servers, rate)
+        uniform(mix(flow ^ SALT)) < ration.part(servers, rate)
     }
 
     /// Whether a cold server may get another new flow from this balancer.
@@ -114,6 +116,11 @@
         sent.push_back(now);
     }
 
+    /// Forgets services that `is_service` doesn't name.
+    pub fn retain(&mut self, is_service: impl Fn(&Arc<str>) -> bool) {
+        self.rates.retain(|name, _| is_service(name));
+    }
+
     /// Forgets what is too old to count.
     pub fn sweep(&mut self, now: Duration) {
         self.servers
--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -225,6 +225,7 @@
         self.throttles.retain(|name, _| is_service(name));
         self.priorities.retain(|name, _| is_service(name));
         self.requests.retain(|name, _| is_service(name));
+        self.warming.retain(is_service);
     }
 
     /// A packet of a flow that is open.
--- a/crates/cookie/src/resolver/urgency.rs
+++ b/crates/cookie/src/resolver/urgency.rs
@@ -8,7 +8,7 @@
     throttle::{Pressure, WAITS},
     urgency::Rank,
 };
-use acacia_wire::flow::mix;
+use acacia_wire::flow::{mix, uniform};
 
 use super::{Busy, Resolver, open::seconds};
 use crate::snapshot::Snapshot;
@@ -57,8 +57,7 @@
         };
         let throttle = self.throttles.entry(Arc::clone(service)).or_default();
         let part = throttle.follow(&pressure, now);
-        let uniform = (mix(flow ^ SALT) >> 11) as f64 / (1u64 << 53) as f64;
-        if uniform >= part {
+        if uniform(mix(flow ^ SALT)) >= part {
             return Ok(());
         }
         Err(Busy {
--- a/crates/load/src/arrival.rs
+++ b/crates/load/src/arrival.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::delay::faded;
+
 /// Time constants of a rate. The larger rate counts: the short one sees a burst begin, the long one is
 /// steady where little comes.
 const MEMORIES: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(2)];
@@ -55,8 +57,3 @@
         rates.fold(0.0, f64::max)
     }
 }
-
-/// Part that is left of a sum after `passed`.
-fn faded(passed: Duration, constant: Duration) -> f64 {
-    (-passed.as_secs_f64() / constant.as_secs_f64()).exp()
-}
--- a/crates/load/src/delay.rs
+++ b/crates/load/src/delay.rs
@@ -74,7 +74,7 @@
 }
 
 /// Part that is left of a sum after `passed`.
-fn faded(passed: Duration, constant: Duration) -> f64 {
+pub(crate) fn faded(passed: Duration, constant: Duration) -> f64 {
     (-passed.as_secs_f64() / constant.as_secs_f64()).exp()
 }
 
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -88,7 +88,11 @@
                     log::debug!("event=connection_ended error={error:?}");
                     return;
                 }
-                Ok(None) | Err(_) => return,
+                Ok(None) => return,
+                Err(_) => {
+                    log::debug!("event=connection_idle number={}", self.number);
+                    return;
+                }
             }
         }
     }
--- a/crates/wire/src/flow.rs
+++ b/crates/wire/src/flow.rs
@@ -58,6 +58,19 @@
     }
 }
 
+/// The number from 0 to 1, both excluded, that a hash of 64 bits stands for.
+///
+/// ```
+/// use acacia_wire::flow::uniform;
+/// assert!(uniform(0) > 0.0 && uniform(u64::MAX) < 1.0);
+/// ```
+#[must_use]
+pub fn uniform(hash: u64) -> f64 {
+    /// Bits that a number holds exactly, but for the half that is added.
+    const BITS: u32 = 52;
+    ((hash >> (u64::BITS - BITS)) as f64 + 0.5) / (1u64 << BITS) as f64
+}
+
 /// The finalizer of SplitMix64 (Steele, Lea and Flood, 2014): a bijection of 64 bits in which each
 /// input bit flips about half of the output bits.
 ///
