Hear peers while strangers hold connections to the control port

What callers saw: feeds reset by one balancer (IP transport) that held all its peers for dead and resolved flows by old tables.

Cause: the control port took 512 connections whoever opened them, kept each 30 s without a valid frame and closed whatever came beyond, the peers' too. No key was needed to hold a place.

Mend: a crate that accepts within limits. A connection is pending until its first valid message; pending ones have 2 s, the oldest of the address with most of them makes room, and active ones never make room for pending ones. What is closed early is counted and logged, a line a second at most.

Ruled out: the inbox and the sender's queue; the connection was closed before it carried a frame.

--- /dev/null
+++ b/crates/accept/tests/it/listen.rs
@@ -0,0 +1,159 @@
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use acacia_accept::{Limiter, Limits, Slot, listen};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+const LIMITS: Limits = Limits {
+    pending: 4,
+    active: 2,
+    pending_for: Duration::from_millis(200),
+    active_for: Duration::from_millis(600),
+    stalled: Duration::from_millis(100),
+};
+/// Far longer than anything may take on a busy machine.
+const LONG: Duration = Duration::from_secs(10);
+
+/// A server that echoes each byte; every byte but zero counts as a valid message.
+struct Server {
+    address: SocketAddr,
+    limiter: Arc<Limiter>,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    async fn start() -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let limiter = Arc::new(Limiter::new("test", LIMITS));
+        let stop = CancellationToken::new();
+        let (token, known) = (stop.clone(), Arc::clone(&limiter));
+        let task = tokio::spawn(async move { listen(listener, token, &known, echo).await });
+        Server {
+            address,
+            limiter,
+            stop,
+            task,
+        }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        let connected = TcpStream::connect(self.address).await;
+        connected.expect("connects")
+    }
+}
+
+async fn echo(mut stream: TcpStream, slot: Arc<Slot>) {
+    let mut byte = [0];
+    while let Ok(1) = stream.read(&mut byte).await {
+        assert!(byte[0] != 255, "a message that the server can't bear");
+        if byte[0] != 0 && !slot.activate() {
+            return;
+        }
+        if stream.write_all(&byte).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Whether a byte comes back.
+async fn is_answered(stream: &mut TcpStream, byte: u8) -> bool {
+    let mut answer = [0];
+    let exchange = async {
+        stream.write_all(&[byte]).await?;
+        stream.read_exact(&mut answer).await
+    };
+    matches!(timeout(LONG, exchange).await, Ok(Ok(_))) && answer == [byte]
+}
+
+async fn is_closed(stream: &mut TcpStream) -> bool {
+    let mut byte = [0];
+    matches!(
+        timeout(LONG, stream.read(&mut byte)).await,
+        Ok(Ok(0) | Err(_))
+    )
+}
+
+#[tokio::test]
+async fn silent_connections_keep_nobody_out() {
+    let server = Server::start().await;
+    let mut silent = vec![];
+    for _ in 0..20 {
+        silent.push(server.connect().await);
+    }
+
+    let mut asked = server.connect().await;
+
+    assert!(is_answered(&mut asked, 1).await);
+    let stats = server.limiter.stats();
+    assert_eq!(
+        (stats.accepted, stats.displaced >= 16),
+        (21, true),
+        "{stats:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_connection_without_a_valid_message_is_closed_at_its_deadline() {
+    let server = Server::start().await;
+    let start = Instant::now();
+    let mut trickling = server.connect().await;
+
+    while is_answered(&mut trickling, 0).await {
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    assert!(start.elapsed() >= LIMITS.pending_for);
+    assert_eq!(server.limiter.stats().expired, 1);
+    assert_eq!(server.limiter.open(), (0, 0));
+}
+
+#[tokio::test]
+async fn an_active_connection_that_stands_still_gives_way_to_a_new_one() {
+    let server = Server::start().await;
+    let (mut one, mut two) = (server.connect().await, server.connect().await);
+    assert!(is_answered(&mut one, 1).await && is_answered(&mut two, 2).await);
+    sleep(LIMITS.stalled).await;
+
+    let mut three = server.connect().await;
+
+    assert!(is_answered(&mut three, 3).await);
+    assert!(is_closed(&mut one).await);
+    assert!(is_answered(&mut two, 2).await);
+    assert_eq!(server.limiter.stats().stalled, 1);
+}
+
+#[tokio::test]
+async fn a_connection_whose_task_panics_is_counted_and_ends_no_other() {
+    let server = Server::start().await;
+    let mut other = server.connect().await;
+    assert!(is_answered(&mut other, 1).await);
+
+    let mut fatal = server.connect().await;
+    assert!(!is_answered(&mut fatal, 255).await);
+
+    assert!(is_answered(&mut other, 2).await);
+    assert_eq!(server.limiter.stats().panicked, 1);
+}
+
+#[tokio::test]
+async fn a_server_that_stops_closes_all_connections() {
+    let server = Server::start().await;
+    let mut open = server.connect().await;
+    assert!(is_answered(&mut open, 1).await);
+
+    server.stop.cancel();
+
+    server.task.await.expect("no panic");
+    assert!(is_closed(&mut open).await);
+}
--- /dev/null
+++ b/crates/accept/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the limits on accepted connections.
+
+mod listen;
+mod table;
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -39,6 +39,8 @@
     pub document: Option<Arc<str>>,
     /// Bytes of control messages since the start.
     pub traffic: Traffic,
+    /// Connections that peers and strangers have opened to the control port.
+    pub connections: acacia_accept::Stats,
 }
 
 /// The latest account.
@@ -89,11 +91,13 @@
         } else {
             core.document()
         };
+        let stats = stats();
         self.published.store(Arc::new(Account {
             at: now,
             status,
             document,
-            traffic: self.meter.read(&stats()),
+            traffic: self.meter.read(&stats),
+            connections: stats.connections,
         }));
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -116,16 +116,17 @@
     /// Reports what happened since the report before, [`PERIOD`] ago. Reports may be lost on their
     /// way at any time and nothing depends on one, so errors are dropped.
     pub fn report(&mut self, account: &Account, counter: &Counter) {
-        self.counts(counter);
+        self.counts(account, counter);
         self.gauges(account);
         let _ = self.client.flush();
     }
 
-    fn counts(&mut self, counter: &Counter) {
+    fn counts(&mut self, account: &Account, counter: &Counter) {
         let kinds = KINDS.iter().map(|(kind, name)| (*name, counter.of(*kind)));
         let codes = counter.codes();
         let codes = codes.iter().map(|(code, count)| (code.label(), *count));
-        for (name, count) in kinds.chain(codes) {
+        let closed = account.connections.closed();
+        for (name, count) in kinds.chain(codes).chain(closed) {
             let before = self.counts.insert(name, count).unwrap_or(0);
             if count > before {
                 let delta = i64::try_from(count - before).unwrap_or(i64::MAX);
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -109,7 +109,11 @@
     /// The counters.
     #[must_use]
     pub fn stats(&self) -> Stats {
-        self.shared.lock().stats.clone()
+        let connections = self.shared.limiter.stats();
+        Stats {
+            connections,
+            ..self.shared.lock().stats.clone()
+        }
     }
 
     /// Closes all connections and joins the thread that keeps them. What is still queued is dropped.
@@ -165,7 +169,7 @@
         tokio::select! {
             () = stop.cancelled() => {}
             () = send::run(Arc::clone(&shared), seed) => {}
-            () = receive::run(shared, listener, inbox) => {}
+            () = receive::run(shared, listener, inbox, stop.clone()) => {}
         }
     };
     // The runtime is dropped with the thread, and with it all tasks that are still there.
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -1,15 +1,13 @@
-use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
+use acacia_accept::{Slot, listen};
 use acacia_wire::collections::Map;
 use acacia_wire::control::{self, Envelope, open};
 use crossbeam_channel::{Sender, TrySendError};
 use futures_util::StreamExt as _;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
 use tokio_util::codec::FramedRead;
 use tokio_util::sync::CancellationToken;
 
@@ -17,47 +15,27 @@
 use crate::shared::Shared;
 use crate::{Error, Parcel, Received};
 
-/// Connections accepted at a time, several times the largest group. More would take the descriptors
-/// that traffic needs.
-const CONNECTIONS: usize = 512;
-/// Pause after a connection that could not be accepted, as descriptors have run out.
-const PAUSE: Duration = Duration::from_millis(10);
-
-/// Accepts connections and takes what comes over them, until dropped.
+/// Accepts connections and takes what comes over them, until told to stop.
 pub(crate) async fn run<T: DeserializeOwned + Send + 'static>(
     shared: Arc<Shared>,
     listener: TcpListener,
     inbox: Sender<Received<T>>,
+    stop: CancellationToken,
 ) {
     let current = Current::default();
-    let mut connections = JoinSet::new();
-    let mut number = 0;
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((_, address)) if connections.len() >= CONNECTIONS => refuse(address),
-                Ok((stream, _)) => {
-                    number += 1;
-                    let connection = Connection {
-                        number,
-                        shared: Arc::clone(&shared),
-                        current: Arc::clone(&current),
-                        inbox: inbox.clone(),
-                    };
-                    connections.spawn(connection.serve(stream));
-                }
-                Err(error) => {
-                    log::warn!("event=accept_failed error={error:?}");
-                    sleep(PAUSE).await;
-                }
-            },
-            Some(_) = connections.join_next() => {}
-        }
-    }
-}
-
-fn refuse(address: SocketAddr) {
-    log::warn!("event=connection_refused address={address} connections={CONNECTIONS}");
+    let numbers = AtomicU64::new(0);
+    let limiter = Arc::clone(&shared.limiter);
+    listen(listener, stop, &limiter, |stream, slot| {
+        let connection = Connection {
+            number: numbers.fetch_add(1, Ordering::Relaxed),
+            shared: Arc::clone(&shared),
+            current: Arc::clone(&current),
+            inbox: inbox.clone(),
+            slot,
+        };
+        connection.serve(stream)
+    })
+    .await;
 }
 
 /// The connection that frames of each peer last came over, by its number, and what ends it.
@@ -69,30 +47,26 @@
     shared: Arc<Shared>,
     current: Current,
     inbox: Sender<Received<T>>,
+    slot: Arc<Slot>,
 }
 
 impl<T: DeserializeOwned> Connection<T> {
-    /// Takes frames until the connection ends, is replaced, or has carried nothing for long.
+    /// Takes frames until the connection ends or is replaced.
     async fn serve(self, stream: TcpStream) {
         let replaced = CancellationToken::new();
         let mut frames = FramedRead::new(stream, codec());
-        let longest = self.shared.lock().settings.longest_silence;
         loop {
             let frame = tokio::select! {
                 () = replaced.cancelled() => return,
-                frame = timeout(longest, frames.next()) => frame,
+                frame = frames.next() => frame,
             };
             match frame {
-                Ok(Some(Ok(frame))) => self.take(&frame, &replaced),
-                Ok(Some(Err(error))) => {
+                Some(Ok(frame)) => self.take(&frame, &replaced),
+                Some(Err(error)) => {
                     log::debug!("event=connection_ended error={error:?}");
                     return;
                 }
-                Ok(None) => return,
-                Err(_) => {
-                    log::debug!("event=connection_idle number={}", self.number);
-                    return;
-                }
+                None => return,
             }
         }
     }
@@ -100,6 +74,7 @@
     fn take(&self, frame: &[u8], replaced: &CancellationToken) {
         match check(&self.shared, frame) {
             Ok((envelope, body)) => {
+                self.slot.activate();
                 self.replace(envelope.sender, replaced);
                 if let Some(message) = body {
                     self.deliver(Received { envelope, message });
--- a/crates/peer/src/stats.rs
+++ b/crates/peer/src/stats.rs
@@ -28,4 +28,6 @@
     pub refused: BTreeMap<Code, u64>,
     /// Received messages dropped because the control thread did not take them.
     pub inbox_full: u64,
+    /// Connections that peers and strangers have opened.
+    pub connections: acacia_accept::Stats,
 }
--- a/crates/peer/tests/it/main.rs
+++ b/crates/peer/tests/it/main.rs
@@ -5,4 +5,5 @@
 mod mesh;
 mod relay;
 mod restart;
+mod strangers;
 mod watch;
