Answer peers though others are gone in the middle of a fetch

What callers saw: routes, drains and evacuations late (cookie transport), as one balancer passed nothing on any more; not at all while the store was away. Found by a trial, not seen by users.

Cause: the port for peers took no connection while eight were open, and none had a deadline. Peers that are paused, lose power or are cut off in a fetch never close theirs.

Nothing was logged or counted.

Mend: all ports accept by the limits of acacia-accept: peers, routers, scrapers, operators. A connection is pending until a question came whole and again once its answer is handed to the network. The soak's proxy lets the end of a connection vanish with its bytes, as a network does.

Ruled out: the sending side, which gives up after 2 s; the relay, as the test asks the port itself.

--- a/crates/accept/src/limiter.rs
+++ b/crates/accept/src/limiter.rs
@@ -140,6 +140,13 @@
         }
     }
 
+    /// Takes in that nothing is under way on the connection any more: it is pending again, and may
+    /// make room for others.
+    pub fn finish(&self) {
+        let now = self.limiter.now();
+        self.limiter.lock().table.finish(self.id, now);
+    }
+
     /// Waits until the connection has to close: another needs its place, or its deadline has passed.
     pub(crate) async fn closed(&self) {
         tokio::select! {
--- a/crates/accept/src/listen.rs
+++ b/crates/accept/src/listen.rs
@@ -33,7 +33,7 @@
 /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
 /// let stop = CancellationToken::new();
 /// stop.cancel();
-/// listen(listener, stop, &Arc::new(Limiter::new("peers", limits)), |_stream, slot| async move {
+/// listen(listener, stop, Arc::new(Limiter::new("peers", limits)), |_stream, slot| async move {
 ///     slot.activate();
 /// })
 /// .await;
@@ -43,7 +43,7 @@
 pub async fn listen<F>(
     listener: TcpListener,
     stop: CancellationToken,
-    limiter: &Arc<Limiter>,
+    limiter: Arc<Limiter>,
     serve: impl Fn(TcpStream, Arc<Slot>) -> F,
 ) where
     F: Future<Output = ()> + Send + 'static,
@@ -53,16 +53,16 @@
     loop {
         tokio::select! {
             () = stop.cancelled() => break,
-            Some(ended) = connections.join_next() => note_end(limiter, ended),
+            Some(ended) = connections.join_next() => note_end(&limiter, ended),
             accepted = listener.accept() => match accepted {
                 Ok((stream, from)) => {
                     let slot = Arc::new(limiter.admit(from.ip()));
                     let served = serve(stream, Arc::clone(&slot));
                     connections.spawn(until_closed(slot, served));
                 }
-                Err(error) => pause(limiter, &error).await,
+                Err(error) => pause(&limiter, &error).await,
             },
-            () = time::sleep_until(report.next), if report.is_due(limiter) => report.log(limiter),
+            () = time::sleep_until(report.next), if report.is_due(&limiter) => report.log(&limiter),
         }
     }
     connections.shutdown().await;
--- a/crates/accept/src/table.rs
+++ b/crates/accept/src/table.rs
@@ -133,6 +133,14 @@
         }
     }
 
+    /// Takes in that nothing is under way on a connection any more: it is pending again.
+    pub fn finish(&mut self, id: u64, now: Duration) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.since = now;
+            connection.is_active = false;
+        }
+    }
+
     /// Forgets a connection that has ended.
     pub fn remove(&mut self, id: u64) {
         self.connections.remove(&id);
--- a/crates/accept/tests/it/listen.rs
+++ b/crates/accept/tests/it/listen.rs
@@ -38,7 +38,7 @@
         let limiter = Arc::new(Limiter::new("test", LIMITS));
         let stop = CancellationToken::new();
         let (token, known) = (stop.clone(), Arc::clone(&limiter));
-        let task = tokio::spawn(async move { listen(listener, token, &known, echo).await });
+        let task = tokio::spawn(listen(listener, token, known, echo));
         Server {
             address,
             limiter,
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -8,22 +8,27 @@
 
 use std::{sync::Arc, time::Duration};
 
+use acacia_accept::{Limiter, Limits, listen};
 use acacia_burn::Ledger;
 use acacia_platform::server;
 use tarpc::{context::Context, server::Serve as _};
-use tokio::{net::TcpListener, time};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 pub use ask::{Error, ask};
 pub use status::Status;
 
-/// Operators' connections at a time. Load: a few operators ask at once, each for milliseconds.
-/// Harm: a message may claim some megabytes before it is known to be nonsense, and a balancer has
-/// 128 MB for control. Hence few connections; more wait their turn.
-const CONNECTIONS: usize = 8;
-/// How long a connection may stay. One whose other end has gone without a word would keep its
-/// place for good.
-const LIFETIME: Duration = Duration::from_secs(60);
+/// Connections of operators that ask, at a time.
+const ACTIVE: usize = 8;
+/// Connections on which nothing was asked yet, at a time.
+const PENDING: usize = 32;
+/// How long one has to ask something.
+const FIRST_QUESTION: Duration = Duration::from_secs(10);
+/// How long a connection may stay without a question. One whose other end has gone without a word
+/// would keep its place for good.
+const IDLE: Duration = Duration::from_secs(60);
+/// After this long without a question, a connection makes room for another operator's.
+const STALLED: Duration = Duration::from_secs(5);
 
 /// The questions that a balancer answers.
 #[tarpc::service]
@@ -37,6 +42,23 @@
     async fn ledger() -> Ledger;
 }
 
+/// The limits on operators' connections.
+///
+/// ```
+/// assert_eq!(acacia_api::limiter().name(), "operators");
+/// ```
+#[must_use]
+pub fn limiter() -> Limiter {
+    let limits = Limits {
+        pending: PENDING,
+        active: ACTIVE,
+        pending_for: FIRST_QUESTION,
+        active_for: IDLE,
+        stalled: STALLED,
+    };
+    Limiter::new("operators", limits)
+}
+
 /// Answers operators until told to stop, and returns once nothing of it runs any more. The
 /// functions give the current answers; they are called on the runtime's threads, so they should
 /// read a snapshot and not wait.
@@ -52,7 +74,7 @@
 /// let stop = CancellationToken::new();
 /// let status = || Status { name: "entry-1".into(), ..Status::default() };
 /// let server = tokio::spawn(acacia_api::serve(
-///     listener, stop.clone(), status, || None, Default::default,
+///     listener, stop.clone(), acacia_api::limiter().into(), status, || None, Default::default,
 /// ));
 ///
 /// let deadline = std::time::Duration::from_secs(5);
@@ -66,6 +88,7 @@
 pub async fn serve<S, D, L>(
     listener: TcpListener,
     stop: CancellationToken,
+    limiter: Arc<Limiter>,
     status: S,
     document: D,
     ledger: L,
@@ -74,18 +97,16 @@
     D: Fn() -> Option<Arc<str>> + Clone + Send + Sync + 'static,
     L: Fn() -> Ledger + Clone + Send + Sync + 'static,
 {
-    server::listen(listener, stop, CONNECTIONS, move |stream| {
+    listen(listener, stop, limiter, move |stream, slot| {
         let answers = Answers {
             status: status.clone(),
             document: document.clone(),
             ledger: ledger.clone(),
         };
-        let connection = server::connection(stream, move |ctx, req| {
+        server::connection(stream, move |ctx, req| {
+            slot.activate();
             answers.clone().serve().serve(ctx, req)
-        });
-        async move {
-            let _over = time::timeout(LIFETIME, connection).await;
-        }
+        })
     })
     .await;
 }
--- a/crates/ctl/tests/it/fixture.rs
+++ b/crates/ctl/tests/it/fixture.rs
@@ -120,8 +120,10 @@
         };
         let stop = self.stop.clone();
         let ledger = move || ledger(id);
-        self.tasks
-            .spawn(acacia_api::serve(listener, stop, status, document, ledger));
+        let limiter = acacia_api::limiter().into();
+        self.tasks.spawn(acacia_api::serve(
+            listener, stop, limiter, status, document, ledger,
+        ));
     }
 
     /// The store's document.
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -144,7 +144,8 @@
     let ledger = move || ledger.snapshot();
     runtime.block_on(async {
         let listener = tokio::net::TcpListener::from_std(listener)?;
-        acacia_api::serve(listener, stop, status, document, ledger).await;
+        let limiter = acacia_api::limiter().into();
+        acacia_api::serve(listener, stop, limiter, status, document, ledger).await;
         Ok(())
     })
 }
--- a/crates/node/src/cookie/answer.rs
+++ b/crates/node/src/cookie/answer.rs
@@ -1,20 +1,71 @@
 //! What routers, peers and scrapers are answered over TCP.
 
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
+use acacia_accept::{Limiter, Limits, listen};
 use acacia_adapter::ready;
 use acacia_kernel::BoxError;
-use acacia_platform::server;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use super::{control::Control, exchange, scrape, status};
 use crate::ledger::Ledger;
 
-/// Connections of routers or scrapers at a time; each takes memory and a descriptor.
-const CONNECTIONS: usize = 16;
-/// Connections of peers at a time; more wait in the backlog. Each answer is in memory until it is sent.
-const PEERS: usize = 8;
+/// Connections of routers or scrapers that ask. They keep theirs open between two requests.
+const CLIENTS: usize = 64;
+/// How long a router or scraper may go without a request. Who asks more rarely connects anew.
+const CLIENT_IDLE: Duration = Duration::from_secs(10);
+/// After this long without a request, a client makes room for another.
+const CLIENT_STALLED: Duration = Duration::from_secs(2);
+/// Differences that are being sent at a time; each is in memory until it is.
+const DIFFERENCES: usize = 32;
+/// After this long, a difference that a peer doesn't take makes room for another.
+const DIFFERENCE_STALLED: Duration = Duration::from_millis(500);
+/// Connections on which nothing valid has been asked yet, at a time.
+const PENDING: usize = 256;
+/// How long one has to ask something.
+const FIRST_REQUEST: Duration = Duration::from_secs(2);
+
+/// The limits of the listeners.
+#[derive(Debug)]
+pub struct Limiters {
+    routers: Arc<Limiter>,
+    peers: Arc<Limiter>,
+    scrapers: Arc<Limiter>,
+    operators: Arc<Limiter>,
+}
+
+impl Default for Limiters {
+    fn default() -> Self {
+        let clients = Limits {
+            pending: PENDING,
+            active: CLIENTS,
+            pending_for: FIRST_REQUEST,
+            active_for: CLIENT_IDLE,
+            stalled: CLIENT_STALLED,
+        };
+        let peers = Limits {
+            pending: PENDING,
+            active: DIFFERENCES,
+            pending_for: FIRST_REQUEST,
+            active_for: exchange::FETCH,
+            stalled: DIFFERENCE_STALLED,
+        };
+        Limiters {
+            routers: Arc::new(Limiter::new("routers", clients)),
+            peers: Arc::new(Limiter::new("peers", peers)),
+            scrapers: Arc::new(Limiter::new("scrapers", clients)),
+            operators: Arc::new(acacia_api::limiter()),
+        }
+    }
+}
+
+impl Limiters {
+    /// All of them.
+    pub fn all(&self) -> [&Limiter; 4] {
+        [&self.routers, &self.peers, &self.scrapers, &self.operators]
+    }
+}
 
 /// Answers the routers' checks until told to stop.
 ///
@@ -25,11 +76,17 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
-    listen(listener, stop, CONNECTIONS, |stream| {
+    let limiter = Arc::clone(&control.limiters.routers);
+    listen(listener, stop, limiter, |stream, slot| {
         let control = Arc::clone(&control);
-        async move { ready::serve(stream, || control.check()).await }
+        let check = move || {
+            slot.activate();
+            control.check()
+        };
+        async move { ready::serve(stream, check).await }
     })
-    .await
+    .await;
+    Ok(())
 }
 
 /// Answers peers until told to stop.
@@ -41,13 +98,18 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
-    listen(listener, stop, PEERS, |stream| {
+    let limiter = Arc::clone(&control.limiters.peers);
+    listen(listener, stop, limiter, |stream, slot| {
         let control = Arc::clone(&control);
-        exchange::serve(stream, move |revision| {
+        let asked = Arc::clone(&slot);
+        let difference = move |revision| {
+            asked.activate();
             control.core(|core, now| core.difference(revision, now))
-        })
+        };
+        exchange::serve(stream, difference, move || slot.finish())
     })
-    .await
+    .await;
+    Ok(())
 }
 
 /// Answers scrapers until told to stop.
@@ -59,24 +121,16 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
-    listen(listener, stop, CONNECTIONS, |stream| {
+    let limiter = Arc::clone(&control.limiters.scrapers);
+    listen(listener, stop, limiter, |stream, slot| {
         let control = Arc::clone(&control);
-        async move { scrape::serve(stream, || control.text()).await }
+        let text = move || {
+            slot.activate();
+            control.text()
+        };
+        async move { scrape::serve(stream, text).await }
     })
-    .await
-}
-
-/// Serves each connection, up to `most` at a time, until told to stop.
-async fn listen<F>(
-    listener: TcpListener,
-    stop: CancellationToken,
-    most: usize,
-    serve: impl Fn(TcpStream) -> F,
-) -> Result<(), BoxError>
-where
-    F: Future<Output = ()> + Send + 'static,
-{
-    server::listen(listener, stop, most, serve).await;
+    .await;
     Ok(())
 }
 
@@ -92,8 +146,9 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) -> Result<(), BoxError> {
+    let limiter = Arc::clone(&control.limiters.operators);
     let status = move || status::status(&control, address);
     let counts = move || ledger.snapshot();
-    acacia_api::serve(listener, stop, status, || None, counts).await;
+    acacia_api::serve(listener, stop, limiter, status, || None, counts).await;
     Ok(())
 }
--- a/crates/node/src/cookie/control.rs
+++ b/crates/node/src/cookie/control.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use super::{
+    answer::Limiters,
     checks::Checks,
     core::{Core, Outcome},
     exchange,
@@ -32,6 +33,7 @@
     pub(super) counter: Arc<Counter>,
     /// Metrics.
     pub meters: Arc<Meters>,
+    pub(super) limiters: Limiters,
     pub(super) fetching: AtomicBool,
     /// Wakes the task that follows the store.
     pub wake: Notify,
@@ -64,6 +66,7 @@
             published,
             counter,
             meters,
+            limiters: Limiters::default(),
             fetching: AtomicBool::new(false),
             wake: Notify::new(),
             changed: Notify::new(),
@@ -92,7 +95,8 @@
     /// All metrics as text.
     pub fn text(&self) -> String {
         let standing = self.core(|core, now| core.standing(now));
-        self.meters.text(&self.counter, &standing)
+        let listeners = self.limiters.all();
+        self.meters.text(&self.counter, &standing, &listeners)
     }
 
     /// Whether the routers should send packets here.
--- a/crates/node/src/cookie/exchange.rs
+++ b/crates/node/src/cookie/exchange.rs
@@ -27,7 +27,7 @@
 /// How long it has to give a difference, from the start. It answers from memory, but 3,000 routes take a
 /// link of 2 Mbit/s 350 ms, and three ask for them at a time. With no more time than for the
 /// connection, each transfer was broken off and begun anew, and the new routes were in force nowhere.
-const FETCH: Duration = Duration::from_millis(2_000);
+pub const FETCH: Duration = Duration::from_millis(2_000);
 
 /// What a balancer is asked by its peers.
 #[tarpc::service]
@@ -89,14 +89,15 @@
     }
 }
 
-/// Answers a peer on one connection until it ends.
-pub async fn serve<D>(stream: TcpStream, difference: D)
+/// Answers a peer on one connection until it ends. `idle` is called whenever all that was asked has been
+/// answered.
+pub async fn serve<D>(stream: TcpStream, difference: D, idle: impl Fn())
 where
     D: Fn(u64) -> Difference + Clone + Send + Sync + 'static,
 {
     let answers = Answers { difference };
     let handle = move |ctx, request| answers.clone().serve().serve(ctx, request);
-    server::connection_as(stream, MessagePack::default(), handle).await;
+    server::connection_as(stream, MessagePack::default(), handle, idle).await;
 }
 
 /// The answers as a tarpc service.
--- a/crates/node/src/cookie/meters.rs
+++ b/crates/node/src/cookie/meters.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use acacia_accept::Limiter;
 use acacia_cookie::{Snapshot, Timing, cookie::Cookie};
 use acacia_platform::Error;
 use prometheus_client::{
@@ -45,6 +46,13 @@
     kind: String,
 }
 
+/// A listener and why it closed connections.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Closed {
+    port: String,
+    how: String,
+}
+
 /// A call of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Call {
@@ -117,11 +125,11 @@
     ///
     /// ```
     /// use acacia_node::{cookie::{core::Standing, meters::Meters}, counter::Counter};
-    /// let text = Meters::default().text(&Counter::default(), &Standing::default());
+    /// let text = Meters::default().text(&Counter::default(), &Standing::default(), &[]);
     /// assert!(text.contains("acaciatrack_peers 0"));
     /// ```
     #[must_use]
-    pub fn text(&self, counter: &Counter, standing: &Standing) -> String {
+    pub fn text(&self, counter: &Counter, standing: &Standing, listeners: &[&Limiter]) -> String {
         let mut registry = Registry::with_prefix("acaciatrack");
         registry.register(
             "opening_seconds",
@@ -140,6 +148,11 @@
             packets(counter),
         );
         registry.register("codes", "Events by numbered code", codes(counter));
+        registry.register(
+            "connections_closed",
+            "Connections closed by the listener's limits",
+            connections(listeners),
+        );
         for (name, help, value) in self.gauges(standing) {
             let gauge = Gauge::<i64, AtomicI64>::default();
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
@@ -197,6 +210,20 @@
     }
 }
 
+fn connections(listeners: &[&Limiter]) -> Family<Closed, Metric<u64, AtomicU64>> {
+    let family = Family::<Closed, Metric<u64, AtomicU64>>::default();
+    for listener in listeners {
+        for (name, count) in listener.stats().closed() {
+            let closed = Closed {
+                port: listener.name().to_owned(),
+                how: name.to_owned(),
+            };
+            family.get_or_create(&closed).inc_by(count);
+        }
+    }
+    family
+}
+
 fn packets(counter: &Counter) -> Family<Event, Metric<u64, AtomicU64>> {
     let family = Family::<Event, Metric<u64, AtomicU64>>::default();
     for (kind, name) in KINDS {
--- a/crates/node/tests/it/cookie/exchange.rs
+++ b/crates/node/tests/it/cookie/exchange.rs
@@ -42,7 +42,7 @@
     let (counted, at) = listener().await;
     let serve = async {
         let (stream, _) = served.accept().await.expect("a connection");
-        exchange::serve(stream, move |_| difference.clone()).await;
+        exchange::serve(stream, move |_| difference.clone(), || {}).await;
     };
     let count = async {
         let (near, _) = counted.accept().await.expect("a connection");
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -25,7 +25,7 @@
     let current = Current::default();
     let numbers = AtomicU64::new(0);
     let limiter = Arc::clone(&shared.limiter);
-    listen(listener, stop, &limiter, |stream, slot| {
+    listen(listener, stop, limiter, |stream, slot| {
         let connection = Connection {
             number: numbers.fetch_add(1, Ordering::Relaxed),
             shared: Arc::clone(&shared),
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -7,7 +7,6 @@
     io,
     pin::{Pin, pin},
     task::{Context, Poll},
-    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
@@ -17,15 +16,7 @@
     server::{BaseChannel, Channel, TrackedRequest},
     tokio_serde::{Deserializer, Serializer, formats::Json},
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    task::JoinSet,
-    time,
-};
-use tokio_util::sync::CancellationToken;
-
-/// Pause after a connection that could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+use tokio::{net::TcpStream, task::JoinSet, time};
 
 /// Serves one accepted connection until the peer closes it or breaks the protocol. `handle` is
 /// mostly a closure around a service's `serve`. Dropping the future ends all its handlers.
@@ -46,21 +37,26 @@
     H: Fn(context::Context, Req) -> F,
     F: Future<Output = Result<Resp, ServerError>> + Send + 'static,
 {
-    connection_as(stream, Json::default(), handle).await;
+    connection_as(stream, Json::default(), handle, || {}).await;
 }
 
-/// The same with messages encoded by `codec`.
+/// The same with messages encoded by `codec`. `idle` is called whenever all requests so far have been
+/// answered and the answers handed to the network.
 ///
 /// ```no_run
 /// # use acacia_platform::server;
 /// # use tarpc::tokio_serde::formats::Json;
 /// # async fn example(stream: tokio::net::TcpStream) {
 /// let answer = async |_, _: String| Ok(String::from("answer"));
-/// server::connection_as(stream, Json::default(), answer).await;
+/// server::connection_as(stream, Json::default(), answer, || {}).await;
 /// # }
 /// ```
-pub async fn connection_as<Req, Resp, C, E, H, F>(stream: TcpStream, codec: C, handle: H)
-where
+pub async fn connection_as<Req, Resp, C, E, H, F>(
+    stream: TcpStream,
+    codec: C,
+    handle: H,
+    idle: impl Fn(),
+) where
     Req: for<'a> Deserialize<'a>,
     Resp: Serialize + Send + 'static,
     C: Serializer<Response<Resp>, Error = E> + Deserializer<ClientMessage<Req>, Error = E>,
@@ -73,58 +69,41 @@
         return;
     }
     let transport = Transport::from((stream, codec));
-    pump(BaseChannel::with_defaults(transport), handle).await;
+    pump(BaseChannel::with_defaults(transport), handle, idle).await;
 }
 
-/// Accepts connections and serves each with `serve`, until told to stop. Returns once all of them
-/// have ended: a server leaves no task behind.
-///
-/// Load: anyone who reaches the port can open connections. Harm: each takes memory and a file
-/// descriptor that flows need. Hence no more than `limit` at a time; further ones wait in the
-/// listener's backlog.
-///
-/// ```
-/// # #[tokio::main(flavor = "current_thread")]
-/// # async fn main() -> std::io::Result<()> {
-/// use acacia_platform::server;
-/// use tokio_util::sync::CancellationToken;
-/// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-/// let stop = CancellationToken::new();
-/// stop.cancel();
-/// server::listen(listener, stop, 8, |stream| {
-///     server::connection(stream, async |_, _: String| Ok(String::from("answer")))
-/// })
-/// .await;
-/// # Ok(())
-/// # }
-/// ```
-pub async fn listen<F>(
-    listener: TcpListener,
-    stop: CancellationToken,
-    limit: usize,
-    serve: impl Fn(TcpStream) -> F,
-) where
-    F: Future<Output = ()> + Send + 'static,
-{
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            () = stop.cancelled() => break,
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept(), if connections.len() < limit => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn(serve(stream));
-                }
-                // Mostly out of file descriptors; a tight loop would only make that worse.
-                Err(_) => time::sleep(ACCEPT_PAUSE).await,
-            },
+/// The requests of one connection that are not answered yet.
+struct Handlers<Resp> {
+    running: JoinSet<Option<Response<Resp>>>,
+    /// An answer has not been handed to the network whole.
+    unsent: bool,
+    /// All answers have been handed to the network since this was last asked.
+    is_idle: bool,
+}
+
+impl<Resp> Default for Handlers<Resp> {
+    fn default() -> Self {
+        Handlers {
+            running: JoinSet::new(),
+            unsent: false,
+            is_idle: false,
         }
     }
-    connections.shutdown().await;
+}
+
+impl<Resp> Handlers<Resp> {
+    fn sent(&mut self) {
+        self.is_idle |= self.unsent && self.running.is_empty();
+        self.unsent = false;
+    }
+
+    fn take_idle(&mut self) -> bool {
+        std::mem::take(&mut self.is_idle)
+    }
 }
 
 /// Starts a handler for each request and sends what it answers.
-async fn pump<C, H, F>(channel: C, handle: H)
+async fn pump<C, H, F>(channel: C, handle: H, idle: impl Fn())
 where
     C: Channel,
     C::Resp: Send + 'static,
@@ -132,16 +111,20 @@
     F: Future<Output = Result<C::Resp, ServerError>> + Send + 'static,
 {
     let mut channel = pin!(channel);
-    let mut handlers = JoinSet::new();
+    let mut handlers = Handlers::default();
     std::future::poll_fn(|cx| {
         loop {
             match channel.as_mut().poll_next(cx) {
-                Poll::Ready(Some(Ok(request))) => start(&mut handlers, request, &handle),
+                Poll::Ready(Some(Ok(request))) => start(&mut handlers.running, request, &handle),
                 Poll::Ready(Some(Err(_)) | None) => return Poll::Ready(()),
                 Poll::Pending => break,
             }
         }
-        answer(channel.as_mut(), &mut handlers, cx)
+        let broken = answer(channel.as_mut(), &mut handlers, cx);
+        if handlers.take_idle() {
+            idle();
+        }
+        broken
     })
     .await;
 }
@@ -172,7 +155,7 @@
 /// Sends the answers of all finished handlers; ready when the connection is broken.
 fn answer<C>(
     mut channel: Pin<&mut C>,
-    handlers: &mut JoinSet<Option<Response<C::Resp>>>,
+    handlers: &mut Handlers<C::Resp>,
     cx: &mut Context<'_>,
 ) -> Poll<()>
 where
@@ -185,19 +168,27 @@
             Poll::Ready(Err(_)) => return Poll::Ready(()),
             Poll::Pending => break,
         }
-        match handlers.poll_join_next(cx) {
+        match handlers.running.poll_join_next(cx) {
             Poll::Ready(Some(Ok(Some(response)))) => {
+                handlers.unsent = true;
                 if channel.as_mut().start_send(response).is_err() {
                     return Poll::Ready(());
                 }
             }
-            // Given up at its deadline, or it panicked: the caller's own deadline answers.
-            Poll::Ready(Some(_)) => {}
+            // Given up at its deadline, as nobody waits for it any longer.
+            Poll::Ready(Some(Ok(None))) => {}
+            Poll::Ready(Some(Err(error))) => {
+                log::error!("event=handler-panicked error=\"{error}\"");
+            }
             Poll::Ready(None) | Poll::Pending => break,
         }
     }
     match channel.poll_flush(cx) {
         Poll::Ready(Err(_)) => Poll::Ready(()),
-        Poll::Ready(Ok(())) | Poll::Pending => Poll::Pending,
+        Poll::Ready(Ok(())) => {
+            handlers.sent();
+            Poll::Pending
+        }
+        Poll::Pending => Poll::Pending,
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -268,6 +268,18 @@
         self.network.port(BALANCERS + number, METRICS)
     }
 
+    /// Where balancer `number` answers routers' checks.
+    #[must_use]
+    pub fn ready(&self, number: u8) -> SocketAddrV4 {
+        self.network.port(BALANCERS + number, READY)
+    }
+
+    /// Where balancer `number` takes messages and answers peers.
+    #[must_use]
+    pub fn control(&self, number: u8) -> SocketAddrV4 {
+        self.network.port(BALANCERS + number, CONTROL)
+    }
+
     /// Where balancer `number` answers operators.
     #[must_use]
     pub fn admin(&self, number: u8) -> SocketAddrV4 {
--- a/crates/soak/src/mesh.rs
+++ b/crates/soak/src/mesh.rs
@@ -63,6 +63,11 @@
         })
     }
 
+    /// Sets what happens to connections alone from now on.
+    pub fn set_connection_trouble(&self, trouble: proxy::Trouble) {
+        self.connections.set_trouble(trouble);
+    }
+
     /// Sets what happens from now on.
     pub fn set_trouble(&self, trouble: Trouble) {
         self.trouble.store(trouble as u8, Ordering::Relaxed);
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -141,14 +141,21 @@
 ) {
     let mut buffer = vec![0; 16 * 1_024];
     while let Ok(length) = from.read(&mut buffer).await {
-        if length == 0 {
-            break;
+        let trouble = shared.trouble(number);
+        let vanishes = match trouble {
+            Trouble::Silent | Trouble::Forgotten => true,
+            Trouble::OneWay => answers,
+            Trouble::None | Trouble::Refused | Trouble::Slow => false,
+        };
+        match (vanishes, length) {
+            // The end of a connection vanishes like its bytes.
+            (true, 0) => return std::future::pending().await,
+            (true, _) => continue,
+            (false, 0) => break,
+            (false, _) => {}
         }
-        match shared.trouble(number) {
-            Trouble::Silent | Trouble::Forgotten => continue,
-            Trouble::OneWay if answers => continue,
-            Trouble::Slow => time::sleep(DELAY).await,
-            _ => {}
+        if trouble == Trouble::Slow {
+            time::sleep(DELAY).await;
         }
         if to.write_all(&buffer[..length]).await.is_err() {
             break;
--- /dev/null
+++ b/crates/soak/tests/it/gone.rs
@@ -0,0 +1,76 @@
+//! Peers that are gone without a word, and strangers that hold connections.
+
+use std::{
+    net::{SocketAddrV4, TcpStream},
+    time::{Duration, Instant},
+};
+
+use acacia_adapter_stand::store::Trouble;
+use acacia_node::cookie::exchange;
+use acacia_soak::{fleet::Fleet, proxy};
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use tokio::time::sleep;
+
+/// How long the next fetch from a balancer may take, whatever became of those before.
+const NEXT: Duration = Duration::from_secs(2);
+/// Balancers that fetch and are gone in the middle of it.
+const GONE: u8 = 16;
+/// How long they fetch before: several fetches each.
+const FETCHING: Duration = Duration::from_secs(6);
+
+async fn fleet(balancers: u8) -> Fleet {
+    Fleet::start(balancers, 1, Duration::from_millis(1))
+        .await
+        .expect("a deployment that starts")
+}
+
+fn silent(address: SocketAddrV4, count: usize) -> Vec<TcpStream> {
+    let connect = |_| TcpStream::connect(address).expect("a connection");
+    (0..count).map(connect).collect()
+}
+
+/// Connections that ask nothing take all places, and no peer is answered any more.
+#[rstest]
+#[case(8)]
+#[case(400)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_is_answered_beside_connections_that_ask_nothing(#[case] count: usize) {
+    let fleet = fleet(1).await;
+    let held = silent(fleet.control(0), count);
+    sleep(Duration::from_millis(100)).await;
+
+    let start = Instant::now();
+    let fetched = exchange::fetch(fleet.control(0), 0).await;
+
+    assert!(fetched.is_ok(), "{fetched:?}");
+    assert!(start.elapsed() <= NEXT, "{:?}", start.elapsed());
+    drop(held);
+}
+
+/// Peers are paused in the middle of a fetch, over a line on which their questions, or the answers,
+/// vanish. Then no other peer is answered.
+#[rstest]
+#[case::questions_vanish(proxy::Trouble::Silent)]
+#[case::answers_vanish(proxy::Trouble::OneWay)]
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_that_are_paused_in_a_fetch_keep_no_other_from_it(#[case] line: proxy::Trouble) {
+    let mut fleet = fleet(GONE + 1).await;
+    (1..=GONE).for_each(|number| fleet.kill(number));
+    fleet.store.set_trouble(Trouble::Silent);
+    let relay = fleet.relay(0).expect("a relay");
+    relay.set_connection_trouble(line);
+    for number in 1..=GONE {
+        fleet.launch(number).expect("a balancer that starts");
+    }
+    sleep(FETCHING).await;
+    for number in 1..=GONE {
+        fleet.signal(number, Signal::SIGSTOP).expect("a signal");
+    }
+
+    let start = Instant::now();
+    let fetched = exchange::fetch(fleet.control(0), 0).await;
+
+    assert!(fetched.is_ok(), "{fetched:?}");
+    assert!(start.elapsed() <= NEXT, "{:?}", start.elapsed());
+}
--- a/crates/soak/tests/it/main.rs
+++ b/crates/soak/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Real balancers before stand-ins of the users' platform.
 
 mod explain;
+mod gone;
 mod metrics;
 mod operators;
 mod output;
--- a/crates/stand/src/platform/serve.rs
+++ b/crates/stand/src/platform/serve.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use acacia_accept::{Limiter, Limits, listen};
 use acacia_platform::{
     machine::Machine,
     server,
@@ -24,6 +25,8 @@
 
 /// Connections at a time: as many as a test has balancers and operators.
 const CONNECTIONS: usize = 1000;
+/// How long a connection may stay: longer than any test.
+const LIFETIME: Duration = Duration::from_secs(24 * 3_600);
 
 /// A running stand-in for the platform.
 #[derive(Debug)]
@@ -64,20 +67,28 @@
             tasks: JoinSet::new(),
         };
         let (shared, stop) = (Arc::clone(&stand.shared), stand.stop.clone());
-        stand
-            .tasks
-            .spawn(server::listen(listener, stop, CONNECTIONS, move |stream| {
+        stand.tasks.spawn(listen(
+            listener,
+            stop,
+            limiter("store"),
+            move |stream, slot| {
+                slot.activate();
                 platform(stream, Arc::clone(&shared))
-            }));
+            },
+        ));
         let (shared, stop) = (Arc::clone(&stand.shared), stand.stop.clone());
-        stand
-            .tasks
-            .spawn(server::listen(steering, stop, CONNECTIONS, move |stream| {
+        stand.tasks.spawn(listen(
+            steering,
+            stop,
+            limiter("steering"),
+            move |stream, slot| {
+                slot.activate();
                 let steer = Steer(Arc::clone(&shared));
                 server::connection(stream, move |ctx, req| {
                     steer.clone().serve().serve(ctx, req)
                 })
-            }));
+            },
+        ));
         Ok(stand)
     }
 
@@ -135,6 +146,17 @@
     }
 }
 
+fn limiter(name: &'static str) -> Arc<Limiter> {
+    let limits = Limits {
+        pending: CONNECTIONS,
+        active: CONNECTIONS,
+        pending_for: LIFETIME,
+        active_for: LIFETIME,
+        stalled: LIFETIME,
+    };
+    Arc::new(Limiter::new(name, limits))
+}
+
 fn silence_open(inner: &mut Inner, _now: Duration) {
     inner.silent_below = inner.opened;
 }
