Test that a well balancer stays in rotation beside silent connections

What callers would see: a balancer that is well gets no packets, as sixteen strangers, or sixteen routers that were paused between two checks, held all places of the port for checks for 10 s each.

--- a/crates/soak/tests/it/gone.rs
+++ b/crates/soak/tests/it/gone.rs
@@ -1,11 +1,12 @@
 //! Peers that are gone without a word, and strangers that hold connections.
 
 use std::{
+    io::Write as _,
     net::{SocketAddrV4, TcpStream},
     time::{Duration, Instant},
 };
 
-use acacia_adapter_stand::store::Trouble;
+use acacia_adapter_stand::{routers, store::Trouble};
 use acacia_node::cookie::exchange;
 use acacia_soak::{fleet::Fleet, proxy};
 use nix::sys::signal::Signal;
@@ -74,3 +75,39 @@
     assert!(fetched.is_ok(), "{fetched:?}");
     assert!(start.elapsed() <= NEXT, "{:?}", start.elapsed());
 }
+
+/// Connections that ask nothing take all places, the routers' checks fail, and a balancer that is well
+/// gets no packets any more.
+#[rstest]
+#[case(16)]
+#[case(400)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_balancer_stays_in_rotation_beside_silent_connections(#[case] count: usize) {
+    let fleet = fleet(1).await;
+    let held = silent(fleet.ready(0), count);
+    sleep(Duration::from_secs(3)).await;
+
+    assert!(routers::is_ready(fleet.ready(0)).await);
+    assert_eq!(fleet.in_rotation(), 1);
+    drop(held);
+}
+
+/// The same where the connections are of routers that have asked before and were then paused.
+#[rstest]
+#[case(16)]
+#[case(100)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_balancer_stays_in_rotation_beside_paused_routers(#[case] count: usize) {
+    let fleet = fleet(1).await;
+    let mut held = silent(fleet.ready(0), count);
+    for router in &mut held {
+        router
+            .write_all(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            .expect("a question");
+    }
+    sleep(Duration::from_secs(3)).await;
+
+    assert!(routers::is_ready(fleet.ready(0)).await);
+    assert_eq!(fleet.in_rotation(), 1);
+    drop(held);
+}
