Take no long frame before the sender is known

What callers would see (IP transport): flows of one balancer end, as its VM ends it for want of memory.

Cause: frames of up to 1.1 MB were buffered whole before they were authenticated, on up to 512 connections.

Mend: before its first valid frame a connection takes none of over 512 bytes; a peer begins with an empty one, and seals anew what the last connection did not take whole. Ruled out by the order in which a frame is handed over: that one message arrives twice. Questions of peers and operators and heads of HTTP requests are bounded as well.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -18,6 +18,8 @@
 pub use ask::{Error, ask};
 pub use status::Status;
 
+/// Longest question in bytes, several times a legal one.
+const LONGEST_QUESTION: usize = 4_096;
 /// Connections of operators that ask, at a time.
 const ACTIVE: usize = 8;
 /// Connections on which nothing was asked yet, at a time.
@@ -103,7 +105,7 @@
             document: document.clone(),
             ledger: ledger.clone(),
         };
-        server::connection(stream, move |ctx, req| {
+        server::connection(stream, LONGEST_QUESTION, move |ctx, req| {
             slot.activate();
             answers.clone().serve().serve(ctx, req)
         })
--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -171,6 +171,15 @@
             .signal(signal)
     }
 
+    /// The most memory that balancer `id` has had resident at a time, in bytes.
+    ///
+    /// # Errors
+    /// When it does not run.
+    pub fn peak_memory(&self, id: u16) -> anyhow::Result<u64> {
+        let process = self.balancers.get(&id);
+        process.context("no such balancer")?.peak_memory()
+    }
+
     /// The balancers that were started and not ended.
     #[must_use]
     pub fn balancers(&self) -> Vec<u16> {
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -124,6 +124,19 @@
         Ok(())
     }
 
+    /// The most memory that the process has had resident at a time, in bytes.
+    ///
+    /// # Errors
+    /// When the process has ended.
+    pub fn peak_memory(&self) -> anyhow::Result<u64> {
+        let child = self.child.as_ref().context("the process was waited for")?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()))?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+        let kilobytes: u64 = kilobytes.context("no VmHWM")?.parse()?;
+        Ok(kilobytes << 10)
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         self.child
--- a/crates/e2e/tests/it/bad_input.rs
+++ b/crates/e2e/tests/it/bad_input.rs
@@ -1,11 +1,12 @@
 use std::{
     io::Write as _,
     net::{SocketAddr, TcpStream, UdpSocket},
+    time::Duration,
 };
 
 use acacia_e2e::deployment::Deployment;
 use acacia_wire::{
-    control::Secret,
+    control::{MAX_FRAME, Secret},
     encap::{MAX_HOPS, NO_SERVER, PORT, Purpose, Redirect, Told, encode},
 };
 use etherparse::PacketBuilder;
@@ -15,6 +16,8 @@
 
 use crate::fixture::{CALLER, assert_whole, drained, feeds, served};
 
+/// Memory of a balancer for control, in bytes.
+const MEMORY: u64 = 128 << 20;
 /// Datagrams of each kind.
 const EACH: usize = 400;
 /// Service that the packets claim to be for, as in the fixture's plan.
@@ -157,3 +160,30 @@
     }
     assert!(counts["encap-unknown"] > 0, "{counts:?}");
 }
+
+/// Strangers announce long frames and send all but the last byte, on hundreds of connections. Buffered
+/// before they are authenticated, the frames take the VM's memory, and the balancer is ended for it.
+#[test]
+fn strangers_that_announce_long_frames_take_little_memory() {
+    const STRANGERS: usize = 512;
+    let deployment = drained(1);
+    let control = deployment.control(1);
+    let frame = vec![0; MAX_FRAME - 1];
+
+    let strangers: Vec<TcpStream> = (0..STRANGERS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(control).unwrap();
+            stream
+                .set_write_timeout(Some(Duration::from_millis(500)))
+                .unwrap();
+            // The balancer may close at any moment, which is what it should do.
+            let _ = stream.write_all(&(MAX_FRAME as u64).to_be_bytes());
+            let _ = stream.write_all(&frame);
+            stream
+        })
+        .collect();
+
+    let peak = deployment.peak_memory(1).unwrap();
+    assert!(peak < MEMORY, "{} MiB", peak >> 20);
+    drop(strangers);
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -16,6 +16,9 @@
 /// within seconds; a connection that says nothing for longer only takes memory.
 const HEAD: Duration = Duration::from_secs(10);
 
+/// Longest head of a request in bytes, several times a usual one.
+const LONGEST_HEAD: usize = 16 << 10;
+
 /// Answers each request on a connection with what `respond` makes of it, until it ends.
 ///
 /// ```no_run
@@ -35,6 +38,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD)
+        .max_buf_size(LONGEST_HEAD)
         .serve_connection(TokioIo::new(stream), service_fn(answer));
     if let Err(error) = connection.await {
         log::debug!("event=connection-ended error={error:?}");
--- a/crates/node/src/cookie/exchange.rs
+++ b/crates/node/src/cookie/exchange.rs
@@ -29,6 +29,9 @@
 /// connection, each transfer was broken off and begun anew, and the new routes were in force nowhere.
 pub const FETCH: Duration = Duration::from_millis(2_000);
 
+/// Longest question in bytes, several times a legal one.
+const LONGEST_QUESTION: usize = 1_024;
+
 /// What a balancer is asked by its peers.
 #[tarpc::service]
 pub trait Peer {
@@ -97,7 +100,8 @@
 {
     let answers = Answers { difference };
     let handle = move |ctx, request| answers.clone().serve().serve(ctx, request);
-    server::connection_as(stream, MessagePack::default(), handle, idle).await;
+    let codec = MessagePack::default();
+    server::connection_as(stream, codec, LONGEST_QUESTION, handle, idle).await;
 }
 
 /// The answers as a tarpc service.
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -7,10 +7,28 @@
 /// just too long is counted as such; whoever announces more loses the connection.
 const MAX_ANNOUNCED: usize = MAX_FRAME + 4096;
 
-/// How frames follow each other on a connection.
+/// Longest first frame on a connection, several times the one that a peer opens it with. Without a
+/// valid frame it may be a stranger's, and hundreds of them could announce a megabyte each.
+const MAX_FIRST: usize = 512;
+
+/// How frames follow each other on a connection to a peer.
 pub(crate) fn codec() -> LengthDelimitedCodec {
+    limited(MAX_ANNOUNCED)
+}
+
+/// The same on one that was accepted and has carried no valid frame yet.
+pub(crate) fn unproved() -> LengthDelimitedCodec {
+    limited(MAX_FIRST)
+}
+
+/// Allows frames of any legal length, after a valid one.
+pub(crate) fn prove(codec: &mut LengthDelimitedCodec) {
+    codec.set_max_frame_length(MAX_ANNOUNCED);
+}
+
+fn limited(longest: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .length_field_length(LENGTH)
-        .max_frame_length(MAX_ANNOUNCED)
+        .max_frame_length(longest)
         .new_codec()
 }
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -11,7 +12,7 @@
 use tokio_util::codec::FramedRead;
 use tokio_util::sync::CancellationToken;
 
-use crate::frame::codec;
+use crate::frame;
 use crate::shared::Shared;
 use crate::{Error, Parcel, Received};
 
@@ -54,16 +55,20 @@
     /// Takes frames until the connection ends or is replaced.
     async fn serve(self, stream: TcpStream) {
         let replaced = CancellationToken::new();
-        let mut frames = FramedRead::new(stream, codec());
+        let mut frames = FramedRead::new(stream, frame::unproved());
         loop {
             let frame = tokio::select! {
                 () = replaced.cancelled() => return,
                 frame = frames.next() => frame,
             };
             match frame {
-                Some(Ok(frame)) => self.take(&frame, &replaced),
+                Some(Ok(frame)) => {
+                    if self.take(&frame, &replaced) {
+                        frame::prove(frames.decoder_mut());
+                    }
+                }
                 Some(Err(error)) => {
-                    log::debug!("event=connection_ended error={error:?}");
+                    self.note_end(&error);
                     return;
                 }
                 None => return,
@@ -71,7 +76,8 @@
         }
     }
 
-    fn take(&self, frame: &[u8], replaced: &CancellationToken) {
+    /// Takes a frame; false if it is not valid.
+    fn take(&self, frame: &[u8], replaced: &CancellationToken) -> bool {
         match check(&self.shared, frame) {
             Ok((envelope, body)) => {
                 self.slot.activate();
@@ -79,11 +85,24 @@
                 if let Some(message) = body {
                     self.deliver(Received { envelope, message });
                 }
+                true
+            }
+            Err(error) => {
+                self.shared.lock().count_refused(&error);
+                false
             }
-            Err(error) => self.shared.lock().count_refused(&error),
         }
     }
 
+    /// The connection ended by itself, or announced a frame that is too long.
+    fn note_end(&self, error: &io::Error) {
+        if error.kind() == io::ErrorKind::InvalidData {
+            let oversized = Error::Frame(control::Error::Oversized);
+            self.shared.lock().count_refused(&oversized);
+        }
+        log::debug!("event=connection_ended error={error:?}");
+    }
+
     /// Closes the connection that a peer has replaced by this one. It may have gone silent in a way
     /// that its end never reaches us, and would stay open for long.
     fn replace(&self, sender: u16, replaced: &CancellationToken) {
--- a/crates/peer/src/send.rs
+++ b/crates/peer/src/send.rs
@@ -127,8 +127,11 @@
         }
     }
 
-    /// Sends what may pass; gives why it can't any more.
+    /// Opens the connection and sends what may pass; gives why it can't any more.
     async fn send(&mut self, mut writer: Writer) -> io::Error {
+        if let Err(error) = self.open(&mut writer).await {
+            return error;
+        }
         loop {
             if self.unsent.is_none() {
                 self.unsent = self.shared.lock().next_frame(self.id);
@@ -145,6 +148,18 @@
         }
     }
 
+    async fn open(&mut self, writer: &mut Writer) -> io::Result<()> {
+        let opening = self.shared.lock().opening(self.id);
+        if let Some(opening) = opening {
+            writer.send(opening.bytes.clone()).await?;
+            self.shared.lock().count_sent(self.id, opening.bytes.len());
+        }
+        if let Some(frame) = self.unsent.take() {
+            self.unsent = self.shared.lock().reseal(self.id, frame);
+        }
+        Ok(())
+    }
+
     /// Waits for something to send.
     async fn wait(&self) {
         let queued = self.shared.lock().queued(self.id);
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -38,6 +38,9 @@
 /// A frame to send.
 pub(crate) struct Frame {
     pub(crate) bytes: Bytes,
+    /// What it carries, to be sealed again for another connection.
+    body: Option<Vec<u8>>,
+    incarnation: u64,
 }
 
 impl State {
@@ -140,6 +143,27 @@
         if body.is_none() && !idle {
             return None;
         }
+        self.seal(id, body)
+    }
+
+    /// The frame that a new connection begins with. It carries nothing and is short: before the first
+    /// valid frame, a receiver takes no long one.
+    pub(crate) fn opening(&mut self, id: u16) -> Option<Frame> {
+        self.seal(id, None)
+    }
+
+    /// A frame that the last connection did not take whole, with a later number than the opening of
+    /// the new one; none if this balancer has joined anew since.
+    pub(crate) fn reseal(&mut self, id: u16, frame: Frame) -> Option<Frame> {
+        if frame.incarnation != self.settings.incarnation {
+            return None;
+        }
+        self.seal(id, frame.body)
+    }
+
+    fn seal(&mut self, id: u16, body: Option<Vec<u8>>) -> Option<Frame> {
+        let now = self.now();
+        let peer = self.peers.get_mut(&id)?;
         peer.last_frame = Some(now);
         self.sequence += 1;
         let sequence = self.sequence;
@@ -162,6 +186,8 @@
         self.bucket.charge(bytes.len() + LENGTH);
         Some(Frame {
             bytes: bytes.into(),
+            body: parcel.body,
+            incarnation,
         })
     }
 
--- a/crates/peer/tests/it/strangers.rs
+++ b/crates/peer/tests/it/strangers.rs
@@ -1,7 +1,8 @@
 //! Connections of strangers, and of peers that are gone.
 
 use std::{
-    net::{SocketAddr, TcpStream},
+    io::{self, Read as _},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::atomic::{AtomicBool, Ordering},
     thread::{self, sleep},
     time::{Duration, Instant},
@@ -10,6 +11,7 @@
 use acacia_peer::{Class, Mesh, Received, Settings};
 use acacia_wire::control::Secret;
 use crossbeam_channel::Receiver;
+use socket2::{Domain, Socket, Type};
 
 /// How long the first message of a peer may take, whatever strangers do.
 const FIRST: Duration = Duration::from_secs(2);
@@ -20,10 +22,51 @@
     Mesh::open(settings, Secret::new(&[7; 32], None)).expect("opens")
 }
 
+/// A listener whose connections take little before it is read: a long frame waits at its sender.
+fn narrow(address: SocketAddr) -> TcpListener {
+    const TAKEN: usize = 8 << 10;
+    const BACKLOG: i32 = 8;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(TAKEN).expect("a socket");
+    socket.bind(&address.into()).expect("a free port");
+    socket.listen(BACKLOG).expect("listens");
+    socket.into()
+}
+
 fn address(net: u8, id: u8) -> SocketAddr {
     SocketAddr::from(([127, 11, net, id], 47_300))
 }
 
+/// A connection ends in the middle of a long frame. The frame comes over the next connection, once,
+/// though a receiver takes no long frame before it knows the sender.
+#[test]
+fn a_long_frame_that_was_cut_off_comes_whole_over_the_next_connection() {
+    let ((one, _), (two, inbox)) = (open(2, 1), open(2, 2));
+    let listener = narrow(address(2, 3));
+    let text = "x".repeat(1 << 20);
+    let carried = thread::spawn(move || {
+        let (mut cut, _) = listener.accept().expect("a connection");
+        cut.read_exact(&mut [0; 100_000])
+            .expect("a part of the frame");
+        drop(cut);
+        let (mut near, _) = listener.accept().expect("a second connection");
+        let mut far = TcpStream::connect(address(2, 2)).expect("the peer");
+        io::copy(&mut near, &mut far)
+    });
+
+    one.set_peers(&[(2, address(2, 3))]);
+    one.send(2, Class::Urgent, &text).expect("queued");
+
+    let received = inbox
+        .recv_timeout(Duration::from_secs(20))
+        .expect("arrives");
+    assert!(received.message == text);
+    one.close();
+    carried.join().expect("no panic").expect("carried");
+    assert!(inbox.try_recv().is_err(), "twice");
+    two.close();
+}
+
 /// Connections that say nothing take all places, and no peer is heard any more.
 #[test]
 fn a_peer_is_heard_while_strangers_hold_connections() {
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -3,6 +3,8 @@
 //! tarpc's own helper spawns each request and forgets it. Here a connection that ends takes its
 //! handlers with it (a waiting watch included), so that a stopping server leaves no task behind.
 
+mod frame;
+
 use std::{
     io,
     pin::{Pin, pin},
@@ -12,32 +14,34 @@
 use serde::{Deserialize, Serialize};
 use tarpc::{
     ClientMessage, Response, ServerError, context,
-    serde_transport::Transport,
     server::{BaseChannel, Channel, TrackedRequest},
-    tokio_serde::{Deserializer, Serializer, formats::Json},
+    tokio_serde::{Deserializer, Framed as Messages, Serializer, formats::Json},
+    tokio_util::codec::Framed,
 };
 use tokio::{net::TcpStream, task::JoinSet, time};
 
 /// Serves one accepted connection until the peer closes it or breaks the protocol. `handle` is
-/// mostly a closure around a service's `serve`. Dropping the future ends all its handlers.
+/// mostly a closure around a service's `serve`. Dropping the future ends all its handlers. Requests of
+/// more than `longest` bytes end the connection.
 ///
 /// ```no_run
 /// # use acacia_platform::server;
 /// # async fn example() -> std::io::Result<()> {
 /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
 /// let (stream, _) = listener.accept().await?;
-/// server::connection(stream, async move |_, _: String| Ok(String::from("answer"))).await;
+/// let answer = async |_, _: String| Ok(String::from("answer"));
+/// server::connection(stream, 1_024, answer).await;
 /// # Ok(())
 /// # }
 /// ```
-pub async fn connection<Req, Resp, H, F>(stream: TcpStream, handle: H)
+pub async fn connection<Req, Resp, H, F>(stream: TcpStream, longest: usize, handle: H)
 where
     Req: for<'a> Deserialize<'a>,
     Resp: Serialize + Send + 'static,
     H: Fn(context::Context, Req) -> F,
     F: Future<Output = Result<Resp, ServerError>> + Send + 'static,
 {
-    connection_as(stream, Json::default(), handle, || {}).await;
+    connection_as(stream, Json::default(), longest, handle, || {}).await;
 }
 
 /// The same with messages encoded by `codec`. `idle` is called whenever all requests so far have been
@@ -48,12 +52,13 @@
 /// # use tarpc::tokio_serde::formats::Json;
 /// # async fn example(stream: tokio::net::TcpStream) {
 /// let answer = async |_, _: String| Ok(String::from("answer"));
-/// server::connection_as(stream, Json::default(), answer, || {}).await;
+/// server::connection_as(stream, Json::default(), 1_024, answer, || {}).await;
 /// # }
 /// ```
 pub async fn connection_as<Req, Resp, C, E, H, F>(
     stream: TcpStream,
     codec: C,
+    longest: usize,
     handle: H,
     idle: impl Fn(),
 ) where
@@ -68,7 +73,9 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let transport = Transport::from((stream, codec));
+    let frames = Framed::new(stream, frame::Codec::new(longest));
+    let transport: Messages<_, ClientMessage<Req>, Response<Resp>, C> =
+        Messages::new(frames, codec);
     pump(BaseChannel::with_defaults(transport), handle, idle).await;
 }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -236,6 +236,16 @@
         }
     }
 
+    /// The most memory that a balancer's process has had resident at a time, in bytes.
+    ///
+    /// # Errors
+    /// When it does not run.
+    pub fn peak_memory(&self, number: u8) -> anyhow::Result<u64> {
+        let balancer = self.balancers.get(&number);
+        let process = balancer.and_then(|balancer| balancer.process.as_ref());
+        process.context("no such process")?.peak_memory()
+    }
+
     /// Whether a balancer's process runs.
     pub fn is_running(&mut self, number: u8) -> bool {
         let process = self
--- a/crates/soak/tests/it/gone.rs
+++ b/crates/soak/tests/it/gone.rs
@@ -15,6 +15,10 @@
 
 /// How long the next fetch from a balancer may take, whatever became of those before.
 const NEXT: Duration = Duration::from_secs(2);
+/// Bytes of a question that a stranger announces.
+const LONG: usize = 2 << 20;
+/// Memory of a balancer for control, in bytes.
+const MEMORY: u64 = 128 << 20;
 /// Balancers that fetch and are gone in the middle of it.
 const GONE: u8 = 16;
 /// How long they fetch before: several fetches each.
@@ -111,3 +115,24 @@
     assert_eq!(fleet.in_rotation(), 1);
     drop(held);
 }
+
+/// Strangers announce long questions and send all but the last byte, on hundreds of connections. Buffered
+/// whole, the questions take the VM's memory, and the balancer is ended for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_that_announce_long_questions_take_little_memory() {
+    let fleet = fleet(1).await;
+    let question = vec![0; LONG - 1];
+    let mut held = silent(fleet.control(0), 256);
+    for stranger in &mut held {
+        let timeout = Some(Duration::from_millis(500));
+        stranger.set_write_timeout(timeout).expect("a socket");
+        // The balancer may close at any moment, which is what it should do.
+        let _ = stranger.write_all(&(LONG as u32).to_be_bytes());
+        let _ = stranger.write_all(&question);
+    }
+
+    let peak = fleet.peak_memory(0).expect("a process");
+
+    assert!(peak < MEMORY, "{} MiB", peak >> 20);
+    drop(held);
+}
--- a/crates/stand/src/platform/serve.rs
+++ b/crates/stand/src/platform/serve.rs
@@ -23,6 +23,8 @@
     state::{Inner, Shared},
 };
 
+/// Longest call in bytes: a whole configuration, and as much again.
+const LONGEST_CALL: usize = 2 << 20;
 /// Connections at a time: as many as a test has balancers and operators.
 const CONNECTIONS: usize = 1000;
 /// How long a connection may stay: longer than any test.
@@ -84,7 +86,7 @@
             move |stream, slot| {
                 slot.activate();
                 let steer = Steer(Arc::clone(&shared));
-                server::connection(stream, move |ctx, req| {
+                server::connection(stream, LONGEST_CALL, move |ctx, req| {
                     steer.clone().serve().serve(ctx, req)
                 })
             },
@@ -174,7 +176,7 @@
     let mut changes = shared.changes();
     let down = shared.clone();
     let session = Session { shared, number };
-    let serve = server::connection(stream, move |ctx, req| {
+    let serve = server::connection(stream, LONGEST_CALL, move |ctx, req| {
         session.clone().serve().serve(ctx, req)
     });
     tokio::select! {
