Notice when a task ends that should not

What callers would see: changes late on one balancer that fetches nothing, dials a peer no more, or never learns of VMs that are gone. Found by reading, not seen.

Cause: results of tasks were dropped. A link that panicked was never started again, a fetch that panicked or was dropped left the flag that one is under way, and the list of VMs was read by a task whose end nobody looked at.

--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -20,7 +21,7 @@
 use crossbeam_channel::Sender;
 use tokio::{
     sync::mpsc::Receiver,
-    task::{AbortHandle, JoinSet, LocalSet},
+    task::{AbortHandle, JoinError, JoinSet, LocalSet},
 };
 
 use super::agreement::{Entry, Order};
@@ -87,18 +88,18 @@
             news: news.clone(),
             tasks: JoinSet::new(),
         };
-        calls
-            .tasks
-            .spawn_local(follow_machines(Arc::clone(&calls.client), news.clone()));
+        // A part of this task, so that a panic in it ends the service and doesn't go unnoticed.
+        let mut machines = pin!(follow_machines(Arc::clone(&calls.client), news.clone()));
         let mut watching = [None, None];
         loop {
             tokio::select! {
                 () = stopped(stop) => break,
+                never = &mut machines => never,
                 order = orders.recv() => match order {
                     Some(order) => calls.begin(order, &mut watching),
                     None => break,
                 },
-                Some(_) = calls.tasks.join_next() => {}
+                Some(ended) = calls.tasks.join_next() => note_end(ended),
             }
         }
         calls.tasks.shutdown().await;
@@ -129,8 +130,7 @@
         let (client, news) = (Arc::clone(&self.client), self.news.clone());
         let task = self.tasks.spawn_local(async move {
             let result = call(client, order).await;
-            // A full queue means that the control thread is stuck; it asks again when it goes on.
-            let _ = news.try_send(result);
+            tell(&news, result);
         });
         if let Some(slot) = slot
             && let Some(before) = watching[slot].replace(task)
@@ -203,10 +203,25 @@
     }
 }
 
-async fn follow_machines(client: Arc<Client>, news: Sender<News>) {
+/// Never waits: a full queue means that the control thread is stuck; it asks again when it goes on.
+fn tell(news: &Sender<News>, told: News) {
+    if news.try_send(told).is_err() {
+        log::warn!("event=platform-news-dropped");
+    }
+}
+
+/// A call that ends without an answer is made again once its asker has waited long enough.
+fn note_end(ended: Result<(), JoinError>) {
+    let Err(error) = ended else { return };
+    if !error.is_cancelled() {
+        log::error!("event=platform-call-panicked error=\"{error}\"");
+    }
+}
+
+async fn follow_machines(client: Arc<Client>, news: Sender<News>) -> ! {
     loop {
         if let Some(machines) = note(client.machines().await) {
-            let _ = news.try_send(News::Machines(machines));
+            tell(&news, News::Machines(machines));
         }
         tokio::time::sleep(MACHINES).await;
     }
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -160,8 +160,10 @@
             core::forget(&self.context.shards);
         }
         for order in outcome.orders {
-            // A full queue means a stuck platform thread; what it can't take is asked again.
-            let _ = self.context.orders.try_send(order);
+            // Never waits: a full queue means a stuck platform thread; what it can't take is asked again.
+            if self.context.orders.try_send(order).is_err() {
+                log::warn!("event=platform-order-dropped");
+            }
         }
         outcome
             .outgoing
--- a/crates/node/src/cookie/control.rs
+++ b/crates/node/src/cookie/control.rs
@@ -34,7 +34,7 @@
     /// Metrics.
     pub meters: Arc<Meters>,
     pub(super) limiters: Limiters,
-    pub(super) fetching: AtomicBool,
+    pub(super) fetching: Arc<AtomicBool>,
     /// Wakes the task that follows the store.
     pub wake: Notify,
     /// Wakes the task that publishes.
@@ -67,7 +67,7 @@
             counter,
             meters,
             limiters: Limiters::default(),
-            fetching: AtomicBool::new(false),
+            fetching: Arc::default(),
             wake: Notify::new(),
             changed: Notify::new(),
             doubt: Notify::new(),
--- a/crates/node/src/cookie/examine.rs
+++ b/crates/node/src/cookie/examine.rs
@@ -9,7 +9,11 @@
     trial::{Answer, Probe, Trial, WAIT},
 };
 use acacia_kernel::BoxError;
-use tokio::{sync::mpsc, task::JoinSet, time};
+use tokio::{
+    sync::mpsc,
+    task::{JoinError, JoinSet},
+    time,
+};
 
 use super::{
     control::Control,
@@ -136,7 +140,9 @@
 pub async fn examine_servers(control: Arc<Control>) -> Result<(), BoxError> {
     let mut examinations = JoinSet::new();
     loop {
-        while examinations.try_join_next().is_some() {}
+        while let Some(ended) = examinations.try_join_next() {
+            note_end(ended);
+        }
         let next = if examinations.len() < EXAMINATIONS {
             let (examination, next) = control.core(Core::examination);
             if !examination.is_empty() {
@@ -153,7 +159,14 @@
         tokio::select! {
             () = control.doubt.notified() => {}
             () = time::sleep(next.unwrap_or(IDLE).max(SHORTEST)) => {}
-            Some(_) = examinations.join_next() => {}
+            Some(ended) = examinations.join_next() => note_end(ended),
         }
     }
 }
+
+/// The servers of an examination without an end may be suspected again after a while.
+fn note_end(ended: Result<(), JoinError>) {
+    if let Err(error) = ended {
+        log::error!("event=examination-panicked error=\"{error}\"");
+    }
+}
--- a/crates/node/src/cookie/mod.rs
+++ b/crates/node/src/cookie/mod.rs
@@ -21,5 +21,6 @@
 pub mod settings;
 mod status;
 pub mod traffic;
+pub mod turn;
 
 pub use settings::Settings;
--- a/crates/node/src/cookie/receive.rs
+++ b/crates/node/src/cookie/receive.rs
@@ -1,18 +1,19 @@
 //! Gossip and news: what is sent to peers in rounds, and what comes from them.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use acacia_code::Code;
 use acacia_kernel::BoxError;
-use tokio::{task::JoinSet, time};
+use tokio::{
+    task::{JoinError, JoinSet},
+    time,
+};
 
 use super::{
     control::{Control, lock},
     exchange,
     message::Message,
+    turn::Turn,
 };
 
 /// Between two rounds of gossip. 500 ms: a balancer that is lost is noticed within six.
@@ -55,7 +56,9 @@
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => continue,
             Err(error) => return Err(error.into()),
         };
-        while fetches.try_join_next().is_some() {}
+        while let Some(ended) = fetches.try_join_next() {
+            note_end(ended);
+        }
         if let Some(fetch) = hear(&control, message).await {
             fetches.spawn(fetch);
         }
@@ -78,9 +81,10 @@
             outcome
         })
         .await;
-    if !missing || control.fetching.swap(true, Ordering::Relaxed) {
+    if !missing {
         return None;
     }
+    let turn = Turn::take(&control.fetching)?;
     let control = Arc::clone(control);
     Some(async move {
         let revision = control.core(|core, _| core.wanted());
@@ -92,11 +96,17 @@
             }
             Err(error) => log::info!("event=fetch-failed peer={from} error=\"{error}\""),
         }
-        control.fetching.store(false, Ordering::Relaxed);
+        drop(turn);
         control.wake.notify_one();
     })
 }
 
+fn note_end(ended: Result<(), JoinError>) {
+    if let Err(error) = ended {
+        log::error!("event=fetch-panicked error=\"{error}\"");
+    }
+}
+
 const fn control_code(error: acacia_wire::control::Error) -> Code {
     use acacia_wire::control::Error;
     match error {
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -10,3 +10,4 @@
 mod refused;
 mod settings;
 mod speed;
+mod turn;
--- a/crates/peer/src/send.rs
+++ b/crates/peer/src/send.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,9 +10,10 @@
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::JoinError;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
+use tokio_util::task::JoinMap;
 
 use crate::frame::codec;
 use crate::shared::Shared;
@@ -32,31 +32,37 @@
 /// Keeps one connection to each peer, until dropped.
 pub(crate) async fn run(shared: Arc<Shared>, seed: u64) {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let mut tasks = JoinSet::new();
-    let mut links: BTreeMap<u16, (SocketAddr, AbortHandle)> = BTreeMap::new();
+    let mut links: JoinMap<(u16, SocketAddr), ()> = JoinMap::new();
     loop {
         let peers = shared.lock().addresses();
-        links.retain(|id, (address, task)| {
-            let kept = peers.get(id) == Some(address);
-            if !kept {
-                task.abort();
-            }
-            kept
-        });
+        links.abort_matching(|(id, address)| peers.get(id) != Some(address));
         for (id, address) in peers {
-            links.entry(id).or_insert_with(|| {
-                let link = Link {
-                    shared: Arc::clone(&shared),
-                    id,
-                    address,
-                    random: Pcg64Mcg::seed_from_u64(random.random()),
-                    unsent: None,
-                };
-                (address, tasks.spawn(link.run()))
-            });
+            if links.contains_key(&(id, address)) {
+                continue;
+            }
+            let link = Link {
+                shared: Arc::clone(&shared),
+                id,
+                address,
+                random: Pcg64Mcg::seed_from_u64(random.random()),
+                unsent: None,
+            };
+            links.spawn((id, address), link.run());
         }
-        shared.peers_changed.notified().await;
-        while tasks.try_join_next().is_some() {}
+        tokio::select! {
+            () = shared.peers_changed.notified() => {}
+            Some(((id, address), ended)) = links.join_next() => note_end(id, address, ended).await,
+        }
+    }
+}
+
+/// A link ends by itself only by a fault. Its peer is dialled again, and not at once: the fault may
+/// come back.
+async fn note_end(id: u16, address: SocketAddr, ended: Result<(), JoinError>) {
+    let Err(error) = ended else { return };
+    if !error.is_cancelled() {
+        log::error!("event=link-panicked peer={id} address={address} error=\"{error}\"");
+        sleep(RECONNECT_MOST).await;
     }
 }
 
