Let no answer of the store get lost in a full queue

What callers would see (IP transport): changes in force late, as the balancer whose turn it is writes no tables any more. Found by reading, not seen.

Cause: an answer was dropped when the control thread's queue was full, and an order when the other thread's was; the writer of tables makes one call at a time and waits for its end for good.

Evidence: platform::answers_wait_for_a_control_thread_that_stands_still, with a queue of one, fails on the version before in 1 of 1 run and passes now.

Mend: answers wait for room, orders that can't be taken end as failed, both logged. Ruled out: the watches, which have a deadline; a deadline for the writer, as a late answer would pass for the next.

--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -18,11 +18,12 @@
 };
 use acacia_rollout::Answer;
 use acacia_tables::writer;
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Sender, TrySendError};
 use tokio::{
     sync::mpsc::Receiver,
-    task::{AbortHandle, JoinError, JoinSet, LocalSet},
+    task::{self, AbortHandle, JoinError, JoinSet, LocalSet},
 };
+use tokio_util::task::AbortOnDropHandle;
 
 use super::agreement::{Entry, Order};
 use crate::settings::Settings;
@@ -49,6 +50,23 @@
 }
 
 impl News {
+    /// How an order ends that was not carried out.
+    ///
+    /// ```
+    /// use acacia_node::control::{agreement::Order, platform::News};
+    /// assert!(!News::failed(&Order::ReadTables).is_answer());
+    /// ```
+    #[must_use]
+    pub fn failed(order: &Order) -> News {
+        match order {
+            Order::WatchConfig { .. } => News::Config(None),
+            Order::WatchTables { .. } => News::Tables(None),
+            Order::ReadTables => News::ReadTables(None),
+            // It may have been made in part: the next read tells.
+            Order::WriteTables { .. } => News::WroteTables(writer::Answer::Lost),
+        }
+    }
+
     /// Whether the platform's store has answered.
     #[must_use]
     pub fn is_answer(&self) -> bool {
@@ -129,8 +147,13 @@
         };
         let (client, news) = (Arc::clone(&self.client), self.news.clone());
         let task = self.tasks.spawn_local(async move {
-            let result = call(client, order).await;
-            tell(&news, result);
+            let failed = News::failed(&order);
+            let answer = AbortOnDropHandle::new(task::spawn_local(call(client, order)));
+            let answer = answer.await.unwrap_or_else(|error| {
+                log::error!("event=platform-call-panicked error=\"{error}\"");
+                failed
+            });
+            tell(&news, answer).await;
         });
         if let Some(slot) = slot
             && let Some(before) = watching[slot].replace(task)
@@ -203,25 +226,31 @@
     }
 }
 
-/// Never waits: a full queue means that the control thread is stuck; it asks again when it goes on.
-fn tell(news: &Sender<News>, told: News) {
-    if news.try_send(told).is_err() {
-        log::warn!("event=platform-news-dropped");
+/// Tells the control thread, as soon as its queue has room. Its asker makes no other call before the
+/// answer has come: one that was dropped would be the last.
+async fn tell(news: &Sender<News>, mut told: News) {
+    let mut waits = false;
+    while let Err(TrySendError::Full(unsent)) = news.try_send(told) {
+        if !waits {
+            log::warn!("event=platform-news-waits news={unsent:?}");
+        }
+        (told, waits) = (unsent, true);
+        tokio::time::sleep(LOOK).await;
     }
 }
 
-/// A call that ends without an answer is made again once its asker has waited long enough.
+/// A task that ends by a fault has told nothing; a watch that was replaced was told to end.
 fn note_end(ended: Result<(), JoinError>) {
     let Err(error) = ended else { return };
     if !error.is_cancelled() {
-        log::error!("event=platform-call-panicked error=\"{error}\"");
+        log::error!("event=platform-task-panicked error=\"{error}\"");
     }
 }
 
 async fn follow_machines(client: Arc<Client>, news: Sender<News>) -> ! {
     loop {
         if let Some(machines) = note(client.machines().await) {
-            tell(&news, News::Machines(machines));
+            tell(&news, News::Machines(machines)).await;
         }
         tokio::time::sleep(MACHINES).await;
     }
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service.rs
@@ -160,10 +160,7 @@
             core::forget(&self.context.shards);
         }
         for order in outcome.orders {
-            // Never waits: a full queue means a stuck platform thread; what it can't take is asked again.
-            if self.context.orders.try_send(order).is_err() {
-                log::warn!("event=platform-order-dropped");
-            }
+            self.order(now, order);
         }
         outcome
             .outgoing
@@ -186,6 +183,16 @@
         }
     }
 
+    /// Hands an order to the platform's thread. Never waits: one that a full queue doesn't take has
+    /// failed, and is told so to whoever waits for its end.
+    fn order(&mut self, now: Duration, order: Order) {
+        if let Err(error) = self.context.orders.try_send(order) {
+            let order = error.into_inner();
+            log::warn!("event=platform-order-dropped order={order:?}");
+            self.core.news(now, News::failed(&order));
+        }
+    }
+
     fn send(&self, outgoing: Outgoing) {
         // The mesh counts what it drops; a heartbeat's successor is due soon, the rest is repeated.
         let _ = self
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod cookie;
 mod freeze;
 mod metrics;
+mod platform;
 mod settings;
 mod status;
 mod traffic;
