Dial a peer that closes connections at once ever more rarely

What callers would see (IP transport): packets wait at a balancer that is full, as its peers dial it hundreds of times a second. Found by reading, not seen.

Cause: the pause between two attempts began anew with each connection that had opened, and one that the peer accepts and closes at once opens each time.

Mend: the pause begins anew only after a connection that lasted for 2 s.

--- a/crates/peer/src/send.rs
+++ b/crates/peer/src/send.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::task::JoinError;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
 use tokio_util::task::JoinMap;
 
@@ -27,6 +27,10 @@
 /// without power answers nothing at all.
 const RECONNECT_MOST: Duration = Duration::from_secs(2);
 
+/// A connection that lasted for so long was wanted by the peer. One that accepts and closes at once has
+/// no place for it, and is dialled ever more rarely.
+const STABLE: Duration = RECONNECT_MOST;
+
 type Writer = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
 /// Keeps one connection to each peer, until dropped.
@@ -91,18 +95,23 @@
         loop {
             let (id, address) = (self.id, self.address);
             match self.connect().await {
-                Ok(stream) => match self.serve(stream).await {
-                    End::Silent => {
-                        self.shared.lock().redialled(id);
-                        let code = Code::ControlSilent;
-                        log::warn!("event=redial code={code} peer={id} address={address}");
-                        continue;
+                Ok(stream) => {
+                    let opened = Instant::now();
+                    match self.serve(stream).await {
+                        End::Silent => {
+                            self.shared.lock().redialled(id);
+                            let code = Code::ControlSilent;
+                            log::warn!("event=redial code={code} peer={id} address={address}");
+                            continue;
+                        }
+                        End::Closed(error) => {
+                            log::debug!("event=connection_ended peer={id} error={error:?}");
+                        }
                     }
-                    End::Closed(error) => {
-                        log::debug!("event=connection_ended peer={id} error={error:?}");
+                    if opened.elapsed() >= STABLE {
                         pause = RECONNECT;
                     }
-                },
+                }
                 Err(error) => {
                     log::debug!("event=dial_failed peer={id} address={address} error={error:?}");
                 }
--- a/crates/peer/tests/it/strangers.rs
+++ b/crates/peer/tests/it/strangers.rs
@@ -67,6 +67,28 @@
     two.close();
 }
 
+/// A peer is full: it accepts connections and closes them at once. Dialled again without a pause by all
+/// others, it has to bear hundreds of connections a second besides.
+#[test]
+fn a_peer_that_closes_connections_at_once_is_dialled_ever_more_rarely() {
+    /// Those of an attempt every 100 ms to 2 s, doubling, with half of each wait at random.
+    const MOST: usize = 20;
+    let listener = TcpListener::bind(address(3, 2)).expect("a free port");
+    listener.set_nonblocking(true).expect("a socket");
+    let (one, _) = open(3, 1);
+    one.set_peers(&[(2, address(3, 2))]);
+
+    let end = Instant::now() + Duration::from_secs(10);
+    let mut dialled = 0;
+    while Instant::now() < end {
+        dialled += usize::from(listener.accept().is_ok());
+        sleep(Duration::from_millis(5));
+    }
+
+    assert!((4..=MOST).contains(&dialled), "{dialled} connections");
+    one.close();
+}
+
 /// Connections that say nothing take all places, and no peer is heard any more.
 #[test]
 fn a_peer_is_heard_while_strangers_hold_connections() {
