--- a/crates/e2e/tests/it/main.rs
+++ b/crates/e2e/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod change;
 mod cut;
 mod fixture;
+mod known_red;
 mod platform;
 mod shutdown;
 mod stand_in;
