Ask who knew more when a balancer started, once the store has had its time

Cause: answers within the first 250 ms tell that peers know more, and were forgotten; after that a living balancer tells two members a round at random, of seventeen of whom sixteen were paused.

Evidence: log of such a run, peers found within 3 ms and nothing fetched; the model (a_balancer_that_starts_among_paused_ones_learns_all_from_one_that_lives) fails before.

Mend: it remembers one that knew more and asks it in each round until it has a configuration.

--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -103,6 +103,8 @@
     control_is_near: bool,
     /// Whether a step of the configuration was missed, so that the whole is to be fetched.
     missed: bool,
+    /// Who knew more while this balancer waited for the store's first answer.
+    informant: Option<SocketAddrV4>,
     random: Pcg64,
     /// This balancer's place in the spread of readings.
     share: f64,
@@ -152,6 +154,7 @@
             isolated: false,
             control_is_near: false,
             missed: false,
+            informant: None,
             share: random.random(),
             random,
             reads: false,
@@ -346,6 +349,9 @@
         }
         let behind = self.missed || known.revision > self.catalog.revision();
         outcome.fetch = behind && !self.is_reading_first(now);
+        if behind && !outcome.fetch {
+            self.informant = Some(sender);
+        }
         let doubted = self.doubt(&silent, &from, now);
         outcome.examine |= doubted.examine;
         outcome.changed |= doubted.changed;
@@ -374,7 +380,7 @@
     ///
     /// When a whole fleet starts at once, hundreds of whole catalogs would be fetched from the same three
     /// seeds, while the store answers everybody in milliseconds.
-    fn is_reading_first(&self, now: Duration) -> bool {
+    pub(super) fn is_reading_first(&self, now: Duration) -> bool {
         let waits = self.reading.fresh().is_none() && self.reading.is_sighted();
         waits && now < self.born + FIRST
     }
--- a/crates/node/src/cookie/core/gossip.rs
+++ b/crates/node/src/cookie/core/gossip.rs
@@ -47,12 +47,28 @@
         }
         let message = self.gossip_message(others.is_empty(), now);
         let round = Parcel { to, message };
-        [Some(round), self.tell_seen(now)]
+        [Some(round), self.question(now), self.tell_seen(now)]
             .into_iter()
             .flatten()
             .collect()
     }
 
+    /// A balancer that has no configuration yet asks the one that knew more when it started, now that
+    /// the store has had its time. Left to chance, it would wait for long where most of those that it
+    /// has heard of are paused.
+    fn question(&self, now: Duration) -> Option<Parcel> {
+        if self.is_informed() || self.is_reading_first(now) {
+            return None;
+        }
+        let message = Message {
+            // What is asked is short: the answer's head tells how much is known.
+            unknown: vec![self.own.address],
+            ..self.message(now)
+        };
+        let to = vec![self.informant?];
+        Some(Parcel { to, message })
+    }
+
     /// Tells all of the own data centre that this balancer leaves.
     pub fn leave(&mut self, now: Duration) -> Vec<Parcel> {
         self.own.leaving = true;
--- a/crates/node/tests/it/cookie/core.rs
+++ b/crates/node/tests/it/cookie/core.rs
@@ -101,6 +101,25 @@
     assert_eq!((core.version(), core.revision()), (Some(5), 5));
 }
 
+/// The store is away, and most balancers that one which starts has heard of are paused. It must not
+/// depend on chance when it learns all from one that lives, or its callers are served by nobody.
+#[test]
+fn a_balancer_that_starts_among_paused_ones_learns_all_from_one_that_lives() {
+    let mut fleet = Fleet::new(61, &["a", "b", "c"]);
+    let first = fleet.first();
+    fleet.tell(first, vec![config(5, 3)], 5);
+    let new = fleet.join(200, "b");
+    let now = fleet.now;
+    let asked = fleet.cores.get_mut(&new).expect("a balancer").gossip(now);
+    fleet.deliver(asked);
+    let others = fleet.cores.keys().copied();
+    fleet.lost = others.filter(|one| ![first, new].contains(one)).collect();
+
+    fleet.rounds(1);
+
+    assert!(fleet.cores[&new].is_informed());
+}
+
 /// A whole fleet starts at once and hears from the same seeds that they know more. While the store
 /// answers everybody in milliseconds, nobody may fetch the whole catalog from a seed; where it doesn't,
 /// everybody must.
--- a/crates/soak/tests/it/gone.rs
+++ b/crates/soak/tests/it/gone.rs
@@ -11,7 +11,7 @@
 use acacia_soak::{fleet::Fleet, proxy};
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How long the next fetch from a balancer may take, whatever became of those before.
 const NEXT: Duration = Duration::from_secs(2);
@@ -21,6 +21,8 @@
 const MEMORY: u64 = 128 << 20;
 /// Balancers that fetch and are gone in the middle of it.
 const GONE: u8 = 16;
+/// From the start of a process to its first fetch, on a busy machine.
+const START: Duration = Duration::from_secs(2);
 /// How long they fetch before: several fetches each.
 const FETCHING: Duration = Duration::from_secs(6);
 
@@ -136,3 +138,30 @@
     assert!(peak < MEMORY, "{} MiB", peak >> 20);
     drop(held);
 }
+
+/// Most balancers are paused in the middle of a fetch and the store is away. One that starts then must
+/// learn all from one that lives, or its callers are served by nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_balancer_that_starts_among_paused_ones_serves() {
+    const LATER: u8 = GONE + 1;
+    let mut fleet = fleet(LATER + 1).await;
+    (1..=LATER).for_each(|number| fleet.kill(number));
+    fleet.store.set_trouble(Trouble::Silent);
+    for number in 1..=GONE {
+        fleet.launch(number).expect("a balancer that starts");
+    }
+    sleep(FETCHING).await;
+    for number in 1..=GONE {
+        fleet.signal(number, Signal::SIGSTOP).expect("a signal");
+    }
+
+    fleet.launch(LATER).expect("a balancer that starts");
+
+    let ready = async {
+        while !fleet.log(LATER).contains("event=ready") {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let ready = timeout(START + NEXT, ready).await;
+    assert!(ready.is_ok(), "{}", fleet.log(LATER));
+}
