Count what full queues drop, and what the mesh refuses

A balancer's queues to peers, its inbox, and the queues between its threads dropped what they could not take without a metric, and mostly without a line: the next fault of this class would again show nothing. Statsd gets the counts of the mesh, both transports count notices that control does not take.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -39,8 +39,8 @@
     pub document: Option<Arc<str>>,
     /// Bytes of control messages since the start.
     pub traffic: Traffic,
-    /// Connections that peers and strangers have opened to the control port.
-    pub connections: acacia_accept::Stats,
+    /// Counts of the control messages and connections.
+    pub mesh: acacia_peer::Stats,
 }
 
 /// The latest account.
@@ -97,7 +97,7 @@
             status,
             document,
             traffic: self.meter.read(&stats),
-            connections: stats.connections,
+            mesh: stats,
         }));
     }
 
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -76,7 +76,9 @@
         }
         for notice in resolver.take_notices(clock::now()) {
             // A full queue loses the notice; the next copy of the packet makes another.
-            let _ = context.notices.try_send(notice);
+            if context.notices.try_send(notice).is_err() {
+                context.counter.kind(Kind::Untold, 1);
+            }
         }
     })
 }
--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -22,6 +22,8 @@
     Ended,
     /// Not taken by the kernel for sending.
     Unsent,
+    /// A notice or counts for the control thread that its full queue did not take.
+    Untold,
 }
 
 /// Every kind with its name in metrics.
@@ -32,6 +34,7 @@
     (Kind::Refused, "refused"),
     (Kind::Ended, "ended"),
     (Kind::Unsent, "unsent"),
+    (Kind::Untold, "untold"),
 ];
 
 /// The counts of one balancer since its start. Threads add without locks.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -125,8 +125,11 @@
         let kinds = KINDS.iter().map(|(kind, name)| (*name, counter.of(*kind)));
         let codes = counter.codes();
         let codes = codes.iter().map(|(code, count)| (code.label(), *count));
-        let closed = account.connections.closed();
-        for (name, count) in kinds.chain(codes).chain(closed) {
+        let mut counts = account.mesh.counts();
+        for (name, count) in kinds.chain(codes) {
+            *counts.entry(name).or_default() += count;
+        }
+        for (name, count) in counts {
             let before = self.counts.insert(name, count).unwrap_or(0);
             if count > before {
                 let delta = i64::try_from(count - before).unwrap_or(i64::MAX);
--- a/crates/node/src/traffic/worker.rs
+++ b/crates/node/src/traffic/worker.rs
@@ -77,7 +77,9 @@
         }
         for counts in desk.drain(now) {
             // A full queue loses half a second of counts; estimates go on with the next.
-            let _ = context.counts.try_send(counts);
+            if context.counts.try_send(counts).is_err() {
+                context.counter.kind(Kind::Untold, 1);
+            }
         }
     })
 }
@@ -158,7 +160,9 @@
     ) -> Result<(), Code> {
         if let Some(notice) = verdict.notice {
             // A full queue loses the notice: that costs a redirect or a repetition, no flow.
-            let _ = self.context.notices.try_send(notice);
+            if self.context.notices.try_send(notice).is_err() {
+                self.context.counter.kind(Kind::Untold, 1);
+            }
         }
         let counter = &self.context.counter;
         match verdict.action {
--- a/crates/node/tests/it/metrics.rs
+++ b/crates/node/tests/it/metrics.rs
@@ -12,6 +12,7 @@
     counter::{Counter, KINDS, Kind},
     metrics::{Reporter, Traffic},
 };
+use acacia_peer::Stats;
 
 fn statsd() -> (UdpSocket, SocketAddrV4) {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -47,6 +48,10 @@
             ..Status::default()
         },
         traffic: Traffic { sent, received: 0 },
+        mesh: Stats {
+            inbox_full: sent / 1_000,
+            ..Stats::default()
+        },
         ..Account::default()
     };
 
@@ -58,13 +63,24 @@
     reporter.report(&account(3_000), &counter);
     let second = receive(&socket);
 
-    for line in ["ingress:5|c", "packet-truncated:1|c", "revision:8|g"] {
+    let lines = [
+        "ingress:5|c",
+        "packet-truncated:1|c",
+        "control_inbox_full:1|c",
+        "revision:8|g",
+    ];
+    for line in lines {
         assert!(
             first.contains(&format!("acaciatrack.3.{line}")),
             "{first:?}"
         );
     }
-    for line in ["ingress:2|c", "control_sent_per_second:200|g"] {
+    let lines = [
+        "ingress:2|c",
+        "control_inbox_full:2|c",
+        "control_sent_per_second:200|g",
+    ];
+    for line in lines {
         assert!(
             second.contains(&format!("acaciatrack.3.{line}")),
             "{second:?}"
@@ -74,6 +90,8 @@
     let page = include_str!("../../../../docs/METRICS.md");
     let gauges = second.iter().filter_map(|line| line.strip_suffix("|g"));
     let names = gauges.map(|line| line.split([':', '.']).nth(2).unwrap());
+    let mesh = Stats::default().counts();
+    let names = names.chain(mesh.keys().copied());
     for name in names.chain(KINDS.iter().map(|(_, name)| *name)) {
         assert!(page.contains(&format!("| `{name}` |")), "{name} is missing");
     }
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -119,6 +119,7 @@
     fn deliver(&self, received: Received<T>) {
         if let Err(TrySendError::Full(_)) = self.inbox.try_send(received) {
             self.shared.lock().stats.inbox_full += 1;
+            log::warn!("event=inbox_full");
         }
     }
 }
--- a/crates/peer/src/stats.rs
+++ b/crates/peer/src/stats.rs
@@ -31,3 +31,25 @@
     /// Connections that peers and strangers have opened.
     pub connections: acacia_accept::Stats,
 }
+
+impl Stats {
+    /// What was dropped, refused, closed or replaced, by the name of its metric. Counts of a peer are
+    /// gone with it.
+    ///
+    /// ```
+    /// let stats = acacia_peer::Stats { inbox_full: 2, ..Default::default() };
+    /// assert_eq!(stats.counts()["control_inbox_full"], 2);
+    /// ```
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<&'static str, u64> {
+        let sum = |of: fn(&Traffic) -> u64| self.peers.values().map(of).sum();
+        let mut counts = BTreeMap::from(self.connections.closed());
+        counts.insert("control_inbox_full", self.inbox_full);
+        counts.insert("control_dropped", sum(|peer| peer.dropped));
+        counts.insert("control_redials", sum(|peer| peer.redials));
+        for (code, count) in &self.refused {
+            counts.insert(code.label(), *count);
+        }
+        counts
+    }
+}
