Soak the transport where packets are IP

Every entry that the list of known failures has had was of the IP transport, and the soak played the cookie transport alone. The relay now lets the end of a connection vanish with its bytes, or waits for the end of a cut, as a network does.

--- a/crates/e2e/src/deployment.rs
+++ b/crates/e2e/src/deployment.rs
@@ -171,6 +171,15 @@
             .signal(signal)
     }
 
+    /// What balancer `id` has logged since it was started.
+    #[must_use]
+    pub fn log(&self, id: u16) -> String {
+        self.balancers
+            .get(&id)
+            .map(Process::log)
+            .unwrap_or_default()
+    }
+
     /// The most memory that balancer `id` has had resident at a time, in bytes.
     ///
     /// # Errors
--- a/crates/e2e/src/layout.rs
+++ b/crates/e2e/src/layout.rs
@@ -47,6 +47,12 @@
         self.network.port(host(id), CONTROL)
     }
 
+    /// Where balancer `id` answers operators.
+    #[must_use]
+    pub fn admin(&self, id: u16) -> SocketAddrV4 {
+        self.network.port(host(id), ADMIN)
+    }
+
     /// The settings of balancer `id`.
     pub(crate) fn settings(&self, id: u16) -> String {
         let at = |port| self.network.port(host(id), port);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,8 +5,11 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use acacia_soak::run::{Plan, Report, play};
-use clap::Parser;
+use acacia_soak::{
+    ip,
+    run::{Plan, Report, play},
+};
+use clap::{Parser, ValueEnum};
 use tokio::signal::unix::{SignalKind, signal};
 
 #[derive(Debug, Parser)]
@@ -34,6 +37,18 @@
     /// Faults between balancers of each run, besides.
     #[arg(long, default_value_t = 4)]
     mesh: usize,
+    /// How packets travel. Where they are IP, the number of balancers is fixed.
+    #[arg(long, value_enum, default_value_t = Transport::Cookie)]
+    transport: Transport,
+}
+
+/// How packets travel.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Transport {
+    /// With a cookie.
+    Cookie,
+    /// As IP.
+    Ip,
 }
 
 fn main() -> anyhow::Result<ExitCode> {
@@ -54,6 +69,12 @@
         if is_over {
             break;
         }
+        if arguments.transport == Transport::Ip {
+            let report = ip::play(seed, arguments.faults)?;
+            print_ip(seed, &report);
+            failed += usize::from(!report.breaches.is_empty());
+            continue;
+        }
         let plan = Plan {
             balancers: arguments.balancers,
             faults: arguments.faults,
@@ -120,3 +141,27 @@
         println!("{log}");
     }
 }
+
+fn print_ip(seed: u64, report: &ip::Report) {
+    let is_kept = report.breaches.is_empty();
+    let verdict = if is_kept { "kept" } else { "broken" };
+    println!("seed={seed} verdict={verdict}");
+    for line in &report.callers {
+        println!("  {}", line.trim());
+    }
+    if is_kept {
+        return;
+    }
+    for breach in &report.breaches {
+        println!("  {breach}");
+    }
+    for entry in &report.faults {
+        println!(
+            "  at={:?} lasts={:?} {:?}",
+            entry.at, entry.lasts, entry.fault
+        );
+    }
+    for log in &report.logs {
+        println!("{log}");
+    }
+}
--- a/crates/soak/tests/it/main.rs
+++ b/crates/soak/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod explain;
 mod gone;
+mod ip;
 mod metrics;
 mod operators;
 mod output;
--- a/crates/soak/tests/it/metrics.rs
+++ b/crates/soak/tests/it/metrics.rs
@@ -77,7 +77,7 @@
         .filter_map(|line| line.strip_prefix("# TYPE "))
         .filter_map(|line| line.split(' ').next())
         .collect();
-    assert_eq!(names.len(), 13, "{text}");
+    assert_eq!(names.len(), 14, "{text}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
--- a/crates/stand/src/relay.rs
+++ b/crates/stand/src/relay.rs
@@ -299,21 +299,33 @@
         loop {
             let len = from.read(&mut bytes).await?;
             if len == 0 {
-                return Ok(());
+                return self.end().await;
             }
             self.write(&bytes[..len], &mut to).await?;
         }
     }
 
-    /// Writes once the direction is not cut; writes nothing on a silent connection.
-    async fn write(&self, bytes: &[u8], to: &mut (impl AsyncWrite + Unpin)) -> io::Result<()> {
+    /// Waits until the direction is not cut; gives whether the connection is silent.
+    async fn is_silent(&self) -> bool {
         let mut faults = self.shared.faults.subscribe();
         let open = faults.wait_for(|faults| !faults.cut.contains(&self.direction));
-        let silent = open.await.is_ok_and(|faults| {
+        open.await.is_ok_and(|faults| {
             let below = faults.silent_below.get(&self.direction);
             below.is_some_and(|below| self.number < *below)
-        });
-        if silent {
+        })
+    }
+
+    /// The end of the input passes like bytes: after a cut, and never on a silent connection.
+    async fn end(&self) -> io::Result<()> {
+        if self.is_silent().await {
+            std::future::pending::<()>().await;
+        }
+        Ok(())
+    }
+
+    /// Writes once the direction is not cut; writes nothing on a silent connection.
+    async fn write(&self, bytes: &[u8], to: &mut (impl AsyncWrite + Unpin)) -> io::Result<()> {
+        if self.is_silent().await {
             return Ok(());
         }
         let (from, to_id) = self.direction;
