--- a/crates/load/tests/it/track.rs
+++ b/crates/load/tests/it/track.rs
@@ -108,6 +108,18 @@
 /// callers who opened flows were refused.
 #[test]
 fn later_lines_of_feeds_make_no_server_look_busy() {
+    feeds_make_no_server_look_busy(|_| 7 * 5);
+}
+
+/// The same where lines are so long that callers acknowledge each at once.
+#[test]
+fn later_long_lines_of_feeds_make_no_server_look_busy() {
+    feeds_make_no_server_look_busy(|lines| 3_000 * lines);
+}
+
+/// Feeds with a line a second; one to four lines after the caller's data, `acknowledged` bytes of them are
+/// acknowledged here.
+fn feeds_make_no_server_look_busy(acknowledged: fn(u32) -> u32) {
     let (mut tracker, mut tally) = (
         Tracker::new(1_000, Duration::from_secs(20)),
         Tally::new(1, 1),
@@ -131,16 +143,15 @@
     for second in 0..30u64 {
         for feed in 0..20u16 {
             let flow = (second as u16) << 8 | feed;
-            let (asked, acknowledged) = (
-                Duration::from_secs(second),
-                Duration::from_secs(second + 1 + u64::from(feed) % 4),
-            );
+            let lines = 1 + u32::from(feed) % 4;
+            let asked = Duration::from_secs(second);
+            let heard = asked + Duration::from_secs(lines.into());
             let mut data = packet(Kind::Middle, 30, 101, 500);
             data.key.client_port = flow;
             tracker.observe(&data, SERVER, 0, asked, &mut tally);
-            let mut line = packet(Kind::Middle, 0, 131, 500 + 7 * 5);
+            let mut line = packet(Kind::Middle, 0, 131, 500 + acknowledged(lines));
             line.key.client_port = flow;
-            tracker.observe(&line, SERVER, 0, acknowledged, &mut tally);
+            tracker.observe(&line, SERVER, 0, heard, &mut tally);
         }
         controller.absorb(&std::mem::replace(&mut tally, Tally::new(1, 1)));
         let (_, plan) = controller.tick(1, Duration::from_secs(second + 1));
