--- a/crates/soak/tests/it/gone.rs
+++ b/crates/soak/tests/it/gone.rs
@@ -13,6 +13,8 @@
 use rstest::rstest;
 use tokio::time::{sleep, timeout};
 
+use crate::metrics::scrape;
+
 /// How long the next fetch from a balancer may take, whatever became of those before.
 const NEXT: Duration = Duration::from_secs(2);
 /// Bytes of a question that a stranger announces.
@@ -165,3 +167,29 @@
     let ready = timeout(START + NEXT, ready).await;
     assert!(ready.is_ok(), "{}", fleet.log(LATER));
 }
+
+/// Connections that ask nothing keep operators and scrapers out, who then take the balancer for dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_and_scrapers_are_answered_beside_silent_connections() {
+    const COUNT: usize = 400;
+    let fleet = fleet(1).await;
+    let held = [fleet.admin(0), fleet.metrics(0)].map(|address| silent(address, COUNT));
+    sleep(Duration::from_millis(100)).await;
+
+    let status = acacia_api::ask(fleet.admin(0).into(), NEXT, async |admin, ctx| {
+        admin.status(ctx).await
+    })
+    .await;
+    let text = tokio::task::spawn_blocking({
+        let address = fleet.metrics(0);
+        move || scrape(address)
+    });
+    let text = timeout(NEXT, text)
+        .await
+        .expect("in time")
+        .expect("no panic");
+
+    assert!(status.is_ok(), "{status:?}");
+    assert!(text.starts_with("HTTP/1.1 200 OK"), "{text}");
+    drop(held);
+}
--- a/crates/soak/tests/it/metrics.rs
+++ b/crates/soak/tests/it/metrics.rs
@@ -7,7 +7,7 @@
 use acacia_adapter_stand::caller::End;
 use acacia_soak::fleet::Fleet;
 
-fn scrape(address: SocketAddrV4) -> String {
+pub fn scrape(address: SocketAddrV4) -> String {
     let mut stream = TcpStream::connect(address).expect("a connection");
     stream
         .write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
