--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -17,12 +17,12 @@
 }
 
 /// The same on one that was accepted and has carried no valid frame yet.
-pub(crate) fn unproved() -> LengthDelimitedCodec {
+pub(crate) fn pending_codec() -> LengthDelimitedCodec {
     limited(MAX_FIRST)
 }
 
 /// Allows frames of any legal length, after a valid one.
-pub(crate) fn prove(codec: &mut LengthDelimitedCodec) {
+pub(crate) fn allow_long(codec: &mut LengthDelimitedCodec) {
     codec.set_max_frame_length(MAX_ANNOUNCED);
 }
 
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -55,7 +55,7 @@
     /// Takes frames until the connection ends or is replaced.
     async fn serve(self, stream: TcpStream) {
         let replaced = CancellationToken::new();
-        let mut frames = FramedRead::new(stream, frame::unproved());
+        let mut frames = FramedRead::new(stream, frame::pending_codec());
         loop {
             let frame = tokio::select! {
                 () = replaced.cancelled() => return,
@@ -64,7 +64,7 @@
             match frame {
                 Some(Ok(frame)) => {
                     if self.take(&frame, &replaced) {
-                        frame::prove(frames.decoder_mut());
+                        frame::allow_long(frames.decoder_mut());
                     }
                 }
                 Some(Err(error)) => {
--- a/crates/peer/src/send.rs
+++ b/crates/peer/src/send.rs
@@ -163,6 +163,7 @@
         }
     }
 
+    /// Sends the frame that a connection begins with, and prepares the one that the last did not take.
     async fn open(&mut self, writer: &mut Writer) -> io::Result<()> {
         let opening = self.shared.lock().opening(self.id);
         if let Some(opening) = opening {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,6 +1,7 @@
 //! `acacia-soak`: plays seeds and tells which broke a promise.
 
 use std::{
+    fmt::Debug,
     process::ExitCode,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -116,52 +117,46 @@
 }
 
 fn print(seed: u64, report: &Report) {
-    let verdict = if report.breaches.is_empty() {
-        "kept"
-    } else {
-        "broken"
-    };
-    println!(
-        "seed={seed} verdict={verdict} during={:?} after={:?}",
-        report.tally.ends, report.recovered.ends
-    );
-    if report.breaches.is_empty() {
-        return;
-    }
-    for breach in &report.breaches {
-        println!("  {}", breach.0);
-    }
-    for entry in &report.faults {
-        println!(
-            "  at={:?} lasts={:?} {:?}",
-            entry.at, entry.lasts, entry.fault
-        );
-    }
-    for log in &report.logs {
-        println!("{log}");
-    }
+    let (during, after) = (&report.tally.ends, &report.recovered.ends);
+    let verdict = verdict(report.breaches.is_empty());
+    println!("seed={seed} verdict={verdict} during={during:?} after={after:?}");
+    let breaches = report.breaches.iter().map(|breach| &*breach.0);
+    let faults = report.faults.iter();
+    let faults = faults.map(|entry| told(entry.at, entry.lasts, &entry.fault));
+    explain(breaches, faults, &report.logs);
 }
 
 fn print_ip(seed: u64, report: &ip::Report) {
-    let is_kept = report.breaches.is_empty();
-    let verdict = if is_kept { "kept" } else { "broken" };
+    let verdict = verdict(report.breaches.is_empty());
     println!("seed={seed} verdict={verdict}");
     for line in &report.callers {
         println!("  {}", line.trim());
     }
-    if is_kept {
+    let breaches = report.breaches.iter().map(String::as_str);
+    let faults = report.faults.iter();
+    let faults = faults.map(|entry| told(entry.at, entry.lasts, &entry.fault));
+    explain(breaches, faults, &report.logs);
+}
+
+const fn verdict(is_kept: bool) -> &'static str {
+    if is_kept { "kept" } else { "broken" }
+}
+
+fn told(at: Duration, lasts: Duration, fault: &impl Debug) -> String {
+    format!("at={at:?} lasts={lasts:?} {fault:?}")
+}
+
+/// Shows what led to broken promises, if any were.
+fn explain<'a>(
+    breaches: impl Iterator<Item = &'a str>,
+    faults: impl Iterator<Item = String>,
+    logs: &[String],
+) {
+    let breaches: Vec<&str> = breaches.collect();
+    if breaches.is_empty() {
         return;
     }
-    for breach in &report.breaches {
-        println!("  {breach}");
-    }
-    for entry in &report.faults {
-        println!(
-            "  at={:?} lasts={:?} {:?}",
-            entry.at, entry.lasts, entry.fault
-        );
-    }
-    for log in &report.logs {
-        println!("{log}");
-    }
+    breaches.iter().for_each(|breach| println!("  {breach}"));
+    faults.for_each(|fault| println!("  {fault}"));
+    logs.iter().for_each(|log| println!("{log}"));
 }
