Cut the long frame of a test while its sender still holds a part of it

The test failed in 4 of 10 runs: the kernel had taken the whole frame before the connection was cut, as segments on loopback are 64 kB, and what it has taken is lost with the connection, as ever.

--- a/crates/peer/tests/it/strangers.rs
+++ b/crates/peer/tests/it/strangers.rs
@@ -25,9 +25,12 @@
 /// A listener whose connections take little before it is read: a long frame waits at its sender.
 fn narrow(address: SocketAddr) -> TcpListener {
     const TAKEN: usize = 8 << 10;
+    // By the size of a segment the sender's kernel decides how much it takes in advance.
+    const SEGMENT: u32 = 536;
     const BACKLOG: i32 = 8;
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     socket.set_recv_buffer_size(TAKEN).expect("a socket");
+    socket.set_tcp_mss(SEGMENT).expect("a socket");
     socket.bind(&address.into()).expect("a free port");
     socket.listen(BACKLOG).expect("listens");
     socket.into()
