--- a/crates/e2e/tests/it/bad_input.rs
+++ b/crates/e2e/tests/it/bad_input.rs
@@ -1,7 +1,8 @@
 use std::{
     io::Write as _,
     net::{SocketAddr, TcpStream, UdpSocket},
-    time::Duration,
+    thread::sleep,
+    time::{Duration, Instant},
 };
 
 use acacia_e2e::deployment::Deployment;
@@ -187,3 +188,27 @@
     assert!(peak < MEMORY, "{} MiB", peak >> 20);
     drop(strangers);
 }
+
+/// Strangers hold connections to a balancer while its peers have to dial it anew. Were they to hold all
+/// places, it would take all peers for dead and resolve flows by old tables.
+#[test]
+fn strangers_keep_no_balancer_from_hearing_its_peers() {
+    const STRANGERS: usize = 600;
+    let longer_than_until_dead = Duration::from_secs(10);
+    let deployment = drained(3);
+    let open = feeds(&deployment, 1, 24, 16);
+    let connect = || TcpStream::connect(deployment.control(1)).unwrap();
+
+    let mut held: Vec<TcpStream> = (0..STRANGERS).map(|_| connect()).collect();
+    deployment.silence(&[(2, 1), (3, 1)]).unwrap();
+    let end = Instant::now() + longer_than_until_dead;
+    while Instant::now() < end {
+        held.push(connect());
+        sleep(Duration::from_millis(10));
+    }
+
+    let log = deployment.log(1);
+    assert!(!log.contains("to: Dead"), "{log}");
+    let line = open.wait(CALLER).unwrap().output;
+    assert_eq!(assert_whole("feeds", &line)["lasted"], 24);
+}
