Take an answer that has come though its connection ends with it

What callers would see: a change in force half a second late on a balancer that fetched from a peer which ended just then; operators: no answer from a balancer that answered.

Cause: a call and the connection that carries it are polled in one task; where the answer and the end arrive together both are done at once, and one of them was picked at random.

Looked for elsewhere: operators' questions had the same.

--- a/crates/api/src/ask.rs
+++ b/crates/api/src/ask.rs
@@ -1,5 +1,6 @@
 use std::{net::SocketAddr, time::Duration};
 
+use acacia_platform::answer;
 use tarpc::{
     client::{self, RpcError},
     context::{self, Context},
@@ -46,11 +47,9 @@
     ctx.deadline = deadline.into_std();
     let admin = new.client;
     // The connection is served here and not by a task of its own: it ends with this call.
-    tokio::select! {
-        answer = time::timeout_at(deadline, question(&admin, ctx)) => match answer {
-            Ok(Ok(value)) => Ok(value),
-            Ok(Err(_)) | Err(_) => Err(Error::Silent),
-        },
-        _ = new.dispatch => Err(Error::Silent),
+    let call = time::timeout_at(deadline, question(&admin, ctx));
+    match answer::of(call, new.dispatch).await {
+        Ok(Ok(value)) => Ok(value),
+        Ok(Err(_)) | Err(_) => Err(Error::Silent),
     }
 }
--- a/crates/e2e/src/fault.rs
+++ b/crates/e2e/src/fault.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use acacia_platform::machine::{Machine, State};
+use acacia_platform::{
+    answer,
+    machine::{Machine, State},
+};
 use acacia_stand::{
     admin::{self, Command},
     platform::{
@@ -123,13 +126,7 @@
             let stream = TcpStream::connect(address).await?;
             let transport = Transport::from((stream, Json::default()));
             let new = ControlClient::new(client::Config::default(), transport);
-            tokio::select! {
-                answer = ask(&new.client) => Ok(answer?),
-                ended = new.dispatch => Err(ended.err().map_or_else(
-                    || anyhow::anyhow!("the connection ended"),
-                    anyhow::Error::from,
-                )),
-            }
+            Ok(answer::of(ask(&new.client), new.dispatch).await?)
         })
     }
 }
--- a/crates/node/src/cookie/exchange.rs
+++ b/crates/node/src/cookie/exchange.rs
@@ -10,7 +10,7 @@
 
 use std::{io, net::SocketAddrV4, time::Duration};
 
-use acacia_platform::server;
+use acacia_platform::{answer, server};
 use acacia_wire::control::{self, Envelope, Secret};
 use tarpc::{client, context, serde_transport::Transport, server::Serve as _};
 use tokio::{
@@ -83,13 +83,8 @@
     let mut ctx = context::current();
     ctx.deadline = deadline.into_std();
     // The connection is served here and not by a task of its own: it ends with this call.
-    tokio::select! {
-        answer = time::timeout_at(deadline, new.client.difference(ctx, revision)) => Ok(answer??),
-        ended = new.dispatch => {
-            ended?;
-            anyhow::bail!("the connection ended")
-        }
-    }
+    let call = time::timeout_at(deadline, new.client.difference(ctx, revision));
+    Ok(answer::of(call, new.dispatch).await??)
 }
 
 /// Answers a peer on one connection until it ends. `idle` is called whenever all that was asked has been
--- a/crates/node/tests/it/cookie/exchange.rs
+++ b/crates/node/tests/it/cookie/exchange.rs
@@ -13,6 +13,7 @@
 use tokio::{
     io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    sync::Notify,
     time::sleep,
 };
 
@@ -123,3 +124,38 @@
 
     assert_eq!(fetched, sent);
 }
+
+/// A peer ends just after it has answered. An answer that has come must not be given up because the
+/// connection ends in the same moment.
+#[tokio::test]
+async fn an_answer_counts_though_the_connection_ends_with_it() {
+    const FETCHES: usize = 200;
+    let (listener, address) = listener().await;
+    let sent = difference(vec![config(5, 3)]);
+    let answered = sent.clone();
+    let serve = async move {
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let answer = answered.clone();
+            let idle = Notify::new();
+            tokio::select! {
+                () = exchange::serve(stream, move |_| answer.clone(), || idle.notify_one()) => {}
+                () = idle.notified() => {}
+            }
+        }
+    };
+    let fetch = async {
+        let mut fetched = 0;
+        for _ in 0..FETCHES {
+            fetched += usize::from(exchange::fetch(address, 0).await.is_ok());
+        }
+        fetched
+    };
+
+    let fetched = tokio::select! {
+        fetched = fetch => fetched,
+        never = serve => never,
+    };
+
+    assert_eq!(fetched, FETCHES);
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! How a call travels is plugged in as a [`transport::Transport`]. The project's own is
 //! [`service::Platform`], a tarpc trait carried as JSON over TCP. [`server`] runs such a trait on an accepted connection.
 
+pub mod answer;
 pub mod apply;
 mod client;
 mod error;
