--- a/crates/node/src/cookie/core/gossip.rs
+++ b/crates/node/src/cookie/core/gossip.rs
@@ -61,7 +61,7 @@
             return None;
         }
         let message = Message {
-            // What is asked is short: the answer's head tells how much is known.
+            // Makes the peer answer, and shortly; any answer tells how much it knows.
             unknown: vec![self.own.address],
             ..self.message(now)
         };
