--- a/crates/soak/src/ip.rs
+++ b/crates/soak/src/ip.rs
@@ -13,7 +13,7 @@
 use acacia_config::{Mark, State};
 use acacia_e2e::{
     deployment::{Deployment, Plan, Service},
-    process::Process,
+    process::{Ended, Process},
 };
 use nix::sys::signal::Signal;
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
@@ -43,6 +43,8 @@
 const CALM: u64 = 3;
 /// Longest time that a caller may take to end by itself.
 const CALLER: Duration = Duration::from_secs(90);
+/// What a caller logs of a flow that broke.
+const BROKEN: &str = "event=flow-broken";
 /// How long a balancer has to tell how it is.
 const ANSWER: Duration = Duration::from_secs(2);
 
@@ -121,7 +123,7 @@
 pub struct Report {
     /// The faults.
     pub faults: Vec<Entry>,
-    /// What callers saw, as they tell it.
+    /// What callers saw, as they tell it: counts and broken flows.
     pub callers: Vec<String>,
     /// Promises that were broken.
     pub breaches: Vec<String>,
@@ -156,6 +158,11 @@
     if kept.get("lasted") != Some(&FEEDS) {
         breaches.push(format!("feeds ended: {}", feeds.output.trim()));
     }
+    // Those on flows whose owners are paused or cut off wait.
+    let reset = told(&checkins)
+        .into_iter()
+        .filter(|line| line.contains(BROKEN) && !line.contains("reason=answer-late"));
+    breaches.extend(reset.map(|line| format!("a check-in broke off: {line}")));
     let lost = ["broken", "unanswered", "refused"].map(|name| calmly.get(name).copied());
     if lost != [Some(0); 3] {
         breaches.push(format!("not well again: {}", calm.output.trim()));
@@ -168,12 +175,20 @@
     };
     Ok(Report {
         faults,
-        callers: vec![feeds.output, checkins.output, calm.output],
+        callers: [&feeds, &checkins, &calm].map(told).concat(),
         breaches,
         logs,
     })
 }
 
+/// What a caller tells: its counts, and each flow that broke.
+fn told(caller: &Ended) -> Vec<String> {
+    let broken = caller.log.lines();
+    let broken = broken.filter(|line| line.contains(BROKEN));
+    let lines = caller.output.lines().chain(broken);
+    lines.map(str::to_owned).collect()
+}
+
 /// Balancers before four servers, one of which drains, so that some flows live by pins alone.
 fn start() -> anyhow::Result<Deployment> {
     let service = Service {
