Send a copy of an opening only to a service that its route still has

What callers saw: a flow opened just as operators move a route is served by the service of before.

Cause: copies of an opening went to the server of the first while that one lived, whatever the route said by then.

Mend: a copy goes there only while the route has the server's service.

--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -73,7 +73,8 @@
     }
 
     /// Where a copy of an opening goes: to the same server, so that no two answer it, unless that
-    /// one has shown no life since the opening was sent there or takes flows no more.
+    /// one has shown no life since the opening was sent there, takes flows no more, or belongs to a
+    /// service that the route has left meanwhile.
     fn open_again(
         &mut self,
         snapshot: &Snapshot,
@@ -82,7 +83,8 @@
         opening: &Opening,
         now: Duration,
     ) -> Result<u32, Code> {
-        let same = position(snapshot, &opening.server);
+        let same = position(snapshot, &opening.server)
+            .filter(|position| serves(snapshot, route, &snapshot.servers[*position as usize]));
         let waited = now >= opening.at + PATIENCE;
         let lives = self
             .answered
@@ -268,6 +270,14 @@
     (server.id == *id).then_some(position)
 }
 
+/// Whether a route sends flows to the service of a server.
+fn serves(snapshot: &Snapshot, route: &Route, server: &Server) -> bool {
+    let mut pools = route.pools.iter();
+    pools.any(|(position, weight)| {
+        *weight > 0 && snapshot.pools[*position as usize].service == server.service
+    })
+}
+
 /// The pool that takes the flow by the route's weights, among those that have a server open.
 fn split<'a>(snapshot: &'a Snapshot, route: &Route, flow: u64) -> Option<&'a Pool> {
     let pool = |position: u32| &snapshot.pools[position as usize];
--- a/crates/cookie/tests/it/resolver.rs
+++ b/crates/cookie/tests/it/resolver.rs
@@ -115,6 +115,27 @@
     assert_eq!(resolver.take_notices(ms(400)), [Notice::Unanswered(other)]);
 }
 
+/// A route moves to another service between an opening and its copy, and the copy still reaches the old
+/// one: the change seems to be taken back.
+#[test]
+fn a_copy_of_an_opening_follows_a_route_that_has_moved() {
+    let servers = || {
+        [
+            present(server("i-1", "live"), 1),
+            present(server("i-2", "maps"), 2),
+        ]
+    };
+    let before = snapshot(servers().into_iter().chain([routed(&["live"], 3)]));
+    let after = snapshot(servers().into_iter().chain([routed(&["maps"], 4)]));
+    let mut resolver = Resolver::default();
+    resolver.resolve(&before, &opening(1), None, ms(0));
+
+    let copy = resolver.resolve(&after, &opening(1), None, ms(100));
+
+    let (server, _) = sent(&copy, &after).expect("a server");
+    assert_eq!(&*server, "i-2");
+}
+
 /// A server drains. Copies of an opening that had reached it before must not reach it any more:
 /// within seconds no new work may.
 #[test]
