--- a/crates/bench/src/speed/cookie.rs
+++ b/crates/bench/src/speed/cookie.rs
@@ -29,15 +29,23 @@
     port: 443,
 };
 
-/// Measures decisions for packets that carry a cookie, with 15 and with 150 backend servers in one
-/// service.
+/// Numbers of backend servers in one service.
+const SERVERS: [u32; 4] = [15, 150, 3_000, 10_000];
+/// Snapshots in one measurement, each after the change of one server.
+const SNAPSHOTS: u32 = 50;
+
+/// Measures decisions for packets that carry a cookie, and snapshots after a change, by the number of
+/// backend servers in one service.
 pub fn run(options: &Options, seed: u64) {
-    for servers in [15, 150] {
+    for servers in SERVERS {
         let case = format!("cookie-{servers}");
         if !options.wants(&case) {
             continue;
         }
-        let snapshot = snapshot(servers);
+        let (mut catalog, mut roster) = known(servers);
+        let snapshot = roster.snapshot(&Detector::default(), Duration::ZERO);
+        let snapshots = (0..options.rounds).map(|_| change_servers(&mut catalog, &mut roster));
+        let snapshots = snapshots.collect();
         let measured = (0..options.rounds).map(|_| measure(&snapshot));
         let (openings, packets): (Vec<f64>, Vec<f64>) = measured.unzip();
         let log_lines = (0..options.rounds).map(|_| log_line()).collect();
@@ -46,6 +54,7 @@
             ("opening", openings),
             ("packet", packets),
             ("line", log_lines),
+            ("snapshot", snapshots),
         ] {
             let [median, least, most] = median_and_range(values);
             // Writing to a `String` never fails.
@@ -82,6 +91,24 @@
     (opening, per(cpu::thread().saturating_sub(start), PACKETS))
 }
 
+/// Nanoseconds per snapshot after the change of one server.
+fn change_servers(catalog: &mut Catalog, roster: &mut Roster) -> f64 {
+    let start = cpu::thread();
+    for number in 1..=SNAPSHOTS {
+        let revision = catalog.revision() + 1;
+        let mut server = server(number);
+        server.state = match revision % 2 {
+            0 => State::Draining,
+            _ => State::Ready,
+        };
+        catalog.apply(change(server, revision));
+        catalog.complete(revision);
+        roster.update(catalog, Duration::ZERO);
+        black_box(roster.snapshot(&Detector::default(), Duration::ZERO));
+    }
+    per(cpu::thread().saturating_sub(start), SNAPSHOTS)
+}
+
 /// Nanoseconds for formatting the log line that is written for each opened flow.
 fn log_line() -> f64 {
     let mut text = String::new();
@@ -121,25 +148,33 @@
     }
 }
 
-fn snapshot(servers: u32) -> Snapshot {
+fn server(number: u32) -> Server {
+    Server {
+        id: format!("i-{number:x}").into(),
+        tag: number.into(),
+        service: "live".into(),
+        address: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a80_0000 + number), 8080),
+        data_centre: "a".into(),
+        slots: 2,
+        state: State::Ready,
+        warmup_ms: 0,
+        started_ms: 0,
+    }
+}
+
+fn change(server: Server, revision: u64) -> Change {
+    Change::Server {
+        id: Arc::clone(&server.id),
+        revision,
+        server: Some(Arc::new(server)),
+    }
+}
+
+/// A catalog of one service, and a roster that has its servers.
+fn known(servers: u32) -> (Catalog, Roster) {
     let mut catalog = Catalog::default();
     for number in 1..=servers {
-        let server = Server {
-            id: format!("i-{number:x}").into(),
-            tag: number.into(),
-            service: "live".into(),
-            address: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a80_0000 + number), 8080),
-            data_centre: "a".into(),
-            slots: 2,
-            state: State::Ready,
-            warmup_ms: 0,
-            started_ms: 0,
-        };
-        catalog.apply(Change::Server {
-            id: Arc::clone(&server.id),
-            revision: number.into(),
-            server: Some(Arc::new(server)),
-        });
+        catalog.apply(change(server(number), number.into()));
     }
     let route = Route {
         name: "r".into(),
@@ -155,11 +190,13 @@
         routes: vec![route],
         ..Config::default()
     };
+    let revision = u64::from(servers) + 1;
     catalog.apply(Change::Config {
-        revision: u64::from(servers) + 1,
+        revision,
         config: Arc::new(config),
     });
+    catalog.complete(revision);
     let mut roster = Roster::default();
     roster.update(&catalog, Duration::ZERO);
-    roster.snapshot(&Detector::default(), Duration::ZERO)
+    (catalog, roster)
 }
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -112,6 +112,22 @@
         self.servers.iter()
     }
 
+    /// The number of the last change of a server's entry, in the order in which changes were applied
+    /// here.
+    #[must_use]
+    pub const fn last_server_edit(&self) -> u64 {
+        self.servers.last_edit()
+    }
+
+    /// The servers, including tombstones, whose entries changed here after the change numbered `edit`;
+    /// see [`Catalog::last_server_edit`].
+    pub fn servers_edited_since(
+        &self,
+        edit: u64,
+    ) -> impl Iterator<Item = (&Arc<str>, &Item<Option<Arc<Server>>>)> {
+        self.servers.edited_since(edit)
+    }
+
     /// The data centres under evacuation, each with the revision of its mark.
     pub fn evacuations(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
         let marks = self.evacuations.iter();
@@ -288,20 +304,20 @@
     /// All changes after `revision`, in order of their revisions.
     #[must_use]
     pub fn since(&self, revision: u64) -> Vec<Change> {
-        let servers = self.servers.iter().map(|(id, item)| Change::Server {
+        let servers = self.servers.since(revision);
+        let servers = servers.map(|(id, item)| Change::Server {
             id: Arc::clone(id),
             revision: item.revision,
             server: item.value.clone(),
         });
-        let evacuations = self.evacuations.iter();
+        let evacuations = self.evacuations.since(revision);
         let evacuations = evacuations.map(|(data_centre, item)| Change::Evacuation {
             data_centre: Arc::clone(data_centre),
             revision: item.revision,
             stands: item.value.is_some(),
         });
         let mut changes = self.configuration_since(revision);
-        let entries = servers.chain(evacuations);
-        changes.extend(entries.filter(|change| change.revision() > revision));
+        changes.extend(servers.chain(evacuations));
         changes.sort_by_key(Change::revision);
         changes
     }
--- a/crates/cookie/src/failing.rs
+++ b/crates/cookie/src/failing.rs
@@ -138,6 +138,13 @@
             .is_some_and(|expiry| now < *expiry)
     }
 
+    /// The servers on which a verdict is in force.
+    pub fn failing(&self, now: Duration) -> impl Iterator<Item = &str> {
+        let expiries = self.expiries.iter();
+        let failing = expiries.filter(move |(_, expiry)| now < **expiry);
+        failing.map(|(server, _)| &**server)
+    }
+
     /// When the next verdict expires.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Duration> {
@@ -168,18 +175,30 @@
     }
 }
 
-/// Lowers the weights of failing servers, except in services where most servers are failing.
-pub fn lower_weights(snapshot: &mut Snapshot) {
-    for pool in &snapshot.pools {
-        let open = || pool.open.iter().map(|position| *position as usize);
-        let failing: Vec<usize> = open()
-            .filter(|position| snapshot.servers[*position].failing)
-            .collect();
-        let is_overload = failing.len() as f64 > MAX_FAILING_FRACTION * pool.open.len() as f64;
-        for position in failing {
+/// Marks the servers named `failing` and lowers their weights, except in services where most servers are
+/// failing.
+pub fn lower_weights<'a>(snapshot: &mut Snapshot, failing: impl IntoIterator<Item = &'a str>) {
+    let mut services: Map<Arc<str>, Vec<usize>> = Map::default();
+    for id in failing {
+        let Some(position) = snapshot.position(id).map(|position| position as usize) else {
+            continue;
+        };
+        let server = &snapshot.servers[position];
+        if server.standing.takes_flows() {
+            let service = Arc::clone(&server.service);
+            services.entry(service).or_default().push(position);
+        }
+    }
+    for (service, positions) in services {
+        let pool = snapshot.pools.iter().find(|pool| pool.service == service);
+        let all = pool.map_or(0, |pool| pool.open.len());
+        if positions.len() as f64 > MAX_FAILING_FRACTION * all as f64 {
+            continue;
+        }
+        for position in positions {
             let server = &mut snapshot.servers[position];
-            server.failing = !is_overload;
-            server.weight *= if is_overload { 1.0 } else { FAILING_WEIGHT };
+            server.failing = true;
+            server.weight *= FAILING_WEIGHT;
         }
     }
 }
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod place;
 pub mod probe;
 pub mod resolver;
+pub mod ring;
 pub mod roster;
 pub mod silence;
 pub mod snapshot;
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -9,7 +9,8 @@
     pub position: u32,
     /// Hash of its name, the same on every balancer.
     pub hash: u64,
-    /// Its share of new flows, relative to the other candidates.
+    /// Its share of new flows, relative to the other candidates, times the number of servers that it
+    /// stands for.
     pub weight: f64,
     /// Whether it is in the balancer's own data centre.
     pub local: bool,
--- a/crates/cookie/src/resolver/open.rs
+++ b/crates/cookie/src/resolver/open.rs
@@ -9,11 +9,14 @@
 
 use super::{Action, Opening, Refusal, Resolver};
 use crate::{
-    cookie::Cookie,
     place::{Candidate, choose},
+    ring::Draw,
     snapshot::{Pool, Route, Server, Snapshot, Standing},
 };
 
+/// Number of servers that are compared if the one at which a flow was placed is too busy. If all of these
+/// are busy, so are nearly all of a large service.
+const MAX_PROSPECTS: usize = 64;
 /// Least time after a SYN at which its retransmission counts as a sign that the server did not answer.
 /// If less has passed, both were queued before this balancer.
 const MIN_RETRANSMISSION_GAP: Duration = Duration::from_millis(120);
@@ -90,7 +93,8 @@
         opening: &Opening,
         now: Duration,
     ) -> Result<u32, Code> {
-        let same = position(snapshot, &opening.server)
+        let same = snapshot
+            .position(&opening.server)
             .filter(|position| serves(snapshot, route, &snapshot.servers[*position as usize]));
         let had_time = now >= opening.at + MIN_RETRANSMISSION_GAP;
         let has_answered = self
@@ -136,7 +140,10 @@
     ) -> Result<u32, Code> {
         let pool = choose_pool(snapshot, route, flow).ok_or(Code::ServerNone)?;
         let cold = self.place_cold(snapshot, pool, flow, except, now);
-        let placed = cold.or_else(|| self.least_loaded(snapshot, &pool.open, flow, except, now));
+        let placed = cold.or_else(|| {
+            let draw = pool.open.draw(&snapshot.data_centre, flow);
+            self.least_loaded(snapshot, &draw, flow, except, now)
+        });
         placed.ok_or(match pool.cold.is_empty() {
             true => Code::ServerNone,
             false => Code::ServersCold,
@@ -165,26 +172,30 @@
             let server = &snapshot.servers[*position as usize];
             self.warming.has_room(&server.id, &limit, now)
         };
-        let free: Vec<u32> = pool.cold.iter().copied().filter(has_room).collect();
-        let placed = self.least_loaded(snapshot, &free, flow, except, now)?;
+        let mut draw = pool.cold.draw(&snapshot.data_centre, flow);
+        draw.near.retain(has_room);
+        draw.far.retain(has_room);
+        let placed = self.least_loaded(snapshot, &draw, flow, except, now)?;
         let server = &snapshot.servers[placed as usize];
         self.warming.add(&server.id, now);
         Some(placed)
     }
 
-    /// Selects one of the servers at `positions` for a new flow by [`choose`].
+    /// Selects one of the drawn servers for a new flow by [`choose`].
     fn least_loaded(
         &self,
         snapshot: &Snapshot,
-        positions: &[u32],
+        draw: &Draw,
         flow: u64,
         except: Option<&Arc<str>>,
         now: Duration,
     ) -> Option<u32> {
         let server = |position: u32| &snapshot.servers[position as usize];
-        let others = positions.iter().copied();
-        let others = others.filter(|position| Some(&server(*position).id) != except);
-        let candidates = others.map(|position| candidate(snapshot, position));
+        let near = draw.near.iter().map(|position| (*position, 1.0));
+        let far = draw.far.iter().map(|position| (*position, draw.far_scale));
+        let others = near.chain(far);
+        let others = others.filter(|(position, _)| Some(&server(*position).id) != except);
+        let candidates = others.map(|(position, scale)| candidate(snapshot, position, scale));
         choose(flow, candidates, |position| {
             self.load(server(position), now)
         })
@@ -236,7 +247,8 @@
                 idle: server.idle.map(|idle| idle.whole()),
             }
         };
-        let others = pool.map_or(&[][..], |pool| &pool.open).iter().copied();
+        let others = pool.into_iter();
+        let others = others.flat_map(|pool| pool.open.sample(flow, MAX_PROSPECTS));
         overload::admit(&terms, placed, others, prospect).map_err(|refusal| Refusal {
             code: Code::ServersBusy,
             server: refusal.server,
@@ -264,23 +276,16 @@
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
 
-fn candidate(snapshot: &Snapshot, position: u32) -> Candidate {
+fn candidate(snapshot: &Snapshot, position: u32, scale: f64) -> Candidate {
     let server = &snapshot.servers[position as usize];
     Candidate {
         position,
         hash: server.hash,
-        weight: server.weight,
+        weight: server.weight * scale,
         local: server.data_centre == snapshot.data_centre,
     }
 }
 
-/// The index of a server by its name.
-fn position(snapshot: &Snapshot, id: &Arc<str>) -> Option<u32> {
-    let position = *snapshot.cookies.get(&Cookie::of(id, 0))?;
-    let server = snapshot.servers.get(position as usize)?;
-    (server.id == *id).then_some(position)
-}
-
 /// Whether the service of `server` is a target of `route` with a weight above 0.
 fn serves(snapshot: &Snapshot, route: &Route, server: &Server) -> bool {
     let mut pools = route.pools.iter();
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -1,26 +1,30 @@
 //! Tracks every backend server that may still have flows, and whether it is usable.
 
+mod index;
+mod service;
 mod warming;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
     sync::Arc,
     time::Duration,
 };
 
 use acacia_catalog::{
     Catalog,
-    route::{self, Config},
+    route::Config,
     server::{self, State},
 };
-use acacia_load::overload;
-use acacia_wire::collections::Map;
+use acacia_wire::collections::{Map, Set};
 
 use crate::{
     cookie::{self, Cookie, VARIANTS},
     silence::Detector,
-    snapshot::{Pool, Route, Server, Snapshot, Standing},
+    snapshot::{Server, Snapshot, Standing},
 };
+use index::Index;
+use service::{Place, Services};
 
 pub use warming::Warmup;
 
@@ -61,6 +65,12 @@
     suspected_until: Duration,
     /// All its cookies.
     cookies: [Cookie; VARIANTS as usize],
+    /// Its index in the snapshot; `None` before it was in one.
+    position: Option<u32>,
+    /// Where it stands among the servers of its service, if it takes new flows.
+    place: Option<Place>,
+    /// When it next changes by the passage of time alone.
+    deadline: Option<Duration>,
 }
 
 impl Record {
@@ -68,9 +78,17 @@
     fn has_left(&self) -> bool {
         self.missing.is_some() && self.server.state == State::Draining
     }
+
+    /// The order in which servers keep a cookie that they share: the older one keeps it.
+    fn seniority(&self) -> (u64, &Arc<str>) {
+        (self.first_revision, &self.server.id)
+    }
 }
 
 /// The servers known to a balancer, including those that left within the lifetime of a flow.
+///
+/// It keeps the parts of the last snapshot, and computes anew only what belongs to servers that have
+/// changed since. The cost of a snapshot doesn't grow with the number of servers.
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
     limits: Limits,
@@ -80,8 +98,26 @@
     evacuated: BTreeSet<Arc<str>>,
     warmup_limits: Warmup,
     revision: u64,
+    /// The number of the catalog's last change that was applied.
+    edit: u64,
     /// Servers that have restarted since the last call of [`Roster::take_restarted`].
     restarted: Vec<Arc<str>>,
+    /// Servers that have gone since the last call of [`Roster::take_departed`].
+    departed: Vec<Arc<str>>,
+    /// Known servers that announced their departure and left.
+    left: BTreeSet<Arc<str>>,
+    /// Servers whose part of the snapshot is out of date.
+    stale: BTreeSet<Arc<str>>,
+    /// When servers next change by the passage of time alone.
+    deadlines: BTreeSet<(Duration, Arc<str>)>,
+    /// Servers by address.
+    addresses: Map<SocketAddrV4, Vec<Arc<str>>>,
+    /// The servers that were silent in the last snapshot.
+    silent: Set<Arc<str>>,
+    /// The data centres that can't be reached.
+    lost: BTreeSet<Arc<str>>,
+    index: Index,
+    services: Services,
 }
 
 impl Roster {
@@ -107,29 +143,51 @@
     /// ```
     pub fn update(&mut self, catalog: &Catalog, now: Duration) {
         self.revision = catalog.revision();
-        self.config = catalog.config().map(|item| Arc::clone(&item.value));
+        self.update_config(catalog.config().map(|item| &item.value));
+        self.update_evacuations(catalog, now);
+        for (id, item) in catalog.servers_edited_since(self.edit) {
+            match &item.value {
+                Some(server) => self.update_server(id, server, item.revision, now),
+                None => self.remove_entry(id, now),
+            }
+        }
+        self.edit = catalog.last_server_edit();
+        self.pass_deadlines(now);
+    }
+
+    fn update_config(&mut self, config: Option<&Arc<Config>>) {
+        let is_same = match (&self.config, config) {
+            (Some(old), Some(new)) => Arc::ptr_eq(old, new),
+            (None, None) => true,
+            _ => false,
+        };
+        if is_same {
+            return;
+        }
+        let warmups = |config: Option<&Arc<Config>>| config.map(|config| config.warmups.clone());
+        if warmups(self.config.as_ref()) != warmups(config) {
+            self.stale.extend(self.servers.keys().cloned());
+        }
+        self.config = config.cloned();
+        if let Some(config) = config {
+            self.services.set_routes(config);
+        }
+    }
+
+    fn update_evacuations(&mut self, catalog: &Catalog, now: Duration) {
         let evacuations = catalog.evacuations();
         let evacuated = evacuations.map(|(centre, _)| Arc::clone(centre)).collect();
+        if self.evacuated == evacuated {
+            return;
+        }
         let previous = std::mem::replace(&mut self.evacuated, evacuated);
         for centre in &previous - &self.evacuated {
             self.suspect_cold(now, |server| server.data_centre == centre);
         }
-        for (id, item) in catalog.servers() {
-            match &item.value {
-                Some(server) => self.update_server(id, server, item.revision, now),
-                None => {
-                    if let Some(known) = self.servers.get_mut(id) {
-                        known.missing.get_or_insert(now);
-                    }
-                }
-            }
-        }
-        let known = self.limits.known;
-        self.servers.retain(|_, server| {
-            server
-                .missing
-                .is_none_or(|at| now.saturating_sub(at) < known)
-        });
+        let changed = &previous ^ &self.evacuated;
+        let affected = self.servers.iter();
+        let affected = affected.filter(|(_, known)| changed.contains(&known.server.data_centre));
+        self.stale.extend(affected.map(|(id, _)| Arc::clone(id)));
     }
 
     /// Updates one server from its entry.
@@ -141,15 +199,17 @@
         now: Duration,
     ) {
         let warm_at = now + Duration::from_millis(server.warmup_ms.into());
+        self.left.remove(id);
         match self.servers.get_mut(id) {
             Some(known) if Arc::ptr_eq(&known.server, server) => known.missing = None,
             Some(known) => {
                 if known.server.started_ms != server.started_ms {
                     self.restarted.push(Arc::clone(id));
                 }
-                known.server = Arc::clone(server);
+                let old = std::mem::replace(&mut known.server, Arc::clone(server));
                 known.missing = None;
                 known.warm_at = warm_at;
+                self.release_address(id, old.address);
             }
             None => {
                 let known = Record {
@@ -159,10 +219,49 @@
                     warm_at,
                     suspected_until: Duration::ZERO,
                     cookies: std::array::from_fn(|variant| Cookie::of(id, variant as u32)),
+                    position: None,
+                    place: None,
+                    deadline: None,
                 };
                 self.servers.insert(Arc::clone(id), known);
             }
         }
+        self.occupy_address(id, server.address);
+        self.stale.insert(Arc::clone(id));
+    }
+
+    /// Records that a server's entry was removed.
+    fn remove_entry(&mut self, id: &Arc<str>, now: Duration) {
+        let Some(known) = self.servers.get_mut(id) else {
+            return;
+        };
+        known.missing.get_or_insert(now);
+        if known.has_left() {
+            self.left.insert(Arc::clone(id));
+            self.departed.push(Arc::clone(id));
+        }
+        self.stale.insert(Arc::clone(id));
+    }
+
+    /// Records that a server has an address. Whoever had it before is affected; see
+    /// [`Roster::is_replaced`].
+    fn occupy_address(&mut self, id: &Arc<str>, address: SocketAddrV4) {
+        let ids = self.addresses.entry(address).or_default();
+        self.stale.extend(ids.iter().cloned());
+        if !ids.contains(id) {
+            ids.push(Arc::clone(id));
+        }
+    }
+
+    fn release_address(&mut self, id: &Arc<str>, address: SocketAddrV4) {
+        let Some(ids) = self.addresses.get_mut(&address) else {
+            return;
+        };
+        ids.retain(|other| other != id);
+        self.stale.extend(ids.iter().cloned());
+        if ids.is_empty() {
+            self.addresses.remove(&address);
+        }
     }
 
     /// Returns the servers that have restarted under their names since the last call.
@@ -175,56 +274,192 @@
         std::mem::take(&mut self.restarted)
     }
 
-    /// When the standing or the warm-up of some server next changes by the passage of time alone.
+    /// Returns the servers that have left, or that are no longer known, since the last call.
+    pub fn take_departed(&mut self) -> Vec<Arc<str>> {
+        std::mem::take(&mut self.departed)
+    }
+
+    /// When the standing or the warm-up of some server next changes by the passage of time alone, as of
+    /// the last snapshot.
     #[must_use]
     pub fn next_change(&self, now: Duration) -> Option<Duration> {
-        let missing = self.limits.missing;
-        let ends = |known: &Record| {
-            let expiry = known.missing.map(|at| at + missing);
-            [expiry, Some(known.warm_at), Some(known.suspected_until)]
-        };
-        self.servers
-            .values()
-            .flat_map(ends)
-            .flatten()
-            .filter(|at| *at > now)
-            .min()
+        let mut deadlines = self.deadlines.iter();
+        deadlines.find(|(at, _)| *at > now).map(|(at, _)| *at)
     }
 
     /// Returns the routes and servers for the traffic threads.
     #[must_use]
-    pub fn snapshot(&self, detector: &Detector, now: Duration) -> Snapshot {
-        let mut snapshot = Snapshot {
+    pub fn snapshot(&mut self, detector: &Detector, now: Duration) -> Snapshot {
+        self.pass_deadlines(now);
+        self.mark_silent(detector);
+        while !self.stale.is_empty() {
+            let stale = std::mem::take(&mut self.stale);
+            let mut order: Vec<Arc<str>> = stale.into_iter().collect();
+            // Older servers come first: they keep a cookie that a newer server turns out to share.
+            order.sort_by_cached_key(|id| {
+                let known = self.servers.get(id);
+                known.map(|known| (known.first_revision, Arc::clone(id)))
+            });
+            for id in order {
+                self.refresh(&id, now);
+            }
+        }
+        Snapshot {
+            version: self.config.as_ref().map_or(0, |config| config.version),
             revision: self.revision,
+            routes: self.services.routes(),
+            pools: self.services.pools(|service| self.cold_limit(service)),
+            servers: self.index.servers(),
+            cookies: self.index.cookies(),
             ..Snapshot::default()
-        };
-        // Older servers come first: they keep a cookie that a newer server turns out to share.
-        let mut known: Vec<&Record> = self.servers.values().collect();
-        known.sort_by(|one, other| {
-            (one.first_revision, &one.server.id).cmp(&(other.first_revision, &other.server.id))
-        });
-        let shared = shared_cookies(&known);
-        for (position, known) in known.iter().enumerate() {
-            for cookie in known.cookies {
-                snapshot.cookies.entry(cookie).or_insert(position as u32);
+        }
+    }
+
+    /// Marks the servers whose deadlines have passed.
+    fn pass_deadlines(&mut self, now: Duration) {
+        while let Some((at, id)) = self.deadlines.first().cloned()
+            && at <= now
+        {
+            self.deadlines.remove(&(at, Arc::clone(&id)));
+            if let Some(known) = self.servers.get_mut(&id) {
+                known.deadline = None;
+                self.stale.insert(id);
             }
-            let mut server = self.server(known, &shared, now);
-            if detector.is_silent(&server.id) {
-                server.standing = Standing::Gone;
+        }
+    }
+
+    /// Whether a server has been gone for the lifetime of a flow.
+    fn is_forgotten(&self, known: &Record, now: Duration) -> bool {
+        let gone = known.missing.map(|at| now.saturating_sub(at));
+        gone.is_some_and(|gone| gone >= self.limits.known)
+    }
+
+    fn forget(&mut self, id: &Arc<str>) {
+        let Some(known) = self.servers.remove(id) else {
+            return;
+        };
+        self.stale.remove(id);
+        self.left.remove(id);
+        self.silent.remove(id);
+        self.release_address(id, known.server.address);
+        self.departed.push(Arc::clone(id));
+        if let Some(at) = known.deadline {
+            self.deadlines.remove(&(at, Arc::clone(id)));
+        }
+        if let Some(place) = &known.place {
+            self.services.remove(place);
+        }
+        let Some(position) = known.position else {
+            return;
+        };
+        let moved = self.index.remove(position, &known.cookies, &self.servers);
+        for other in moved.shared {
+            self.stale.insert(other);
+        }
+        if let Some(moved) = moved.moved {
+            self.move_to(&moved, position);
+        }
+    }
+
+    /// Records that a server has another index in the snapshot.
+    fn move_to(&mut self, id: &Arc<str>, position: u32) {
+        if let Some(known) = self.servers.get_mut(id) {
+            known.position = Some(position);
+            if let Some(place) = &mut known.place {
+                self.services.remove(place);
+                place.position = position;
+                self.services.insert(place);
             }
-            snapshot.servers.push(server);
         }
-        if let Some(config) = &self.config {
-            fill_routes(&mut snapshot, config, &known);
-            self.separate_cold(&mut snapshot, &known, now);
+    }
+
+    /// Sets the data centres that can't be reached. Their servers count as silent.
+    pub fn set_lost(&mut self, lost: BTreeSet<Arc<str>>) {
+        if lost == self.lost {
+            return;
+        }
+        let changed = &self.lost ^ &lost;
+        let affected = self.servers.iter();
+        let affected = affected.filter(|(_, known)| changed.contains(&known.server.data_centre));
+        self.stale.extend(affected.map(|(id, _)| Arc::clone(id)));
+        self.lost = lost;
+    }
+
+    /// Marks the servers that became silent, or answer again, since the last snapshot.
+    fn mark_silent(&mut self, detector: &Detector) {
+        let silent: Set<Arc<str>> = detector.silent().into_iter().collect();
+        let changed = self.silent.symmetric_difference(&silent);
+        self.stale.extend(changed.cloned());
+        self.silent = silent;
+    }
+
+    /// Computes a server's part of the snapshot anew.
+    fn refresh(&mut self, id: &Arc<str>, now: Duration) {
+        let Some(known) = self.servers.get(id) else {
+            return;
+        };
+        if self.is_forgotten(known, now) {
+            self.forget(id);
+            return;
+        }
+        let standing = self.standing(known, now);
+        let place = self.place(known, standing, now);
+        let (deadline, before) = (self.deadline(known, now), known.deadline);
+        let position = known.position;
+        let mut server = self.server(known, standing, now);
+        if position.is_none() {
+            let shared = self.index.push(server.clone(), known, &self.servers);
+            self.stale.extend(shared);
+        }
+        server.cookie = self.index.unshared(&known.cookies);
+        let position = position.unwrap_or_else(|| self.index.last());
+        self.index.set(position, server);
+        let place = place.map(|place| Place { position, ..place });
+        let Some(known) = self.servers.get_mut(id) else {
+            return;
+        };
+        known.position = Some(position);
+        known.deadline = deadline;
+        let old = std::mem::replace(&mut known.place, place.clone());
+        if old != place {
+            old.iter().for_each(|old| self.services.remove(old));
+            place.iter().for_each(|place| self.services.insert(place));
+        }
+        if before != deadline {
+            before.map(|at| self.deadlines.remove(&(at, Arc::clone(id))));
+            deadline.map(|at| self.deadlines.insert((at, Arc::clone(id))));
         }
-        snapshot
     }
 
-    fn server(&self, known: &Record, shared: &[Cookie], now: Duration) -> Server {
+    /// When a server next changes by the passage of time alone.
+    fn deadline(&self, known: &Record, now: Duration) -> Option<Duration> {
+        let expiry = known.missing.map(|at| at + self.limits.missing);
+        let forgotten = known.missing.map(|at| at + self.limits.known);
+        let ends = [
+            expiry,
+            forgotten,
+            Some(known.warm_at),
+            Some(known.suspected_until),
+        ];
+        ends.into_iter().flatten().filter(|at| *at > now).min()
+    }
+
+    /// Where a server stands among those of its service; `None` if it takes no new flows. The position is
+    /// filled in by the caller.
+    fn place(&self, known: &Record, standing: Standing, now: Duration) -> Option<Place> {
+        standing.takes_flows().then(|| Place {
+            service: Arc::clone(&known.server.service),
+            data_centre: Arc::clone(&known.server.data_centre),
+            hash: cookie::hash(&known.server.id),
+            position: 0,
+            slots: known.server.slots.max(1),
+            is_ready: standing == Standing::Ready,
+            is_cold: self.is_limited(known, now),
+        })
+    }
+
+    fn server(&self, known: &Record, standing: Standing, now: Duration) -> Server {
         let server = &known.server;
-        let mut own = known.cookies.into_iter();
-        let unique = own.find(|cookie| shared.binary_search(cookie).is_err());
         let warmup_factor = if known.warm_at > now {
             COLD_WEIGHT
         } else {
@@ -233,14 +468,12 @@
         Server {
             id: Arc::clone(&server.id),
             hash: cookie::hash(&server.id),
-            // If all variants are shared, the older server gets the flow. This does not occur in
-            // any realistic fleet.
-            cookie: unique.unwrap_or(known.cookies[0]),
+            cookie: known.cookies[0],
             tag: server.tag,
             address: server.address,
             service: Arc::clone(&server.service),
             data_centre: Arc::clone(&server.data_centre),
-            standing: self.standing(known, now),
+            standing,
             slots: server.slots.max(1),
             idle: None,
             failing: false,
@@ -251,11 +484,11 @@
     /// Whether another server now has its address. The old server no longer exists then, and
     /// packets sent there for it are not answered.
     fn is_replaced(&self, known: &Record) -> bool {
-        let address = known.server.address;
-        self.servers.values().any(|other| {
-            other.missing.is_none()
-                && other.server.address == address
-                && other.server.id != known.server.id
+        let others = self.addresses.get(&known.server.address).into_iter();
+        let mut others = others.flatten().filter(|id| **id != known.server.id);
+        others.any(|id| {
+            let other = self.servers.get(id);
+            other.is_some_and(|other| other.missing.is_none())
         })
     }
 
@@ -267,6 +500,12 @@
         others.map(|known| &known.server)
     }
 
+    /// The number of [`Roster::servers`].
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.servers.len() - self.left.len()
+    }
+
     /// Whether a server is known and has not left after announcing its departure.
     pub fn holds(&self, id: &str) -> bool {
         self.servers.get(id).is_some_and(|known| !known.has_left())
@@ -291,6 +530,10 @@
         let draining = known.server.state == State::Draining;
         let evacuated = self.evacuated.contains(&known.server.data_centre);
         let recently_missing = |at: Duration| now.saturating_sub(at) < self.limits.missing;
+        let unreachable = self.lost.contains(&known.server.data_centre);
+        if unreachable || self.silent.contains(&known.server.id) {
+            return Standing::Gone;
+        }
         match known.missing {
             None if draining => Standing::Draining,
             None if evacuated => Standing::Evacuated,
@@ -303,73 +546,3 @@
         }
     }
 }
-
-/// Cookies that several servers have in common, sorted.
-fn shared_cookies(known: &[&Record]) -> Vec<Cookie> {
-    let mut all: Vec<Cookie> = known.iter().flat_map(|known| known.cookies).collect();
-    all.sort_unstable();
-    let mut shared: Vec<Cookie> = all
-        .windows(2)
-        .filter(|pair| pair[0] == pair[1])
-        .map(|pair| pair[0])
-        .collect();
-    shared.dedup();
-    shared
-}
-
-fn fill_routes(snapshot: &mut Snapshot, config: &Config, known: &[&Record]) {
-    snapshot.version = config.version;
-    let mut positions: Map<Arc<str>, u32> = Map::default();
-    for route in &config.routes {
-        let mut pools = Vec::with_capacity(route.targets.len());
-        for target in &route.targets {
-            let next = positions.len() as u32;
-            let position = *positions.entry(Arc::clone(&target.service)).or_insert(next);
-            pools.push((position, target.weight));
-        }
-        let name = Arc::clone(&route.name);
-        let objective = objective(route);
-        let route_entry = Route {
-            name,
-            pools,
-            objective,
-        };
-        snapshot.routes.insert(route.front, route_entry);
-    }
-    let mut pools = vec![Pool::default(); positions.len()];
-    for (service, position) in positions {
-        let pool = &mut pools[position as usize];
-        pool.open = open(snapshot, known, &service);
-        let slots = |position: &u32| u32::from(snapshot.servers[*position as usize].slots);
-        pool.slots = pool.open.iter().map(slots).sum();
-        pool.service = service;
-    }
-    snapshot.pools = pools;
-}
-
-/// Latency and priority that a route's callers expect; `None` without a latency objective.
-fn objective(route: &route::Route) -> Option<overload::Objective> {
-    Some(overload::Objective {
-        latency: route.objective.latency?,
-        priority: route.objective.priority,
-    })
-}
-
-/// Positions of a service's servers that accept new flows: the ready ones or, if there are none,
-/// those whose entries have only just gone missing.
-fn open(snapshot: &Snapshot, known: &[&Record], service: &Arc<str>) -> Vec<u32> {
-    let with_standing = |standing: Standing| {
-        let matches = move |position: &usize| {
-            known[*position].server.service == *service
-                && snapshot.servers[*position].standing == standing
-        };
-        (0..known.len())
-            .filter(matches)
-            .map(|position| position as u32)
-    };
-    let ready: Vec<u32> = with_standing(Standing::Ready).collect();
-    if ready.is_empty() {
-        return with_standing(Standing::Missing).collect();
-    }
-    ready
-}
--- /dev/null
+++ b/crates/cookie/src/roster/service.rs
@@ -0,0 +1,160 @@
+//! The servers that take new flows, by service, and the routes that lead to them.
+
+use std::sync::Arc;
+
+use acacia_catalog::route::{self, Config, Front};
+use acacia_load::overload;
+use acacia_wire::collections::Map;
+
+use crate::{
+    cold,
+    ring::Rings,
+    snapshot::{Pool, Route},
+};
+
+/// Where a server stands among the servers of its service.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Place {
+    pub(super) service: Arc<str>,
+    pub(super) data_centre: Arc<str>,
+    pub(super) hash: u64,
+    /// Its index in the snapshot.
+    pub(super) position: u32,
+    pub(super) slots: u16,
+    /// Whether its entry exists.
+    pub(super) is_ready: bool,
+    /// Whether new flows to it are limited, as it has just started.
+    pub(super) is_cold: bool,
+}
+
+/// Servers of one service whose entries exist, or whose entries have only just gone missing.
+#[derive(Debug, Clone, Default)]
+struct Class {
+    warm: Rings,
+    cold: Rings,
+    slots: u32,
+}
+
+impl Class {
+    fn is_empty(&self) -> bool {
+        self.warm.is_empty() && self.cold.is_empty()
+    }
+
+    fn rings(&mut self, place: &Place) -> &mut Rings {
+        if place.is_cold {
+            &mut self.cold
+        } else {
+            &mut self.warm
+        }
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Service {
+    name: Arc<str>,
+    ready: Class,
+    missing: Class,
+}
+
+impl Service {
+    fn class(&mut self, place: &Place) -> &mut Class {
+        if place.is_ready {
+            &mut self.ready
+        } else {
+            &mut self.missing
+        }
+    }
+
+    /// The ready servers or, if there are none, those whose entries have only just gone missing.
+    fn pool(&self, cold_limit: Option<cold::Limit>) -> Pool {
+        let class = match self.ready.is_empty() {
+            true => &self.missing,
+            false => &self.ready,
+        };
+        Pool {
+            service: Arc::clone(&self.name),
+            open: class.warm.clone(),
+            cold: class.cold.clone(),
+            slots: class.slots,
+            cold_limit,
+        }
+    }
+}
+
+/// All services, in the order in which they became known, and the routes.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Services {
+    services: Vec<Service>,
+    positions: Map<Arc<str>, u32>,
+    routes: Arc<Map<Front, Route>>,
+}
+
+impl Services {
+    /// Adds a server.
+    pub(super) fn insert(&mut self, place: &Place) {
+        let position = self.position(&place.service);
+        let class = self.services[position as usize].class(place);
+        class.slots += u32::from(place.slots);
+        let rings = class.rings(place);
+        rings.insert(&place.data_centre, place.hash, place.position);
+    }
+
+    /// Removes a server that was added at the same place.
+    pub(super) fn remove(&mut self, place: &Place) {
+        let position = self.position(&place.service);
+        let class = self.services[position as usize].class(place);
+        class.slots = class.slots.saturating_sub(u32::from(place.slots));
+        let rings = class.rings(place);
+        rings.remove(&place.data_centre, place.hash, place.position);
+    }
+
+    /// The index of a service's pool.
+    fn position(&mut self, service: &Arc<str>) -> u32 {
+        if let Some(position) = self.positions.get(service) {
+            return *position;
+        }
+        let position = self.services.len() as u32;
+        self.services.push(Service {
+            name: Arc::clone(service),
+            ..Service::default()
+        });
+        self.positions.insert(Arc::clone(service), position);
+        position
+    }
+
+    /// Replaces the routes.
+    pub(super) fn set_routes(&mut self, config: &Config) {
+        let mut routes: Map<Front, Route> = Map::default();
+        for route in &config.routes {
+            let targets = route.targets.iter();
+            let pools = targets.map(|target| (self.position(&target.service), target.weight));
+            let entry = Route {
+                name: Arc::clone(&route.name),
+                pools: pools.collect(),
+                objective: objective(route),
+            };
+            routes.insert(route.front, entry);
+        }
+        self.routes = Arc::new(routes);
+    }
+
+    /// The routes; shares their memory.
+    pub(super) fn routes(&self) -> Arc<Map<Front, Route>> {
+        Arc::clone(&self.routes)
+    }
+
+    /// The pools of all services; `cold_limit` gives the limit on new flows to a cold server of a service.
+    pub(super) fn pools(&self, cold_limit: impl Fn(&str) -> Option<cold::Limit>) -> Vec<Pool> {
+        let services = self.services.iter();
+        let pools = services.map(|service| service.pool(cold_limit(&service.name)));
+        pools.collect()
+    }
+}
+
+/// Latency and priority that a route's callers expect; `None` without a latency objective.
+fn objective(route: &route::Route) -> Option<overload::Objective> {
+    Some(overload::Objective {
+        latency: route.objective.latency?,
+        priority: route.objective.priority,
+    })
+}
--- a/crates/cookie/src/roster/warming.rs
+++ b/crates/cookie/src/roster/warming.rs
@@ -1,7 +1,7 @@
 //! Limits new flows to servers that have just started, for services with a configured warm-up
 //! limit.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use acacia_catalog::{
     route::{self, Config},
@@ -9,7 +9,7 @@
 };
 
 use super::{Record, Roster};
-use crate::{cold, snapshot::Snapshot};
+use crate::cold;
 
 /// How the configured request rates of cold servers are turned into limits for the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -44,46 +44,39 @@
         self.suspect_cold(now, |server| &*server.id == id);
     }
 
+    /// Treats the servers of a data centre that could not be reached as cold; see
+    /// [`Roster::suspect_restart`].
+    pub fn suspect_restarts_in(&mut self, data_centre: &str, now: Duration) {
+        self.suspect_cold(now, |server| &*server.data_centre == data_centre);
+    }
+
     /// Treats the selected servers as cold for the configured warm-up time of their services.
     pub(super) fn suspect_cold(&mut self, now: Duration, which: impl Fn(&server::Server) -> bool) {
         let config = self.config.as_deref();
-        for known in self.servers.values_mut() {
+        for (id, known) in &mut self.servers {
             if let Some(warmup) = config.and_then(|config| warmup(config, &known.server))
                 && which(&known.server)
             {
                 let end = now + Duration::from_millis(warmup.time_ms.into());
                 known.suspected_until = known.suspected_until.max(end);
+                self.stale.insert(Arc::clone(id));
             }
         }
     }
 
     /// Whether a server has started recently, or may have, and its service has a warm-up limit.
-    fn is_limited(&self, known: &Record, now: Duration) -> bool {
+    pub(super) fn is_limited(&self, known: &Record, now: Duration) -> bool {
         let is_cold = known.warm_at.max(known.suspected_until) > now;
         let config = self.config.as_deref();
         is_cold && config.is_some_and(|config| warmup(config, &known.server).is_some())
     }
 
-    /// Moves the limited servers of each pool from `open` to `cold`.
-    pub(super) fn separate_cold(&self, snapshot: &mut Snapshot, known: &[&Record], now: Duration) {
-        let Some(config) = &self.config else {
-            return;
-        };
-        for pool in &mut snapshot.pools {
-            let is_limited = |position: &u32| self.is_limited(known[*position as usize], now);
-            pool.cold = pool
-                .open
-                .extract_if(.., |position| is_limited(position))
-                .collect();
-            let limits = config.warmups.iter();
-            let mut limits = limits.filter(|warmup| warmup.service == pool.service);
-            pool.cold_limit = limits.next().and_then(|warmup| self.cold_limit(warmup));
-        }
-    }
-
-    /// The limit of the whole fleet for each cold server; `None` while the fleet's size is not
-    /// known.
-    fn cold_limit(&self, warmup: &route::Warmup) -> Option<cold::Limit> {
+    /// The limit of the whole fleet for each cold server of a service; `None` if it has none, or while the
+    /// fleet's size is not known.
+    pub(super) fn cold_limit(&self, service: &str) -> Option<cold::Limit> {
+        let config = self.config.as_deref()?;
+        let mut limits = config.warmups.iter();
+        let warmup = limits.find(|warmup| *warmup.service == *service)?;
         let Warmup {
             overshoot,
             slack,
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -60,7 +60,7 @@
     },
 }
 
-/// A peer's report that a server is silent.
+/// A peer's report that a server is silent, or that a data centre can't be reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Report {
     reporter: u64,
@@ -307,18 +307,19 @@
         self.states.retain(|server, _| is_known(server));
         self.reports.retain(|server, _| is_known(server));
     }
+}
 
-    /// Whether so many of `all` servers are silent that this balancer itself is probably cut off
-    /// from the network. One or two silent servers are never taken as a sign of that.
-    ///
-    /// ```
-    /// assert!(!acacia_cookie::silence::Detector::default().is_isolated(10));
-    /// ```
-    #[must_use]
-    pub fn is_isolated(&self, all: usize) -> bool {
-        let silent = self.silent().len();
-        silent > 2 && silent as f64 >= ISOLATION_RATIO * all as f64
-    }
+/// Whether so many of `all` servers are silent that this balancer itself is probably cut off from the
+/// network. One or two silent servers are never taken as a sign of that.
+///
+/// ```
+/// use acacia_cookie::silence::is_isolated;
+/// assert!(is_isolated(20, 21));
+/// assert!(!is_isolated(2, 2));
+/// ```
+#[must_use]
+pub fn is_isolated(silent: usize, all: usize) -> bool {
+    silent > 2 && silent as f64 >= ISOLATION_RATIO * all as f64
 }
 
 /// The state of a server that is found silent now.
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -1,4 +1,5 @@
 //! Immutable view of the routes and servers for the traffic threads, replaced as a whole on each change.
+//! What did not change is shared with the view before, so a change costs little in a large fleet.
 
 use std::{net::SocketAddrV4, sync::Arc};
 
@@ -6,7 +7,15 @@
 use acacia_load::{delay::Idle, overload};
 use acacia_wire::collections::Map;
 
-use crate::{cold, cookie::Cookie};
+use crate::{cold, cookie::Cookie, ring::Rings};
+
+/// Indexes of servers by cookie. A clone shares its memory with the original.
+pub type Cookies = imbl::GenericHashMap<
+    Cookie,
+    u32,
+    foldhash::fast::RandomState,
+    imbl::shared_ptr::DefaultSharedPtr,
+>;
 
 /// Which flows a balancer sends to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +39,14 @@
     Gone,
 }
 
+impl Standing {
+    /// Whether the server takes new flows, at least if no other is ready.
+    #[must_use]
+    pub const fn takes_flows(self) -> bool {
+        matches!(self, Standing::Ready | Standing::Missing)
+    }
+}
+
 /// A backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Server {
@@ -65,10 +82,10 @@
 pub struct Pool {
     /// The service's name.
     pub service: Arc<str>,
-    /// Indexes of the servers that take new flows without a limit.
-    pub open: Vec<u32>,
+    /// The servers that take new flows without a limit.
+    pub open: Rings,
     /// Indexes of the servers that are warming up after a start, whose new flows `cold_limit` limits.
-    pub cold: Vec<u32>,
+    pub cold: Rings,
     /// Number of requests that all servers that take new flows process concurrently.
     pub slots: u32,
     /// Limit on the new flows that all balancers together send to each cold server; `None` if they get
@@ -111,13 +128,13 @@
     /// Number of balancers among which the callers' packets are spread, including this one.
     pub balancers: u32,
     /// Routes by the address and port to which callers connect.
-    pub routes: Map<Front, Route>,
+    pub routes: Arc<Map<Front, Route>>,
     /// Pools of all services that are targets of routes.
     pub pools: Vec<Pool>,
     /// All servers, including those that left recently.
-    pub servers: Vec<Server>,
+    pub servers: imbl::Vector<Server>,
     /// Indexes of servers by cookie, for all variants.
-    pub cookies: Map<Cookie, u32>,
+    pub cookies: Cookies,
 }
 
 impl Snapshot {
@@ -132,4 +149,16 @@
         let position = *self.cookies.get(&cookie)?;
         self.servers.get(position as usize)
     }
+
+    /// The index of a server by its name.
+    ///
+    /// ```
+    /// assert!(acacia_cookie::Snapshot::default().position("a").is_none());
+    /// ```
+    #[must_use]
+    pub fn position(&self, id: &str) -> Option<u32> {
+        let position = *self.cookies.get(&Cookie::of(id, 0))?;
+        let server = self.servers.get(position as usize)?;
+        (*server.id == *id).then_some(position)
+    }
 }
--- a/crates/cookie/src/speed.rs
+++ b/crates/cookie/src/speed.rs
@@ -202,15 +202,29 @@
         })
     }
 
-    /// Sets the answer times of a snapshot's servers and scales their weights by their speeds.
+    /// Sets the answer times of a snapshot's servers and scales their weights by their speeds. Visits only
+    /// the servers whose speeds are known, which are few in a large fleet.
     pub fn apply(&self, snapshot: &mut Snapshot) {
-        for server in &mut snapshot.servers {
-            server.idle = self.idle(&server.id);
+        let mut services: Map<Arc<str>, Vec<usize>> = Map::default();
+        for (id, entry) in &self.servers {
+            let position = snapshot.position(id).map(|position| position as usize);
+            if let (Some(position), Some(_)) = (position, entry.speed_per_slot()) {
+                let service = Arc::clone(&snapshot.servers[position].service);
+                services.entry(service).or_default().push(position);
+            }
         }
-        for pool in &snapshot.pools {
-            let open = || pool.open.iter().map(|position| *position as usize);
-            let factors = self.factors(open().map(|position| &*snapshot.servers[position].id));
-            for (position, factor) in open().zip(factors) {
+        for mut positions in services.into_values() {
+            positions.sort_unstable();
+            for &position in &positions {
+                let idle = self.idle(&snapshot.servers[position].id);
+                snapshot.servers[position].idle = idle;
+            }
+            positions.retain(|position| snapshot.servers[*position].standing.takes_flows());
+            let ids = positions
+                .iter()
+                .map(|position| &*snapshot.servers[*position].id);
+            let factors = self.factors(ids);
+            for (position, factor) in positions.into_iter().zip(factors) {
                 snapshot.servers[position].weight *= factor;
             }
         }
--- a/crates/cookie/tests/it/cold.rs
+++ b/crates/cookie/tests/it/cold.rs
@@ -260,7 +260,7 @@
 fn cold(snapshot: &Snapshot) -> Vec<&str> {
     let cold = snapshot.pools[0].cold.iter();
     let mut cold: Vec<&str> = cold
-        .map(|position| &*snapshot.servers[*position as usize].id)
+        .map(|position| &*snapshot.servers[position as usize].id)
         .collect();
     cold.sort_unstable();
     cold
@@ -286,7 +286,7 @@
 fn a_server_is_limited_until_it_is_warm() {
     let mut changes = servers(2);
     changes.push(warmup_config(9));
-    let roster = roster(changes, Some(3));
+    let mut roster = roster(changes, Some(3));
 
     let before = roster.snapshot(&Detector::default(), ms(1_999));
     let after = roster.snapshot(&Detector::default(), ms(2_000));
--- a/crates/cookie/tests/it/failing.rs
+++ b/crates/cookie/tests/it/failing.rs
@@ -87,11 +87,8 @@
         .map(|(one, at)| present(one, at));
     let mut snapshot = snapshot(servers.chain([routed(&["live"], 9)]));
     let before = snapshot.servers[0].weight;
-    for server in &mut snapshot.servers {
-        server.failing = failing.contains(&&*server.id);
-    }
 
-    lower_weights(&mut snapshot);
+    lower_weights(&mut snapshot, failing.iter().copied());
 
     let server = snapshot.servers.iter().find(|server| &*server.id == "a");
     let server = server.expect("a server");
--- a/crates/cookie/tests/it/load.rs
+++ b/crates/cookie/tests/it/load.rs
@@ -52,7 +52,7 @@
     takes: impl Fn(&str, u16) -> Option<u64>,
 ) -> BTreeMap<Arc<str>, u32> {
     let mut fleet = fleet();
-    for server in &mut fleet.servers {
+    for server in fleet.servers.iter_mut() {
         server.idle = idle;
     }
     let mut resolver = Resolver::default();
--- a/crates/cookie/tests/it/main.rs
+++ b/crates/cookie/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod place;
 mod probe;
 mod resolver;
+mod ring;
 mod roster;
 mod silence;
 mod speed;
--- a/crates/cookie/tests/it/overload.rs
+++ b/crates/cookie/tests/it/overload.rs
@@ -4,6 +4,7 @@
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, VecDeque},
+    sync::Arc,
     time::Duration,
 };
 
@@ -54,7 +55,7 @@
             latency: LATENCY,
             priority: Some(if urgent { 1 } else { 2 }),
         });
-        snapshot.routes.insert(Front { port, ..FRONT }, route);
+        Arc::make_mut(&mut snapshot.routes).insert(Front { port, ..FRONT }, route);
     }
     snapshot.balancers = BALANCERS as u32;
     snapshot.pools[0].slots = (SERVERS * SLOTS) as u32;
--- a/crates/cookie/tests/it/roster.rs
+++ b/crates/cookie/tests/it/roster.rs
@@ -64,7 +64,7 @@
     let open = snapshot.pools[0]
         .open
         .iter()
-        .map(|at| &*snapshot.servers[*at as usize].id);
+        .map(|at| &*snapshot.servers[at as usize].id);
     assert_eq!(open.collect::<Vec<_>>(), ["h-2"]);
 }
 
@@ -202,3 +202,63 @@
 
     assert_eq!(names, ["h-2"]);
 }
+
+/// What a snapshot says of each server: its name, standing, weight and whether new flows go there.
+fn facts(
+    snapshot: &acacia_cookie::Snapshot,
+) -> std::collections::BTreeMap<String, (Standing, u64, bool)> {
+    let open: Vec<u32> = snapshot
+        .pools
+        .iter()
+        .flat_map(|pool| pool.open.iter())
+        .collect();
+    let servers = (0..).zip(&snapshot.servers);
+    let facts = servers.map(|(position, server)| {
+        let named = snapshot.cookies.get(&server.cookie) == Some(&position);
+        assert!(named, "the cookie of {} leads to it", server.id);
+        let weight = (server.weight * 1_000.0) as u64;
+        (
+            server.id.to_string(),
+            (server.standing, weight, open.contains(&position)),
+        )
+    });
+    facts.collect()
+}
+
+proptest::proptest! {
+    /// A snapshot takes over what the one before had of servers that did not change. Whenever snapshots
+    /// are taken, the last one must be the same as if none had been taken before.
+    #[test]
+    fn earlier_snapshots_make_no_difference(
+        steps in proptest::collection::vec((0..12u64, 0..5u8, 0..4_000u64), 1..60),
+    ) {
+        let (mut often, mut once) = (Roster::default(), Roster::default());
+        let mut catalog = catalog([routed(&["live"], 1)]);
+        let (mut now, mut revision) = (0, 1);
+        for (number, kind, pause) in steps {
+            revision += 1;
+            now += pause;
+            let mut entry = server(&format!("h-{number}"), "live");
+            entry.warmup_ms = if kind == 1 { 3_000 } else { 0 };
+            entry.state = if kind == 2 { State::Draining } else { State::Ready };
+            let change = if kind >= 3 {
+                absent(&entry.id, revision)
+            } else {
+                present(entry, revision)
+            };
+            catalog.apply(change);
+            often.update(&catalog, ms(now));
+            once.update(&catalog, ms(now));
+            let _ = often.snapshot(&Detector::default(), ms(now));
+        }
+
+        let (often, once) = (
+            often.snapshot(&Detector::default(), ms(now)),
+            once.snapshot(&Detector::default(), ms(now)),
+        );
+
+        proptest::prop_assert_eq!(facts(&often), facts(&once));
+        let slots = |snapshot: &acacia_cookie::Snapshot| snapshot.pools[0].slots;
+        proptest::prop_assert_eq!(slots(&often), slots(&once));
+    }
+}
--- a/crates/cookie/tests/it/silence.rs
+++ b/crates/cookie/tests/it/silence.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use acacia_cookie::silence::{Detector, Finding, Verdict};
+use acacia_cookie::silence::{Detector, Finding, Verdict, is_isolated};
 use acacia_wire::flow::mix;
 
 use crate::{fixture::ms, probe::simulate};
@@ -161,9 +161,9 @@
         detector.found(&server, Finding::Silent, ms(85));
     }
 
-    assert!(detector.is_isolated(21));
+    assert!(is_isolated(detector.silent().len(), 21));
     assert!(
-        !detector.is_isolated(30),
+        !is_isolated(detector.silent().len(), 30),
         "the servers of one data centre still answer"
     );
 }
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -20,7 +20,7 @@
     Roster, Snapshot,
     failing::{Observer, Verdicts},
     roster::{Limits, Warmup},
-    silence::Detector,
+    silence::{Detector, is_isolated},
     speed::{Count, Speeds},
 };
 use rand::{RngExt as _, SeedableRng as _};
@@ -451,14 +451,14 @@
             self.observer.forget(&id);
             self.failing.forget(&id);
         }
-        let known = self.roster.servers().map(|server| Arc::clone(&server.id));
-        let known: Vec<Arc<str>> = known.collect();
-        self.detector
-            .retain(|server| known.binary_search(server).is_ok());
-        let isolated = self.detector.is_isolated(known.len());
+        for id in self.roster.take_departed() {
+            self.detector.forget(&id);
+        }
+        let known = self.roster.count();
+        let isolated = is_isolated(self.detector.silent().len(), known);
         if isolated != self.isolated {
             self.isolated = isolated;
-            log::warn!("event=isolated isolated={isolated} servers={}", known.len());
+            log::warn!("event=isolated isolated={isolated} servers={known}");
         }
         // An isolated balancer can't tell which servers are down, so it treats none as silent.
         let none = Detector::default();
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -150,7 +150,10 @@
 
     fn targets(&self, servers: &[Arc<str>]) -> Vec<Target> {
         let target = |server: &Arc<str>| {
-            let found = self.roster.servers().find(|known| known.id == *server)?;
+            let found = self
+                .roster
+                .get(server)
+                .filter(|_| self.roster.holds(server))?;
             let (server, address) = (Arc::clone(server), found.address);
             Some(Target { server, address })
         };
--- a/crates/node/src/cookie/core/failing.rs
+++ b/crates/node/src/cookie/core/failing.rs
@@ -97,10 +97,7 @@
     ) -> Option<Duration> {
         self.failing.sweep(now);
         self.observer.sweep(now);
-        for server in &mut snapshot.servers {
-            server.failing = self.failing.is_failing(&server.id, now);
-        }
-        failing::lower_weights(snapshot);
+        failing::lower_weights(snapshot, self.failing.failing(now));
         self.failing.next_expiry()
     }
 }
--- a/crates/node/tests/it/cookie/core.rs
+++ b/crates/node/tests/it/cookie/core.rs
@@ -201,7 +201,7 @@
     let names: Vec<&str> = snapshot.pools[0]
         .open
         .iter()
-        .map(|position| &*snapshot.servers[*position as usize].id)
+        .map(|position| &*snapshot.servers[position as usize].id)
         .collect();
     assert_eq!(names, ["i-0"]);
 }
