Judge a data centre that can't be reached by one verdict

Change: when a server is found silent, three balancers of each data centre examine a sample of 16 of its neighbours. If none answers beside a control, the data centre is lost: its servers count as gone, peers adopt the verdict of two, and three of its servers are probed for its return. If some answer, its own balancers examine each server, as before.

Ruled out: a sample by whoever finds a silent server (200 samples of 16 at once); verdicts of one data centre taken over by another without a sample (a cut looks different from each side).

--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cookie;
 pub mod failing;
 pub mod flow;
+pub mod path;
 pub mod place;
 pub mod probe;
 pub mod resolver;
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -30,9 +30,9 @@
 const RESULT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of peers that must report a server as silent before a balancer that did not examine it
 /// adopts the result. A single peer may itself be cut off from the network.
-const QUORUM: usize = 2;
+pub(crate) const QUORUM: usize = 2;
 /// How long a peer's report remains valid.
-const REPORT_TTL: Duration = Duration::from_secs(2);
+pub(crate) const REPORT_TTL: Duration = Duration::from_secs(2);
 /// How long peers' reports on a server are ignored after it answered a probe of this balancer: it
 /// may be unreachable only from those peers.
 pub const PEER_TRUST: Duration = Duration::from_secs(2);
@@ -62,10 +62,10 @@
 
 /// A peer's report that a server is silent, or that a data centre can't be reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Report {
-    reporter: u64,
+pub(crate) struct Report {
+    pub(crate) reporter: u64,
     /// When it arrived.
-    at: Duration,
+    pub(crate) at: Duration,
 }
 
 /// The servers to examine now.
@@ -334,7 +334,7 @@
 /// Interval until the next probe of a server that has been silent for `silent`. Balancers that
 /// examined it report its return to those that adopted the verdict. The latter probe it less often,
 /// only in case no report arrives.
-fn probe_interval(silent: Duration, adopted: bool) -> Duration {
+pub(crate) fn probe_interval(silent: Duration, adopted: bool) -> Duration {
     let min = if adopted {
         MAX_PROBE_INTERVAL
     } else {
--- a/crates/cookie/tests/it/main.rs
+++ b/crates/cookie/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod half_open;
 mod load;
 mod overload;
+mod path;
 mod place;
 mod probe;
 mod resolver;
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -6,10 +6,16 @@
 mod examine;
 mod failing;
 mod gossip;
+mod path;
 mod speed;
 mod summary;
 
-use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Duration,
+};
 
 use acacia_catalog::{
     Catalog, Change,
@@ -19,8 +25,9 @@
 use acacia_cookie::{
     Roster, Snapshot,
     failing::{Observer, Verdicts},
+    path::Paths,
     roster::{Limits, Warmup},
-    silence::{Detector, is_isolated},
+    silence::Detector,
     speed::{Count, Speeds},
 };
 use rand::{RngExt as _, SeedableRng as _};
@@ -58,6 +65,16 @@
     pub changed: bool,
 }
 
+impl Outcome {
+    /// Adds what another step of the same event has to do.
+    fn append(&mut self, other: Outcome) {
+        self.outgoing.extend(other.outgoing);
+        self.fetch |= other.fetch;
+        self.examine |= other.examine;
+        self.changed |= other.changed;
+    }
+}
+
 /// Where changes came from.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -86,6 +103,8 @@
     schedule: spread::Schedule,
     roster: Roster,
     detector: Detector,
+    /// The paths to data centres.
+    paths: Paths,
     speeds: Speeds,
     /// Request counts of the servers that this balancer observes.
     observer: Observer,
@@ -149,6 +168,7 @@
                 ..Limits::default()
             }),
             detector: Detector::default(),
+            paths: Paths::default(),
             speeds: Speeds::default(),
             observer: Observer::default(),
             failing: Verdicts::default(),
@@ -348,6 +368,9 @@
             gossip,
             silent,
             back,
+            lost,
+            reached,
+            scattered,
             failures,
             failing,
             ..
@@ -363,16 +386,15 @@
         if behind && !outcome.fetch {
             self.peer_ahead = Some(sender);
         }
-        let suspicions = self.receive_suspicions(&silent, &from, now);
-        outcome.examine |= suspicions.examine;
-        outcome.changed |= suspicions.changed;
+        outcome.append(self.receive_suspicions(&silent, &from, now));
         if from.data_centre == self.own().data_centre {
             outcome.changed |= self.receive_recoveries(&back, now);
+            outcome.changed |= self.receive_reached(&reached, now);
+            outcome.examine |= self.examine_scattered(&scattered, now);
         }
+        outcome.append(self.receive_losses(&lost, &from, now));
         outcome.changed |= self.mark_failing(&failing, now);
-        let observed = self.receive_failures(failures, &from, now);
-        outcome.changed |= observed.changed;
-        outcome.outgoing.extend(observed.outgoing);
+        outcome.append(self.receive_failures(failures, &from, now));
         outcome.outgoing.extend(self.letters(letters, now));
         outcome
     }
@@ -416,6 +438,9 @@
             gossip: Gossip::default(),
             silent: Vec::new(),
             back: Vec::new(),
+            lost: Vec::new(),
+            reached: Vec::new(),
+            scattered: Vec::new(),
             failures: Vec::new(),
             failing: Vec::new(),
             seen: Vec::new(),
@@ -452,15 +477,14 @@
         for id in self.roster.take_departed() {
             self.detector.forget(&id);
         }
-        let known = self.roster.count();
-        let isolated = is_isolated(self.detector.silent().len(), known);
-        if isolated != self.isolated {
-            self.isolated = isolated;
-            log::warn!("event=isolated isolated={isolated} servers={known}");
-        }
+        self.update_isolated();
         // An isolated balancer can't tell which servers are down, so it treats none as silent.
         let none = Detector::default();
-        let detector = if isolated { &none } else { &self.detector };
+        let (detector, lost) = match self.isolated {
+            true => (&none, BTreeSet::new()),
+            false => (&self.detector, self.paths.lost()),
+        };
+        self.roster.set_lost(lost);
         let mut snapshot = self.roster.snapshot(detector, now);
         if let Some(version) = self.version()
             && self.enforced.is_none_or(|(before, _)| before != version)
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -63,6 +63,9 @@
     /// Records that a packet to a server went unanswered here. Returns true if the server is to be
     /// examined.
     pub fn record_unanswered(&mut self, server: &Arc<str>, now: Duration) -> bool {
+        if self.is_in_lost_centre(server) {
+            return false;
+        }
         let examine = self.detector.suspect(server, OWN_TRUST, now);
         if examine {
             log::info!("event=server-suspected server={server} by=packets");
@@ -83,9 +86,12 @@
         let mut silent = Vec::new();
         let near = from.data_centre == self.own().data_centre;
         for server in servers {
-            if !self.roster.holds(server) {
+            if !self.roster.holds(server) || self.is_in_lost_centre(server) {
                 continue;
             }
+            if near {
+                outcome.examine |= self.sample_data_centre_of(server, now);
+            }
             if self.is_examiner(server) {
                 if self.detector.suspect(server, PEER_TRUST, now) {
                     log::info!("event=server-suspected server={server} by=peer");
@@ -101,10 +107,7 @@
                 silent.push(Arc::clone(server));
             }
         }
-        if !silent.is_empty() {
-            outcome.examine |= self.examine_neighbours(&silent, now);
-            outcome.changed = true;
-        }
+        outcome.changed = !silent.is_empty();
         outcome
     }
 
@@ -122,23 +125,28 @@
         changed
     }
 
-    fn is_examiner(&self, server: &str) -> bool {
+    pub(super) fn is_examiner(&self, server: &str) -> bool {
         is_chosen(self.own(), self.peers(), cookie::hash(server), EXAMINERS)
     }
 
     /// Returns the servers to examine now, and when the next examination is due.
     pub fn examination(&mut self, now: Duration) -> (Examination, Option<Duration>) {
         let due = self.detector.due(now);
-        let next = self.detector.next_due();
-        let targets = self.targets(&due.suspected);
-        let silent = self.targets(&due.silent);
-        let near = self.has_near(&due.suspected);
+        let next = [self.detector.next_due(), self.paths.next_due()];
+        let next = next.into_iter().flatten().min();
+        let is_probed = |server: &Arc<str>| !self.is_in_lost_centre(server);
+        let suspected: Vec<Arc<str>> = due.suspected.into_iter().filter(is_probed).collect();
+        let silent: Vec<Arc<str>> = due.silent.into_iter().filter(is_probed).collect();
+        let targets = self.targets(&suspected);
+        let mut silent = self.targets(&silent);
+        silent.extend(self.path_probes(now));
+        let near = self.has_near(&suspected);
         let near_control = !near || self.control_is_near;
         let control = match targets.is_empty() {
             true => None,
             false => self
-                .control(near_control, &due.suspected)
-                .or_else(|| self.control(!near_control, &due.suspected)),
+                .control(near_control, &suspected)
+                .or_else(|| self.control(!near_control, &suspected)),
         };
         let examination = Examination {
             targets,
@@ -195,7 +203,16 @@
         if self.has_near(&unknown) {
             self.control_is_near = !self.control_is_near;
         }
+        let mut outcome = Outcome::default();
+        for (server, finding) in &findings {
+            outcome.append(self.record_path_finding(server, *finding, now));
+        }
         for (server, finding) in findings {
+            // The verdict on its data centre holds for a server, too.
+            let finding = match self.is_in_lost_centre(&server) {
+                true => Finding::Unknown,
+                false => finding,
+            };
             match self.detector.found(&server, finding, now) {
                 Verdict::Same => {}
                 Verdict::Back => {
@@ -205,42 +222,19 @@
                 }
                 Verdict::Silent => {
                     log::warn!("event=server-silent server={server} by=probes");
+                    outcome.examine |= self.sample_data_centre_of(&server, now);
                     silent.push(server);
                 }
             }
         }
-        let mut outgoing =
-            self.messages_to_data_centre(&silent, now, |message, listed| message.silent = listed);
-        outgoing.extend(
+        outcome.changed |= !silent.is_empty() || !back.is_empty();
+        outcome.outgoing.extend(
+            self.messages_to_data_centre(&silent, now, |message, listed| message.silent = listed),
+        );
+        outcome.outgoing.extend(
             self.messages_to_data_centre(&back, now, |message, listed| message.back = listed),
         );
-        Outcome {
-            outgoing,
-            examine: self.examine_neighbours(&silent, now),
-            changed: !silent.is_empty() || !back.is_empty(),
-            ..Outcome::default()
-        }
-    }
-
-    /// Marks the servers in the data centres of silent ones as suspected, as far as this balancer
-    /// is their examiner. Returns true if any is to be examined. A partition makes all servers of a
-    /// data centre unreachable at once; if they were detected one by one, each would first cost a
-    /// caller an unanswered packet.
-    fn examine_neighbours(&mut self, silent: &[Arc<str>], now: Duration) -> bool {
-        let lost = silent.iter().filter_map(|id| self.roster.get(id));
-        let mut centres: Vec<Arc<str>> = lost.map(|known| Arc::clone(&known.data_centre)).collect();
-        centres.sort_unstable();
-        centres.dedup();
-        let near = self
-            .roster
-            .servers()
-            .filter(|known| centres.contains(&known.data_centre) && self.is_examiner(&known.id));
-        let near: Vec<Arc<str>> = near.map(|known| Arc::clone(&known.id)).collect();
-        let mut examine = false;
-        for neighbour in near {
-            examine |= self.detector.suspect(&neighbour, OWN_TRUST, now);
-        }
-        examine
+        outcome
     }
 
     /// Messages to all peers in the own data centre that together list `servers`; `put` stores a
--- a/crates/node/src/cookie/core/gossip.rs
+++ b/crates/node/src/cookie/core/gossip.rs
@@ -55,12 +55,18 @@
         letters.into_iter().map(outgoing).collect()
     }
 
-    /// Adds the servers that this balancer found silent to the messages of a round.
+    /// Adds the servers that this balancer found silent, and the data centres that it found unreachable, to
+    /// the messages of a round.
     fn add_silent_servers(&self, outgoing: &mut [Outgoing]) {
         let found = self.detector.found_silent().into_iter();
         let silent: Vec<_> = found.take(examine::MAX_SILENT).collect();
-        for one in outgoing {
-            one.message.silent.clone_from(&silent);
+        // In another data centre, a report only starts a sample, so adopted verdicts may be reported there.
+        let (found, known) = (self.paths.found_lost(), Vec::from_iter(self.paths.lost()));
+        for Outgoing { to, message } in outgoing {
+            let receiver = to.first().and_then(|to| self.peers().get(*to));
+            let near = receiver.is_some_and(|peer| peer.data_centre == self.own().data_centre);
+            message.silent.clone_from(&silent);
+            message.lost.clone_from(if near { &found } else { &known });
         }
     }
 
--- a/crates/node/src/cookie/core/summary.rs
+++ b/crates/node/src/cookie/core/summary.rs
@@ -24,10 +24,15 @@
     pub revision: u64,
     /// How long ago that was known to be the store's latest revision; `None` if it never was.
     pub age: Option<Duration>,
-    /// Number of other balancers known.
+    /// Number of other balancers known: those of the own data centre, and the representatives of the
+    /// others.
     pub peers: usize,
-    /// Number of backend servers considered silent.
+    /// Number of balancers of the whole fleet, including this one, as representatives announced it.
+    pub fleet: usize,
+    /// Number of backend servers considered silent, with those of unreachable data centres.
     pub silent: usize,
+    /// Number of data centres none of whose servers can be reached.
+    pub lost_data_centres: usize,
     /// Whether this balancer watches the store on behalf of the others.
     pub reads: bool,
     /// How long the version has been in force; `None` before the first one.
@@ -48,7 +53,9 @@
                 .fresh_until()
                 .map(|fresh| now.saturating_sub(fresh)),
             peers: self.peers().len(),
-            silent: self.detector.silent().len(),
+            fleet: self.group.population() + 1,
+            silent: self.unreachable_servers(),
+            lost_data_centres: self.paths.lost().len(),
             reads: self.reads,
             enforced: self.enforced.map(|(_, since)| now.saturating_sub(since)),
             evacuations: self.evacuations(now),
--- a/crates/node/src/cookie/message.rs
+++ b/crates/node/src/cookie/message.rs
@@ -32,6 +32,13 @@
     pub silent: Vec<Arc<str>>,
     /// Backend servers that the sender considered silent, and that have answered its probes since.
     pub back: Vec<Arc<str>>,
+    /// Data centres none of whose servers answered the sender.
+    pub lost: Vec<Arc<str>>,
+    /// Data centres that the sender could not reach, and one of whose servers has answered it since.
+    pub reached: Vec<Arc<str>>,
+    /// Data centres some of whose servers answered the sender and others didn't, so that each is to be
+    /// examined.
+    pub scattered: Vec<Arc<str>>,
     /// The sender's request counts of servers that the receiver observes.
     pub failures: Vec<Failure>,
     /// Servers that the sender, as their observer, found to fail their requests.
--- a/crates/node/src/cookie/meters.rs
+++ b/crates/node/src/cookie/meters.rs
@@ -170,7 +170,7 @@
         text
     }
 
-    fn gauges(&self, summary: &Summary) -> [(&'static str, &'static str, u128); 8] {
+    fn gauges(&self, summary: &Summary) -> [(&'static str, &'static str, u128); 10] {
         let ready = self.ready.get().map_or(0, Duration::as_millis);
         let age = summary.age.map_or(0, |age| age.as_millis());
         [
@@ -189,12 +189,26 @@
                 "How long ago that was the store's newest",
                 age,
             ),
-            ("peers", "Other balancers known", summary.peers as u128),
+            (
+                "peers",
+                "Other balancers known: the own data centre's, and representatives of the others",
+                summary.peers as u128,
+            ),
+            (
+                "fleet_balancers",
+                "Balancers of the whole fleet, as representatives announced them",
+                summary.fleet as u128,
+            ),
             (
                 "servers_silent",
                 "Backend servers found silent",
                 summary.silent as u128,
             ),
+            (
+                "data_centres_silent",
+                "Data centres none of whose servers can be reached",
+                summary.lost_data_centres as u128,
+            ),
             (
                 "evacuations",
                 "Data centres under evacuation",
--- a/crates/node/tests/it/cookie/cut.rs
+++ b/crates/node/tests/it/cookie/cut.rs
@@ -110,6 +110,81 @@
     assert!(probed <= 5 * (3 * PARTITIONED as usize + 1), "{probed}");
 }
 
+/// Behind a partition lie hundreds of servers. If each were examined, found silent and reported by itself,
+/// that would take seconds and thousands of connections. One verdict must hold for all.
+#[test]
+fn a_partition_is_found_by_samples() {
+    let mut fleet = fleet();
+    let now = fleet.now;
+    for centre in 0..CENTRES.len() {
+        let core = fleet.cores.values_mut().nth(centre).expect("a balancer");
+        core.record_unanswered(&name(SERVERS).into(), now);
+    }
+
+    let (examined, _) = examine(&mut fleet, true);
+
+    // In each data centre three balancers examine 16 servers, and the server whose packets went
+    // unanswered is examined by its own three examiners and the one that noticed.
+    assert!(examined <= 5 * (3 * 16 + 4), "{examined}");
+    let now = fleet.now;
+    let lost = fleet
+        .cores
+        .values()
+        .map(|core| core.summary(now).lost_data_centres);
+    assert_eq!(lost.collect::<Vec<_>>(), vec![1; 195]);
+}
+
+/// Some servers of a data centre crash at the same moment, and the others go on. The sample shows both, and
+/// each server must then be examined: otherwise each dead one would first cost a caller an unanswered
+/// packet.
+#[test]
+fn servers_that_crash_together_are_found_after_one_unanswered_packet() {
+    let mut fleet = Fleet::new(60, &["a", "b", "c"]);
+    let is_dead = |id: &str| id[2..].parse::<u64>().expect("a number").is_multiple_of(5);
+    let servers: Vec<Change> = (1..=100)
+        .map(|number| server(&name(number), number))
+        .collect();
+    let now = fleet.now;
+    for core in fleet.cores.values_mut() {
+        core.apply_full_read(servers.clone(), 100, now, now);
+        core.snapshot(now);
+    }
+    let mut near = fleet.cores.values_mut();
+    let near = near.find(|core| &*core.own().data_centre == "a");
+    near.expect("a balancer")
+        .record_unanswered(&name(5).into(), now);
+
+    for _ in 0..6 {
+        let now = fleet.now;
+        let mut outgoing = Vec::new();
+        for core in fleet.cores.values_mut() {
+            let (examination, _) = core.examination(now);
+            let findings = examination.targets.iter().map(|target| {
+                let finding = if is_dead(&target.server) {
+                    Finding::Silent
+                } else {
+                    Finding::Answered
+                };
+                (Arc::clone(&target.server), finding)
+            });
+            outgoing.extend(
+                core.record_findings(findings.collect(), now + ms(90))
+                    .outgoing,
+            );
+        }
+        fleet.now += ms(90);
+        fleet.deliver(outgoing);
+    }
+
+    let now = fleet.now;
+    let near = fleet
+        .cores
+        .values()
+        .filter(|core| &*core.own().data_centre == "a");
+    let silent: Vec<usize> = near.map(|core| core.summary(now).silent).collect();
+    assert_eq!(silent, vec![20; silent.len()]);
+}
+
 /// A single balancer is cut off and finds all servers silent. If the others adopted its verdict,
 /// they would end flows that work.
 #[test]
