Read changes that come in quick succession by one call, and log them in one line

Cause: the reader watched again at once after each answer, so that each server that reported cost a call to the store and a message to every balancer; each balancer logged some 780 lines of servers in the first seconds of a fleet.

Change: the reader pauses for a fortieth of the bound on being in force after an answer with changes; more than 16 changes of servers in one message or answer are logged as counts.

--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -29,6 +29,9 @@
     pub jitter: Duration,
     /// The longest wait after a failed call, before it is scaled by the number of balancers that fail.
     pub max_backoff: Duration,
+    /// The pause between an answer with changes and the next watch. Changes that come in quick succession
+    /// are then read by one call and passed on in one message.
+    pub pause: Duration,
 }
 
 impl Timing {
@@ -49,6 +52,7 @@
             max_age: bound / 2,
             jitter: bound / 5,
             max_backoff: bound / 3,
+            pause: bound / 40,
         }
     }
 }
@@ -72,6 +76,8 @@
     fresh_until: Option<Duration>,
     /// When a read of unknown age was answered, if any.
     primed: Option<Duration>,
+    /// When the store last answered with changes.
+    changed: Option<Duration>,
     /// The number of consecutive failed calls, and the time of the last one.
     failures: u32,
     failed: Duration,
@@ -85,6 +91,7 @@
             timing,
             fresh_until: None,
             primed: None,
+            changed: None,
             failures: 0,
             failed: Duration::ZERO,
         }
@@ -131,6 +138,11 @@
         self.confirmed(sent);
     }
 
+    /// Records that the store answered with changes.
+    pub fn changed(&mut self, now: Duration) {
+        self.changed = Some(now);
+    }
+
     /// Records a peer's confirmation that all changes up to `at` are known.
     pub fn confirmed(&mut self, at: Duration) {
         self.fresh_until = Some(self.fresh_until.map_or(at, |fresh| fresh.max(at)));
@@ -163,7 +175,11 @@
             return Action::Wait(wait);
         }
         if reads && self.fresh_until.is_some() {
-            return Action::Watch;
+            let pause = self.changed.map(|at| at + self.timing.pause);
+            return match pause.and_then(|end| end.checked_sub(now)) {
+                Some(wait) if !wait.is_zero() => Action::Wait(wait),
+                _ => Action::Watch,
+            };
         }
         // With data of unknown age, wait for a peer's confirmation. The reader has no peer to wait for.
         let Some(fresh) = self.fresh_until.or(self.primed.filter(|_| !reads)) else {
--- a/crates/catalog/tests/it/spread.rs
+++ b/crates/catalog/tests/it/spread.rs
@@ -228,3 +228,25 @@
         );
     }
 }
+
+/// Hundreds of servers report within a second. If the reader watched again at once after each answer, each
+/// report would cost a call, and a message to every balancer.
+#[test]
+fn the_reader_pauses_after_an_answer_with_changes() {
+    let mut schedule = spread::Schedule::new(spread::Timing::within(BOUND));
+    let (mut now, mut calls) = (Duration::ZERO, 0);
+    while now < Duration::from_secs(10) {
+        match schedule.next_action(now, true, 0.0, 0) {
+            spread::Action::Wait(wait) => now += wait,
+            spread::Action::Watch | spread::Action::Poll => {
+                calls += 1;
+                now += Duration::from_millis(5);
+                schedule.answered(now);
+                schedule.changed(now);
+            }
+        }
+    }
+
+    // The pause is a fortieth of the bound: 75 ms.
+    assert!(calls <= 10_000 / 75, "{calls}");
+}
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -300,10 +300,10 @@
     ) -> Outcome {
         self.log_store_regained();
         let base = self.catalog.revision();
-        let mut changed = false;
-        for change in changes {
-            changed |= self.apply(change);
+        if !changes.is_empty() {
+            self.schedule.changed(now);
         }
+        let changed = self.apply_all(changes).changed;
         self.catalog.complete(revision);
         self.schedule.answered(sent);
         self.propagate(changed, base, &Source::Store, now)
--- a/crates/node/src/cookie/core/changes.rs
+++ b/crates/node/src/cookie/core/changes.rs
@@ -10,6 +10,19 @@
 use super::{Core, Outcome, Source, describe};
 use crate::cookie::message::{Difference, Known, MAX_CHANGES_BYTES, Outgoing};
 
+/// Maximum number of changed servers in one message or answer that are logged one by one. When a fleet
+/// starts, thousands of servers report within seconds.
+const MAX_LOGGED_SERVERS: usize = 16;
+
+/// The result of applying changes.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Applied {
+    /// Whether the catalog changed.
+    pub(super) changed: bool,
+    /// The revision of a patch whose base is not known here, if any.
+    pub(super) missed: Option<u64>,
+}
+
 impl Core {
     /// Applies the changes that were fetched from a peer.
     pub fn apply_fetched(
@@ -48,17 +61,14 @@
         now: Duration,
     ) -> Outcome {
         let base = self.catalog.revision();
-        let mut changed = false;
-        for change in changes {
-            if !self.catalog.can_apply(&change) {
-                log::info!("event=step-missed revision={}", change.revision());
-                self.missed_change = true;
-                return Outcome {
-                    changed,
-                    ..Outcome::default()
-                };
-            }
-            changed |= self.apply(change);
+        let Applied { changed, missed } = self.apply_all(changes);
+        if let Some(revision) = missed {
+            log::info!("event=step-missed revision={revision}");
+            self.missed_change = true;
+            return Outcome {
+                changed,
+                ..Outcome::default()
+            };
         }
         self.catalog.complete(known.revision);
         let fresher = known.at(now).is_some_and(|at| self.confirm_freshness(at));
@@ -77,12 +87,34 @@
         before.is_none_or(|before| at > before + self.schedule.timing().watch_timeout / 2)
     }
 
-    /// Applies one change to the catalog and logs it. Returns true if the catalog changed.
-    pub(super) fn apply(&mut self, change: Change) -> bool {
-        let line = describe::change(&change, self.catalog.config());
-        let applied = self.catalog.apply(change);
-        if applied {
-            log::info!("{line}");
+    /// Applies changes to the catalog, up to a patch that doesn't fit, and logs them: each in a line of its
+    /// own, or many of servers in one line for all.
+    pub(super) fn apply_all(&mut self, changes: Vec<Change>) -> Applied {
+        let mut applied = Applied::default();
+        let mut servers = describe::Servers::default();
+        let is_server = |change: &Change| matches!(change, Change::Server { .. });
+        let count = changes.iter().filter(|change| is_server(change)).count();
+        for change in changes {
+            if !self.catalog.can_apply(&change) {
+                applied.missed = Some(change.revision());
+                break;
+            }
+            if is_server(&change) && count > MAX_LOGGED_SERVERS {
+                let counted = servers.with(&change);
+                if self.catalog.apply(change) {
+                    applied.changed = true;
+                    servers = counted;
+                }
+                continue;
+            }
+            let line = describe::change(&change, self.catalog.config());
+            if self.catalog.apply(change) {
+                applied.changed = true;
+                log::info!("{line}");
+            }
+        }
+        if !servers.is_empty() {
+            log::info!("{servers}");
         }
         applied
     }
--- a/crates/node/src/cookie/core/describe.rs
+++ b/crates/node/src/cookie/core/describe.rs
@@ -1,10 +1,11 @@
 //! Log lines for changes of the catalog.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use acacia_catalog::{
     Change, Item,
     route::{Config, Patch},
+    server::State,
 };
 
 /// Formats a change as key=value pairs. A configuration is always described by its difference from
@@ -23,8 +24,8 @@
             revision,
             server: Some(server),
         } => format!(
-            "event=server server={id} revision={revision} state={:?} service={} address={} warmup_ms={}",
-            server.state, server.service, server.address, server.warmup_ms
+            "event=server server={id} revision={revision} state={:?} service={} data_centre={} address={} warmup_ms={}",
+            server.state, server.service, server.data_centre, server.address, server.warmup_ms
         ),
         Change::Server {
             id,
@@ -45,3 +46,52 @@
     let (version, put, removed) = (patch.version, patch.put.len(), patch.remove.len());
     format!("event=config revision={revision} version={version} put={put} removed={removed}")
 }
+
+/// Counts of changed servers, for one log line.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Servers {
+    ready: usize,
+    draining: usize,
+    removed: usize,
+    /// The highest revision.
+    revision: u64,
+}
+
+impl Servers {
+    /// The counts with one more change, if it is that of a server.
+    pub fn with(self, change: &Change) -> Self {
+        let mut counts = self;
+        if let Change::Server {
+            revision, server, ..
+        } = change
+        {
+            counts.revision = counts.revision.max(*revision);
+            match server.as_ref().map(|server| server.state) {
+                Some(State::Ready) => counts.ready += 1,
+                Some(State::Draining) => counts.draining += 1,
+                None => counts.removed += 1,
+            }
+        }
+        counts
+    }
+
+    /// Whether no server is counted.
+    pub const fn is_empty(&self) -> bool {
+        self.ready + self.draining + self.removed == 0
+    }
+}
+
+impl fmt::Display for Servers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Servers {
+            ready,
+            draining,
+            removed,
+            revision,
+        } = self;
+        write!(
+            f,
+            "event=servers ready={ready} draining={draining} removed={removed} revision={revision}"
+        )
+    }
+}
