--- a/crates/catalog/src/member/group.rs
+++ b/crates/catalog/src/member/group.rs
@@ -178,7 +178,7 @@
         self.drop_unreachable_data_centres(now);
         self.announce_delegation();
         letters.extend(self.probe_next(now));
-        letters.extend(self.contact_distant(now));
+        letters.extend(self.contact_distant());
         letters.extend(self.contact_lost(now));
         letters
     }
--- a/crates/catalog/src/member/group/distant.rs
+++ b/crates/catalog/src/member/group/distant.rs
@@ -167,7 +167,7 @@
     }
 
     /// Contacts other data centres in turn, if this balancer represents its own one.
-    pub(super) fn contact_distant(&mut self, now: Duration) -> Vec<Letter> {
+    pub(super) fn contact_distant(&mut self) -> Vec<Letter> {
         if !self.is_representative() {
             return Vec::new();
         }
@@ -185,7 +185,6 @@
             letters.push(Letter { to, gossip });
         }
         self.distant.next = (self.distant.next + count) % centres.len().max(1);
-        let _ = now;
         letters
     }
 
--- a/crates/node/src/cookie/core/path.rs
+++ b/crates/node/src/cookie/core/path.rs
@@ -14,6 +14,7 @@
 use rand::seq::IteratorRandom as _;
 
 use super::{Core, Outcome, examine::Target};
+use crate::cookie::message::{Message, Outgoing};
 
 /// Number of balancers per data centre that sample another data centre. With three, two still agree when
 /// one of them crashes or is cut off itself.
@@ -149,17 +150,13 @@
     }
 
     /// A message to the own data centre.
-    fn announce(
-        &self,
-        now: Duration,
-        put: impl Fn(&mut crate::cookie::message::Message),
-    ) -> Outcome {
+    fn announce(&self, now: Duration, put: impl Fn(&mut Message)) -> Outcome {
         let near = self.peers().of(&self.own().data_centre);
         let to = near.map(|member| member.address).collect();
         let mut message = self.empty_message(now);
         put(&mut message);
         Outcome {
-            outgoing: vec![crate::cookie::message::Outgoing { to, message }],
+            outgoing: vec![Outgoing { to, message }],
             changed: true,
             ..Outcome::default()
         }
@@ -210,15 +207,13 @@
     ) -> Outcome {
         let mut outcome = Outcome::default();
         let near = from.data_centre == self.own().data_centre;
-        for centre in data_centres
-            .iter()
-            .filter(|centre| !self.paths.is_lost(centre))
-            .cloned()
-            .collect::<Vec<_>>()
-        {
-            if !near || self.is_sampler(&centre) {
-                outcome.examine |= self.sample_data_centre(&centre, now);
-            } else if self.paths.peer_found_lost(&centre, rank(from.address), now) {
+        for centre in data_centres {
+            if self.paths.is_lost(centre) {
+                continue;
+            }
+            if !near || self.is_sampler(centre) {
+                outcome.examine |= self.sample_data_centre(centre, now);
+            } else if self.paths.peer_found_lost(centre, rank(from.address), now) {
                 log::warn!("event=data-centre-silent data_centre={centre} by=peers");
                 outcome.changed = true;
             }
--- a/crates/node/tests/it/cookie/cut.rs
+++ b/crates/node/tests/it/cookie/cut.rs
@@ -81,6 +81,15 @@
     }
 }
 
+/// Lets a packet to a partitioned server go unanswered at one balancer of each data centre.
+fn notice_in_each_data_centre(fleet: &mut Fleet) {
+    let now = fleet.now;
+    for centre in 0..CENTRES.len() {
+        let core = fleet.cores.values_mut().nth(centre).expect("a balancer");
+        core.record_unanswered(&name(SERVERS).into(), now);
+    }
+}
+
 /// The number of servers that each balancer considers silent.
 fn silent(fleet: &Fleet) -> Vec<usize> {
     let now = fleet.now;
@@ -93,11 +102,7 @@
 #[test]
 fn few_balancers_examine_on_behalf_of_all() {
     let mut fleet = fleet();
-    let now = fleet.now;
-    for centre in 0..CENTRES.len() {
-        let core = fleet.cores.values_mut().nth(centre).expect("a balancer");
-        core.record_unanswered(&name(SERVERS).into(), now);
-    }
+    notice_in_each_data_centre(&mut fleet);
 
     let (examined, _) = examine(&mut fleet, true);
     assert_eq!(silent(&fleet), vec![PARTITIONED as usize; 195]);
@@ -115,11 +120,7 @@
 #[test]
 fn a_partition_is_found_by_samples() {
     let mut fleet = fleet();
-    let now = fleet.now;
-    for centre in 0..CENTRES.len() {
-        let core = fleet.cores.values_mut().nth(centre).expect("a balancer");
-        core.record_unanswered(&name(SERVERS).into(), now);
-    }
+    notice_in_each_data_centre(&mut fleet);
 
     let (examined, _) = examine(&mut fleet, true);
 
