--- a/crates/node/src/cookie/core/changes.rs
+++ b/crates/node/src/cookie/core/changes.rs
@@ -4,12 +4,25 @@
 
 use acacia_catalog::{
     Change,
-    spread::{fetch_children, recipients},
+    spread::{children, relays},
 };
 
 use super::{Core, Outcome, Source, describe};
 use crate::cookie::message::{Difference, Known, MAX_CHANGES_BYTES, Outgoing};
 
+/// Maximum number of changed servers in one message or answer that are logged one by one. When a fleet
+/// starts, thousands of servers report within seconds.
+const MAX_LOGGED_SERVERS: usize = 16;
+
+/// The result of applying changes.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Applied {
+    /// Whether the catalog changed.
+    pub(super) changed: bool,
+    /// The revision of a patch whose base is not known here, if any.
+    pub(super) missed: Option<u64>,
+}
+
 impl Core {
     /// Applies the changes that were fetched from a peer.
     pub fn apply_fetched(
@@ -48,17 +61,14 @@
         now: Duration,
     ) -> Outcome {
         let base = self.catalog.revision();
-        let mut changed = false;
-        for change in changes {
-            if !self.catalog.can_apply(&change) {
-                log::info!("event=step-missed revision={}", change.revision());
-                self.missed_change = true;
-                return Outcome {
-                    changed,
-                    ..Outcome::default()
-                };
-            }
-            changed |= self.apply(change);
+        let Applied { changed, missed } = self.apply_all(changes);
+        if let Some(revision) = missed {
+            log::info!("event=step-missed revision={revision}");
+            self.missed_change = true;
+            return Outcome {
+                changed,
+                ..Outcome::default()
+            };
         }
         self.catalog.complete(known.revision);
         let fresher = known.at(now).is_some_and(|at| self.confirm_freshness(at));
@@ -77,18 +87,41 @@
         before.is_none_or(|before| at > before + self.schedule.timing().watch_timeout / 2)
     }
 
-    /// Applies one change to the catalog and logs it. Returns true if the catalog changed.
-    pub(super) fn apply(&mut self, change: Change) -> bool {
-        let line = describe::change(&change, self.catalog.config());
-        let applied = self.catalog.apply(change);
-        if applied {
-            log::info!("{line}");
+    /// Applies changes to the catalog, up to a patch that doesn't fit, and logs them: each in a line of its
+    /// own, or many of servers in one line for all.
+    pub(super) fn apply_all(&mut self, changes: Vec<Change>) -> Applied {
+        let mut applied = Applied::default();
+        let mut servers = describe::Servers::default();
+        let is_server = |change: &Change| matches!(change, Change::Server { .. });
+        let count = changes.iter().filter(|change| is_server(change)).count();
+        for change in changes {
+            if !self.catalog.can_apply(&change) {
+                applied.missed = Some(change.revision());
+                break;
+            }
+            if is_server(&change) && count > MAX_LOGGED_SERVERS {
+                let counted = servers.with(&change);
+                if self.catalog.apply(change) {
+                    applied.changed = true;
+                    servers = counted;
+                }
+                continue;
+            }
+            let line = describe::change(&change, self.catalog.config());
+            if self.catalog.apply(change) {
+                applied.changed = true;
+                log::info!("{line}");
+            }
+        }
+        if !servers.is_empty() {
+            log::info!("{servers}");
         }
         applied
     }
 
-    /// Forwards the changes after `base`. Small ones are sent to all recipients. Large ones are
-    /// only announced to a few balancers, which fetch them and announce them in turn.
+    /// Forwards the changes after `base` to this balancer's children in the tree of the change and, if
+    /// they come from the store, to the relays of the other data centres. Those that don't fit into a
+    /// datagram are only announced, and the receivers fetch them.
     pub(super) fn propagate(
         &mut self,
         changed: bool,
@@ -96,21 +129,26 @@
         source: &Source,
         now: Duration,
     ) -> Outcome {
-        let (centre, root) = match source {
-            Source::Store => (None, self.own.address),
-            Source::Peer { data_centre, root } => (Some(data_centre), *root),
+        let tree = match source {
+            Source::Store => Some(self.new_tree(self.catalog.revision())),
+            Source::Peer { tree } => *tree,
+        };
+        let Some(tree) = tree else {
+            return Outcome {
+                changed,
+                ..Outcome::default()
+            };
         };
+        let mut to = children(self.own(), self.peers(), tree);
+        if *source == Source::Store {
+            to.extend(relays(self.own(), self.peers()));
+        }
+        let mut message = self.empty_message(now);
+        message.tree = Some(tree);
         let changes = self.catalog.since(base);
         let size = postcard::experimental::serialized_size(&changes);
         let complete = base >= self.catalog.forgotten();
-        let fits = complete && size.is_ok_and(|size| size <= MAX_CHANGES_BYTES);
-        let to = match fits {
-            true => recipients(&self.own, &self.peers, centre),
-            false => fetch_children(&self.own, &self.peers, root, centre),
-        };
-        let mut message = self.empty_message(now);
-        message.root = root;
-        if fits {
+        if complete && size.is_ok_and(|size| size <= MAX_CHANGES_BYTES) {
             (message.base, message.changes) = (base, changes);
         }
         Outcome {
