Tell a suspected balancer in each round that it is suspected

Cause: a suspected balancer learned of it only by claims that happened to reach it. When 55 % of a fleet die at once, hundreds of claims wait in each message, and a few living balancers were removed before they had refuted.

Change: whoever suspects a balancer sends it the claim in each round.

Ruled out: longer time to refute (a dead balancer would stay longer for all).

--- a/crates/catalog/src/member/group.rs
+++ b/crates/catalog/src/member/group.rs
@@ -126,12 +126,6 @@
         self.near().count() + self.distant.population()
     }
 
-    /// The number of data centres of which representatives are known, without the own one.
-    #[must_use]
-    pub fn distant_data_centres(&self) -> usize {
-        self.distant.reachable().count()
-    }
-
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.seeds = seeds;
@@ -177,6 +171,7 @@
         self.remove_unrefuted(now);
         self.drop_unreachable_data_centres(now);
         self.announce_delegation();
+        letters.extend(self.warn_suspects());
         letters.extend(self.probe_next(now));
         letters.extend(self.contact_distant());
         letters.extend(self.contact_lost(now));
--- a/crates/catalog/src/member/group/claims.rs
+++ b/crates/catalog/src/member/group/claims.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Change, Gossip, Group, Letter, Member, ROUND, Status, Suspicion, Update};
+use super::{Change, Gossip, Group, Letter, Member, Probe, ROUND, Status, Suspicion, Update};
 
 impl Group {
     /// Announces a changed description of this balancer.
@@ -127,6 +127,20 @@
         self.hear_suspicion(&update, by, now);
     }
 
+    /// Messages that tell the members that this balancer suspects. One that lives refutes at once, even if
+    /// claims spread slowly because many members are suspected at the same time.
+    pub(super) fn warn_suspects(&mut self) -> Vec<Letter> {
+        let own = self.number();
+        let suspects = self.suspicions.iter();
+        let suspects = suspects.filter(|(_, suspicion)| suspicion.is_by(own));
+        let suspects: Vec<_> = suspects.map(|(address, _)| *address).collect();
+        let letter = |to| Letter {
+            to,
+            gossip: self.near_gossip(to, Some(Probe::Ping(0))),
+        };
+        suspects.into_iter().map(letter).collect()
+    }
+
     /// Removes the members that did not refute a suspicion in time.
     pub(super) fn remove_unrefuted(&mut self, now: Duration) {
         let others = self.near().count().saturating_sub(1);
--- a/crates/catalog/src/member/suspicion.rs
+++ b/crates/catalog/src/member/suspicion.rs
@@ -33,6 +33,11 @@
         counts
     }
 
+    /// Whether a balancer is among those that suspect it.
+    pub fn is_by(&self, balancer: u16) -> bool {
+        self.accusers.contains(&balancer)
+    }
+
     /// Delays the end of the suspicion, as this balancer could not hear a refutation for `paused`.
     pub fn postpone(&mut self, paused: Duration) {
         self.since += paused;
--- a/crates/catalog/tests/it/member.rs
+++ b/crates/catalog/tests/it/member.rs
@@ -89,6 +89,23 @@
     assert_eq!(accused.own().age(), (own.incarnation, own.version + 1));
 }
 
+/// Many members die at once, and claims about them fill the messages. A living member that is suspected by
+/// mistake must still learn of it in time, so whoever suspects it tells it in each round.
+#[test]
+fn a_suspected_member_is_told_in_each_round() {
+    let (own, accused, living) = (member(1, "a"), member(2, "a"), member(3, "a"));
+    let mut group = group(&own, &[accused.clone(), living.clone()]);
+
+    let sent = rounds(&mut group, &living, 7);
+
+    let told = sent.iter().filter(|letter| {
+        let first = letter.gossip.updates.first();
+        letter.to == accused.address
+            && first.is_some_and(|claim| matches!(claim.status, Status::Suspected { .. }))
+    });
+    assert!(told.count() >= 3);
+}
+
 /// A refutation ends the suspicion, whoever brings it.
 #[test]
 fn a_refuted_member_stays_on_the_list() {
