Don't log a representative that is replaced as a lost balancer

Cause: representatives change whenever the store refuses one of them.

Change: a balancer of another data centre counts as lost only if its whole data centre doesn't answer. Three tests of delegations come with it.

Log lines alone change; the members that a balancer knows are the same.

--- a/crates/catalog/src/member/group.rs
+++ b/crates/catalog/src/member/group.rs
@@ -39,7 +39,7 @@
 pub enum Change {
     /// A balancer was added.
     Found(Member),
-    /// A balancer was removed.
+    /// A balancer was removed: it died, or its data centre can't be reached.
     Lost(Member),
 }
 
--- a/crates/catalog/src/member/group/distant.rs
+++ b/crates/catalog/src/member/group/distant.rs
@@ -155,7 +155,10 @@
         let listed: Vec<Member> = self.members.of(data_centre).cloned().collect();
         for member in listed.into_iter().filter(|member| !is_listed(member)) {
             self.members.remove(member.address);
-            self.changes.push(Change::Lost(member));
+            // One that is replaced may live on, and only represents its data centre no more.
+            if delegation.members.is_empty() {
+                self.changes.push(Change::Lost(member));
+            }
         }
         for member in &delegation.members {
             let is_new = self.members.get(member.address).is_none();
--- a/crates/catalog/tests/it/member.rs
+++ b/crates/catalog/tests/it/member.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
-use acacia_catalog::member::{Change, Gossip, Group, Letter, Member, Probe, ROUND, Status, Update};
+use acacia_catalog::member::{
+    Change, Delegation, Gossip, Group, Letter, Member, Probe, ROUND, Status, Update,
+};
 
 use crate::fixture::member;
 
@@ -238,3 +240,70 @@
 
     assert_eq!(group.members().len(), 1);
 }
+
+/// A delegation of data centre `b`.
+fn delegation(stamp: u64, numbers: &[u8]) -> Gossip {
+    let members = numbers.iter().map(|number| member(*number, "b"));
+    let delegation = Delegation {
+        data_centre: "b".into(),
+        stamp,
+        population: 9,
+        members: members.collect(),
+    };
+    Gossip {
+        delegations: vec![delegation],
+        ..Gossip::default()
+    }
+}
+
+/// Representatives change whenever the store refuses one of them. On-call would search for a dead balancer
+/// if each change were logged as a loss.
+#[test]
+fn a_representative_that_is_replaced_is_not_reported_as_lost() {
+    let (own, distant) = (member(1, "a"), member(1, "b"));
+    let mut group = group(&own, &[]);
+    group.receive(&distant, &delegation(1, &[1, 2, 3]), ms(10));
+    group.take_changes();
+
+    group.receive(&distant, &delegation(2, &[1, 3, 4]), ms(20));
+
+    let known: Vec<u8> = group
+        .members()
+        .of("b")
+        .map(|one| one.address.ip().octets()[3])
+        .collect();
+    assert_eq!(known, [1, 3, 4]);
+    assert_eq!(group.take_changes(), [Change::Found(member(4, "b"))]);
+}
+
+/// A late message must not bring back representatives that were replaced.
+#[test]
+fn an_older_delegation_changes_nothing() {
+    let (own, distant) = (member(1, "a"), member(1, "b"));
+    let mut group = group(&own, &[]);
+    group.receive(&distant, &delegation(2, &[1, 3, 4]), ms(10));
+
+    group.receive(&distant, &delegation(1, &[1, 2, 3]), ms(20));
+
+    assert!(group.members().get(member(2, "b").address).is_none());
+}
+
+/// Nobody answers from a data centre behind a cut. Its representatives must leave the list, or changes would
+/// be sent to them and one of them be taken for the reader; and they must be contacted until they answer.
+#[test]
+fn a_data_centre_that_does_not_answer_is_dropped_and_contacted_further() {
+    let (own, distant) = (member(1, "a"), member(1, "b"));
+    let mut group = group(&own, &[]);
+    group.receive(&distant, &delegation(1, &[1, 2, 3]), ms(10));
+
+    let sent: Vec<Letter> = (1..=20)
+        .flat_map(|round| group.round(ROUND * round))
+        .collect();
+
+    assert_eq!(group.members().of("b").count(), 0);
+    let last = sent.last().expect("messages");
+    assert_eq!(last.to.ip().octets()[2], b'b');
+
+    group.receive(&distant, &delegation(9, &[1, 2, 3]), ms(11_000));
+    assert_eq!(group.members().of("b").count(), 3);
+}
