--- a/crates/catalog/src/member/news.rs
+++ b/crates/catalog/src/member/news.rs
@@ -4,8 +4,9 @@
 
 use super::{Delegation, Update};
 
-/// Factor on the logarithm of the number of members: how often each balancer sends one claim. With
-/// three, a claim misses a given member in far less than one of a million cases at 2 % loss.
+/// Factor on the logarithm of the number of members: how often each balancer sends one claim. A claim
+/// reaches all members in a number of messages that grows with that logarithm; the rest is a reserve for
+/// lost messages.
 const SENDS_FACTOR: u32 = 3;
 /// Maximum number of claims in one message. At 17 bytes each, the message fits into one Ethernet frame
 /// beside its other parts.
