Don't take later long lines of feeds for slow answers (IP)

What callers saw: openings refused by idle servers, at services with live feeds whose lines are of 2.4 to 14 kB.

A balancer sees only part of a feed's acknowledgements, so the first one after the caller's data may be for a line sent seconds later; those seconds were taken for the server's answer time.

Change: the tracker learns for each service whether answers end at their first acknowledgement or go on after a pause, from the flow's next packet with the same sequence number. Late acknowledgements are timed only where fewer than one answer in twenty goes on. A new service counts as one whose answers go on.

Of the new tests, late_answers_are_not_timed_where_answers_may_go_on failed on the old code in its three cases.

Ruled out: timing nothing beyond 500 ms everywhere (blinds the balancer to slow servers of services without feeds); waiting for a packet that shows an answer's end (finds an eighth of the late answers and all fast ones).

--- a/crates/load/src/track.rs
+++ b/crates/load/src/track.rs
@@ -21,13 +21,39 @@
 const MIN_PROMPT: f64 = 0.05;
 /// Number of answers over which that fraction is averaged.
 const PROMPT_SAMPLES: f64 = 256.0;
+/// Fraction of answers that go on after a pause from which late acknowledgements are not timed.
+const MAX_STREAMING: f64 = 0.05;
+/// Number of answers over which that fraction is averaged.
+const STREAMING_SAMPLES: f64 = 64.0;
 
 #[derive(Debug, Clone, Copy)]
 enum Sample {
     /// The opening was seen; the first packet after it completes the sample.
     Opening { at: Duration, isn: u32 },
-    /// Data was seen with this acknowledgement number; a higher number completes the sample.
-    Data { at: Duration, acknowledged: u32 },
+    /// Data was seen that ends before `sequence`; an acknowledgement beyond `acknowledged` completes
+    /// the sample.
+    Data {
+        at: Duration,
+        acknowledged: u32,
+        sequence: u32,
+    },
+    /// An answer was acknowledged up to `acknowledged`. A later packet with the same `sequence` shows
+    /// whether the answer had ended there.
+    Answered {
+        at: Duration,
+        acknowledged: u32,
+        sequence: u32,
+    },
+}
+
+impl Sample {
+    fn at(&self) -> Duration {
+        match self {
+            Sample::Opening { at, .. } | Sample::Data { at, .. } | Sample::Answered { at, .. } => {
+                *at
+            }
+        }
+    }
 }
 
 /// Samples TCP flows at one traffic thread.
@@ -53,6 +79,9 @@
     last_sweep: Duration,
     /// Fraction of the first acknowledgements that were immediate.
     prompt: f64,
+    /// Fraction of the answers that went on after a pause, as those of feeds do. It is 1 until
+    /// answers are seen to end, so that an unknown service's feeds aren't taken for slow answers.
+    streaming: f64,
 }
 
 impl Tracker {
@@ -65,6 +94,7 @@
             patience,
             last_sweep: Duration::ZERO,
             prompt: 0.0,
+            streaming: 1.0,
         }
     }
 
@@ -100,8 +130,10 @@
             self.keep(packet.key, Sample::Opening { at: now, isn }, now);
             return;
         }
-        if let Some(sample) = self.samples.get(&packet.key).copied() {
-            self.resolve(sample, packet, server, now, tally);
+        if let Some(sample) = self.samples.remove(&packet.key)
+            && let Some(sample) = self.resolve(sample, packet, server, now, tally)
+        {
+            self.samples.insert(packet.key, sample);
         }
         match packet.kind {
             Kind::Closing | Kind::Reset => {
@@ -110,20 +142,18 @@
             }
             _ if packet.payload > 0 && !self.samples.contains_key(&packet.key) => {
                 tally.asked(server);
-                let acknowledged = packet.acknowledgement;
-                self.keep(
-                    packet.key,
-                    Sample::Data {
-                        at: now,
-                        acknowledged,
-                    },
-                    now,
-                );
+                let data = Sample::Data {
+                    at: now,
+                    acknowledged: packet.acknowledgement,
+                    sequence: packet.sequence.wrapping_add(packet.payload.into()),
+                };
+                self.keep(packet.key, data, now);
             }
             _ => {}
         }
     }
 
+    /// Evaluates the next packet of a sampled flow. Returns the flow's sample from now on, if any.
     fn resolve(
         &mut self,
         sample: Sample,
@@ -131,29 +161,80 @@
         server: Server,
         now: Duration,
         tally: &mut Tally,
-    ) {
-        let took = |at: Duration| now.saturating_sub(at);
+    ) -> Option<Sample> {
+        let took = now.saturating_sub(sample.at());
+        if took > self.patience {
+            return None;
+        }
         match sample {
-            Sample::Opening { at, isn } => {
+            Sample::Opening { isn, .. } => {
                 // Only the handshake's last packet and the first data carry this sequence number.
                 // With a later packet, the network time would include the time of the answer.
-                if packet.sequence == isn.wrapping_add(1) && took(at) <= self.patience {
-                    tally.completed(server, took(at));
+                if packet.sequence == isn.wrapping_add(1) {
+                    tally.completed(server, took);
                 }
+                None
             }
-            Sample::Data { at, acknowledged } => {
-                let beyond = packet.acknowledgement.wrapping_sub(acknowledged) as i32 > 0;
-                if !beyond && took(at) <= self.patience {
-                    return;
-                }
-                if beyond && took(at) <= self.patience {
-                    let advance = packet.acknowledgement.wrapping_sub(acknowledged);
-                    let timed = self.is_server_time(packet, advance, took(at));
-                    tally.answered(server, timed.then(|| took(at)));
-                }
+            Sample::Data {
+                acknowledged,
+                sequence,
+                ..
+            } => {
+                let Some(advance) = advance(packet, acknowledged) else {
+                    return Some(sample);
+                };
+                let timed = self.is_server_time(packet, advance, took);
+                tally.answered(server, timed.then_some(took));
+                let is_first = packet.sequence == sequence && is_pure(packet);
+                is_first.then_some(Sample::Answered {
+                    at: now,
+                    acknowledged: packet.acknowledgement,
+                    sequence,
+                })
             }
+            Sample::Answered { .. } => self.follow_answer(sample, packet, now),
         }
-        self.samples.remove(&packet.key);
+    }
+
+    /// Learns from the next packet after an answer's first acknowledgement whether the answer had
+    /// ended there. Returns the flow's sample from now on, if any.
+    ///
+    /// A packet with another sequence number shows nothing, as a request in between may have passed
+    /// through another balancer. Nor does an acknowledgement on a packet with data or FIN, which comes
+    /// when the caller chooses, unless it acknowledges nothing more.
+    fn follow_answer(&mut self, sample: Sample, packet: &Packet, now: Duration) -> Option<Sample> {
+        let Sample::Answered {
+            at,
+            acknowledged,
+            sequence,
+        } = sample
+        else {
+            return None;
+        };
+        if packet.sequence != sequence {
+            return None;
+        }
+        match (advance(packet, acknowledged), is_pure(packet)) {
+            (None, true) => Some(sample),
+            (None, false) => {
+                self.learn_streaming(false);
+                None
+            }
+            (Some(_), true) if now.saturating_sub(at) > MAX_ACK_DELAY => {
+                self.learn_streaming(true);
+                None
+            }
+            (Some(_), true) => Some(Sample::Answered {
+                at: now,
+                acknowledged: packet.acknowledgement,
+                sequence,
+            }),
+            (Some(_), false) => None,
+        }
+    }
+
+    fn learn_streaming(&mut self, streams: bool) {
+        self.streaming += (f64::from(u8::from(streams)) - self.streaming) / STREAMING_SAMPLES;
     }
 
     /// Returns whether `took`, the time until an acknowledgement that advanced by `advance` bytes,
@@ -163,19 +244,23 @@
     /// than most requests take; with that delay counted, fast servers would look as slow as slow
     /// ones. Packets with data or FIN come at a time that the caller chooses.
     ///
-    /// An acknowledgement of few bytes that comes later than the longest delay is for data that the
-    /// server sent long after its answer, such as the lines of a live feed, most of which are
-    /// acknowledged through other balancers. If the seconds between two lines were taken for an
-    /// answer time, idle servers would look busy (`event=refusing` with a capacity below one flow a
-    /// second) and new flows would be refused. An answer that really took that long isn't timed
-    /// either.
+    /// An acknowledgement that comes later than the longest delay may be for data that the server
+    /// sent long after its answer, such as the lines of a live feed, most of which are acknowledged
+    /// through other balancers. If the seconds between two lines were taken for an answer time, idle
+    /// servers would look busy (`event=refusing` with a capacity below one flow a second) and new
+    /// flows would be refused. Late acknowledgements are therefore timed only where answers are known
+    /// to end, and those of few bytes never.
     fn is_server_time(&mut self, packet: &Packet, advance: u32, took: Duration) -> bool {
-        if packet.payload > 0 || packet.kind != Kind::Middle || advance > INITIAL_WINDOW {
+        if !is_pure(packet) || advance > INITIAL_WINDOW {
             return false;
         }
         let prompt = advance >= PROMPT_BYTES;
         self.prompt += (f64::from(u8::from(prompt)) - self.prompt) / PROMPT_SAMPLES;
-        prompt || (self.prompt < MIN_PROMPT && took <= MAX_ACK_DELAY)
+        let is_late = took > MAX_ACK_DELAY;
+        match prompt {
+            true => !is_late || self.streaming < MAX_STREAMING,
+            false => !is_late && self.prompt < MIN_PROMPT,
+        }
     }
 
     fn keep(&mut self, key: Key, sample: Sample, now: Duration) {
@@ -185,13 +270,22 @@
             // A sweep visits the whole map, so it runs at most once per `patience`.
             self.last_sweep = now;
             let patience = self.patience;
-            self.samples.retain(|_, sample| {
-                let (Sample::Opening { at, .. } | Sample::Data { at, .. }) = *sample;
-                now.saturating_sub(at) < patience
-            });
+            self.samples
+                .retain(|_, sample| now.saturating_sub(sample.at()) < patience);
         }
         if self.samples.len() < self.capacity {
             self.samples.insert(key, sample);
         }
     }
 }
+
+/// Returns by how many bytes a packet acknowledges more than `acknowledged`, if it does.
+fn advance(packet: &Packet, acknowledged: u32) -> Option<u32> {
+    let advance = packet.acknowledgement.wrapping_sub(acknowledged);
+    (advance as i32 > 0).then_some(advance)
+}
+
+/// Returns whether a packet only acknowledges.
+fn is_pure(packet: &Packet) -> bool {
+    packet.payload == 0 && packet.kind == Kind::Middle
+}
--- a/crates/load/tests/it/fake.rs
+++ b/crates/load/tests/it/fake.rs
@@ -75,6 +75,8 @@
     pub factors: Vec<f64>,
     /// Fraction of the samples that balancers see.
     pub visible: f64,
+    /// Time in seconds beyond which answers are counted but not timed.
+    pub timed_within: Option<f64>,
     pub weights: Vec<f64>,
     /// A server, and the fraction of its openings that it resets.
     pub shed: Option<(usize, f64)>,
@@ -100,6 +102,7 @@
             speeds: speeds.to_vec(),
             factors: vec![1.0; speeds.len()],
             visible: 0.23,
+            timed_within: None,
             weights: vec![1.0; speeds.len()],
             shed: None,
             free: vec![[0.0; 2]; speeds.len()],
@@ -259,7 +262,11 @@
             let tally = self.balancers[observation.balancer].gate.tally();
             match observation.closed {
                 Some(class) => tally.closed(Server(observation.server), class),
-                None => tally.answered(Server(observation.server), Some(observation.took)),
+                None => {
+                    let took = observation.took;
+                    let is_timed = self.timed_within.is_none_or(|limit| took <= seconds(limit));
+                    tally.answered(Server(observation.server), is_timed.then_some(took));
+                }
             }
         }
         while self.tick as f64 <= self.now {
--- a/crates/load/tests/it/outcome.rs
+++ b/crates/load/tests/it/outcome.rs
@@ -63,6 +63,30 @@
     );
 }
 
+/// The same where late answers have no known time, as at services that also have live feeds.
+#[rstest]
+fn a_flood_is_noticed_without_the_times_of_late_answers(#[values(false, true)] dying: bool) {
+    let untimed = |seed, dying| {
+        let mut fake = Fake::new(&SPEEDS, seed);
+        fake.timed_within = Some(0.5);
+        fake.run(40.0, USUAL);
+        if dying {
+            fake.kill();
+        }
+        fake
+    };
+    let calm = untimed(3, false).run(20.0, USUAL);
+    let flood = untimed(3, dying).run(20.0, [USUAL[0], 1.8]);
+    assert_eq!(flood.refused[PAYING], 0);
+    assert!(
+        flood.wait() < 1.6 * calm.wait() + 0.02,
+        "{} {}",
+        flood.wait(),
+        calm.wait()
+    );
+    assert!(flood.refused[TRIAL] > 0);
+}
+
 /// Trial callers have borrowed the whole idle share, and then paying callers return. None of these
 /// may be refused or wait long.
 #[rstest]
--- a/crates/load/tests/it/track.rs
+++ b/crates/load/tests/it/track.rs
@@ -162,6 +162,54 @@
     }
 }
 
+/// Packets of a flow whose answer of 3 kB is acknowledged `took` milliseconds after the caller's data.
+fn answered_after(took: u64) -> [(u64, Packet); 2] {
+    let data = packet(Kind::Middle, 300, 101, 500);
+    [(0, data), (took, packet(Kind::Middle, 0, 401, 500 + 3_000))]
+}
+
+/// Number of answers after which a tracker knows whether a service's answers end.
+const KNOWN: u16 = 250;
+
+/// Returns how many of the last flow's answers were timed, if `KNOWN` other flows of the same service
+/// went before it whose last packet came a second after the answer.
+fn timed_after(last: Packet, took: u64) -> u32 {
+    let mut tracker = Tracker::new(1_000, Duration::from_secs(10));
+    let mut observe = |flow: u16, packets: &[(u64, Packet)]| {
+        let mut tally = Tally::new(1, 1);
+        for (at, mut packet) in packets.iter().copied() {
+            packet.key.client_port = flow;
+            tracker.observe(&packet, SERVER, 0, Duration::from_millis(at), &mut tally);
+        }
+        tally.servers[0].timed
+    };
+    for flow in 0..KNOWN {
+        observe(flow, &answered_after(20));
+        observe(flow, &[(1_020, last)]);
+    }
+    observe(KNOWN, &answered_after(took))
+}
+
+/// A flood keeps servers so busy that answers take seconds. Where answers are known to end, as the
+/// callers' next packets show, their times still count, so that the flood is noticed.
+#[rstest]
+#[case::next_request(packet(Kind::Middle, 300, 401, 3_500))]
+#[case::closing(packet(Kind::Closing, 0, 401, 3_500))]
+fn late_answers_are_timed_where_answers_end(#[case] last: Packet) {
+    assert_eq!(timed_after(last, 2_000), 1);
+}
+
+/// Packets that leave open whether the answer had ended, and acknowledgements of later lines, must
+/// not make the times of late lines count.
+#[rstest]
+#[case::later_line(packet(Kind::Middle, 0, 401, 6_500))]
+#[case::unseen_request(packet(Kind::Middle, 0, 701, 6_500))]
+#[case::closing_after_more(packet(Kind::Closing, 0, 401, 6_500))]
+fn late_answers_are_not_timed_where_answers_may_go_on(#[case] last: Packet) {
+    assert_eq!(timed_after(last, 2_000), 0);
+    assert_eq!(timed_after(last, 20), 1, "prompt ones are timed");
+}
+
 /// A flood of half-open flows must not use unbounded memory on a small VM.
 #[test]
 fn the_memory_is_bounded() {
