Keep changes in force in time while the store has dropped its history

Cause: the reader of the store, told that history was gone, read all 11,000 entries, which took longer than the others trust old data, and told nobody anything meanwhile. After half of the bound the other 983 asked the store, were told the same and began the same read: some 4 GB on the store's link. No page came within a second, every retry was more of the same, no read ended.

Change: the operators' keys are read by one call and passed on at once. The servers' entries are read by one balancer, which follows the store's changes from its first read on and says so; the others wait for as long as one is heard to. If the reader isn't, one balancer of each data centre does it. Pages are kept over failed calls. Two revisions in messages tell peers what they lack.

Evidence: the real decision code before a stand-in store with a limited link (node, cookie::compaction; 61 balancers, 1,101 entries in pages of 50). With the code before, three of the first four tests fail: 483 pages read and the change in force after 2.5 s; with a dying reader 731 and 743 pages, 7.4 and 7.7 s.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -77,6 +77,54 @@
     }
 }
 
+/// How much of the store's state is known. The two revisions differ while the servers' entries are being
+/// read anew, after the store has dropped its history; changes since the start of that read are known, but
+/// not those that were dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Position {
+    /// The store's revision up to which all changes are known; 0 before the first full read.
+    pub revision: u64,
+    /// The store's revision up to which the operators' changes are known: those of the configuration and
+    /// of evacuations. At least `revision`.
+    pub operators: u64,
+}
+
+impl Position {
+    /// Whether changes of servers are missing that were made before the last known change of the
+    /// operators.
+    ///
+    /// ```
+    /// use acacia_catalog::Position;
+    /// assert!(Position { revision: 3, operators: 7 }.lacks_servers());
+    /// ```
+    #[must_use]
+    pub const fn lacks_servers(&self) -> bool {
+        self.operators > self.revision
+    }
+
+    /// Whether everything is known that is known at `other`.
+    ///
+    /// ```
+    /// use acacia_catalog::Position;
+    /// let (old, new) = (Position { revision: 3, operators: 3 }, Position { revision: 3, operators: 7 });
+    /// assert!(new.covers(&old) && !old.covers(&new));
+    /// ```
+    #[must_use]
+    pub const fn covers(&self, other: &Position) -> bool {
+        self.revision >= other.revision && self.operators >= other.operators
+    }
+}
+
+/// A moment in the order in which changes were applied to a [`Catalog`]; see [`Catalog::mark`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mark {
+    /// What was known at that moment.
+    pub position: Position,
+    config: u64,
+    server_edit: u64,
+    evacuation_edit: u64,
+}
+
 /// The routes, servers and evacuations as one balancer knows them.
 ///
 /// Answers of the store and messages from peers may be reordered, repeated, or come from lagging
@@ -84,7 +132,7 @@
 /// revert and a draining server doesn't get new flows again.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
-    revision: u64,
+    position: Position,
     config: Option<Item<Arc<Config>>>,
     /// The latest patches, each from one configuration to the next.
     patches: VecDeque<Item<Arc<Patch>>>,
@@ -98,7 +146,13 @@
     /// The store's revision up to which all changes are known; 0 before the first full read.
     #[must_use]
     pub const fn revision(&self) -> u64 {
-        self.revision
+        self.position.revision
+    }
+
+    /// How much of the store's state is known.
+    #[must_use]
+    pub const fn position(&self) -> Position {
+        self.position
     }
 
     /// The operators' configuration, if one is known.
@@ -250,7 +304,76 @@
 
     /// Records that all changes up to `revision` have been applied.
     pub fn complete(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+        self.position.revision = self.position.revision.max(revision);
+        self.complete_operators(revision);
+    }
+
+    /// Records that all changes of the operators up to `revision` have been applied.
+    pub fn complete_operators(&mut self, revision: u64) {
+        self.position.operators = self.position.operators.max(revision);
+    }
+
+    /// The present moment, for [`Catalog::since_mark`].
+    #[must_use]
+    pub fn mark(&self) -> Mark {
+        Mark {
+            position: self.position,
+            config: self.config.as_ref().map_or(0, |item| item.revision),
+            server_edit: self.servers.last_edit(),
+            evacuation_edit: self.evacuations.last_edit(),
+        }
+    }
+
+    /// The entries that changed here after `mark`, in order of their revisions. Unlike
+    /// [`Catalog::since`], it doesn't return changes that were known here at that moment.
+    ///
+    /// ```
+    /// use acacia_catalog::{Catalog, Change};
+    /// let mut catalog = Catalog::default();
+    /// let change = |revision| Change::Server { id: "a".into(), revision, server: None };
+    /// catalog.apply(change(7));
+    /// let mark = catalog.mark();
+    /// assert!(catalog.since_mark(&mark).is_empty());
+    /// catalog.apply(change(9));
+    /// assert_eq!(catalog.since_mark(&mark), [change(9)]);
+    /// ```
+    #[must_use]
+    pub fn since_mark(&self, mark: &Mark) -> Vec<Change> {
+        let servers = self.servers.edited_since(mark.server_edit);
+        let evacuations = self.evacuations.edited_since(mark.evacuation_edit);
+        self.changes(mark.config, servers, evacuations)
+    }
+
+    /// Applies an entry that the store itself has listed. Unlike [`Catalog::apply`], it accepts entries
+    /// that are not newer than [`Catalog::forgotten`].
+    pub fn apply_listed(&mut self, change: Change) -> bool {
+        match change {
+            Change::Server {
+                id,
+                revision,
+                server,
+            } => self.servers.set(id, revision, server),
+            Change::Evacuation {
+                data_centre,
+                revision,
+                stands,
+            } => self
+                .evacuations
+                .set(data_centre, revision, stands.then_some(())),
+            other => self.apply(other),
+        }
+    }
+
+    /// Removes the servers that a read of all of them, as of `revision`, lacks. Returns whether any was
+    /// removed.
+    pub fn retain_servers(&mut self, listed: Vec<Arc<str>>, revision: u64) -> bool {
+        self.servers.remove_unlisted(listed, revision)
+    }
+
+    /// Removes the evacuations that a read of all of them, as of `revision`, lacks. Returns whether any was
+    /// removed.
+    pub fn retain_evacuations(&mut self, listed: Vec<Arc<str>>, revision: u64) -> bool {
+        self.evacuations.remove_unlisted(listed, revision)
     }
 
     /// Applies a full read of the store as of `revision`: servers and evacuations that it lacks are
@@ -267,36 +390,22 @@
     /// assert_eq!(catalog.revision(), 9);
     /// ```
     pub fn replace(&mut self, entries: Vec<Change>, revision: u64) -> bool {
-        if revision < self.revision {
+        if revision < self.position.revision {
             return false;
         }
         let mut servers = Vec::with_capacity(entries.len());
         let mut evacuations = Vec::new();
         let mut changed = false;
         for change in entries {
-            changed |= match change {
-                Change::Server {
-                    id,
-                    revision,
-                    server,
-                } => {
-                    servers.push(Arc::clone(&id));
-                    self.servers.set(id, revision, server)
-                }
-                Change::Evacuation {
-                    data_centre,
-                    revision,
-                    stands,
-                } => {
-                    evacuations.push(Arc::clone(&data_centre));
-                    self.evacuations
-                        .set(data_centre, revision, stands.then_some(()))
-                }
-                other => self.apply(other),
-            };
+            match &change {
+                Change::Server { id, .. } => servers.push(Arc::clone(id)),
+                Change::Evacuation { data_centre, .. } => evacuations.push(Arc::clone(data_centre)),
+                Change::Config { .. } | Change::Patch { .. } => {}
+            }
+            changed |= self.apply_listed(change);
         }
-        changed |= self.servers.remove_unlisted(servers, revision);
-        changed |= self.evacuations.remove_unlisted(evacuations, revision);
+        changed |= self.retain_servers(servers, revision);
+        changed |= self.retain_evacuations(evacuations, revision);
         self.complete(revision);
         changed
     }
@@ -305,18 +414,29 @@
     #[must_use]
     pub fn since(&self, revision: u64) -> Vec<Change> {
         let servers = self.servers.since(revision);
+        let evacuations = self.evacuations.since(revision);
+        self.changes(revision, servers, evacuations)
+    }
+
+    /// The changes of the configuration after the revision `config` and those of the given entries, in
+    /// order of their revisions.
+    fn changes<'a>(
+        &self,
+        config: u64,
+        servers: impl Iterator<Item = (&'a Arc<str>, &'a Item<Option<Arc<Server>>>)>,
+        evacuations: impl Iterator<Item = (&'a Arc<str>, &'a Item<Option<()>>)>,
+    ) -> Vec<Change> {
         let servers = servers.map(|(id, item)| Change::Server {
             id: Arc::clone(id),
             revision: item.revision,
             server: item.value.clone(),
         });
-        let evacuations = self.evacuations.since(revision);
         let evacuations = evacuations.map(|(data_centre, item)| Change::Evacuation {
             data_centre: Arc::clone(data_centre),
             revision: item.revision,
             stands: item.value.is_some(),
         });
-        let mut changes = self.configuration_since(revision);
+        let mut changes = self.configuration_since(config);
         changes.extend(servers.chain(evacuations));
         changes.sort_by_key(Change::revision);
         changes
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod server;
 pub mod spread;
 
-pub use catalog::{Catalog, Change, Item};
+pub use catalog::{Catalog, Change, Item, Mark, Position};
--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -15,7 +15,10 @@
 use acacia_wire::flow::mix;
 use serde::{Deserialize, Serialize};
 
-use crate::member::{Member, Members, rank};
+use crate::{
+    Position,
+    member::{Member, Members, rank},
+};
 
 /// The timing of store reads, derived from the time within which a change must be in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,7 +60,8 @@
     }
 }
 
-/// The next action of a balancer towards the store.
+/// The next action of a balancer towards the store. A [`Schedule`] decides by the age of the data alone
+/// between the first three; [`reads_servers`] decides on the last one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
     /// Call, and let the store hold the answer until something changes.
@@ -66,6 +70,12 @@
     Poll,
     /// Make no call for this long.
     Wait(Duration),
+    /// Read everything, as nothing is known yet.
+    ReadAll,
+    /// Read the operators' entries, as the store has dropped the history after what is known.
+    ReadOperators,
+    /// Read the servers' entries page by page, and follow the changes meanwhile.
+    ReadServers,
 }
 
 /// Decides when this balancer reads the store.
@@ -192,6 +202,12 @@
         }
     }
 
+    /// Whether a call would come too soon after a failed one; see [`Schedule::next_action`].
+    #[must_use]
+    pub fn is_backing_off(&self, now: Duration, share: f64, failing: usize) -> bool {
+        !self.remaining_backoff(now, share, failing).is_zero()
+    }
+
     /// The remaining wait after failed calls. It doubles from an eighth of the longest wait, and grows
     /// with the number of balancers that are failing as well.
     ///
@@ -250,6 +266,45 @@
     before.take(count).count() < count
 }
 
+/// Whether `own` reads all servers' entries anew, after the store has dropped the history that it or a peer
+/// would have continued from. `position` is what `own` knows; `idle` is how long no balancer has been heard
+/// to do so, or `None` if none ever was; `period` is how long one that does so may be silent.
+///
+/// A read of thousands of entries takes dozens of calls and megabytes. If every balancer did that, the
+/// store's link would be saturated, no read would end, and their retries would keep it so. So the reader
+/// does it. If it isn't heard to, one balancer of each data centre does, and after each further period
+/// another one.
+///
+/// ```
+/// use std::time::Duration;
+/// use acacia_catalog::{Position, member::{Members, Member}, spread::reads_servers};
+/// let own = Member {
+///     address: "192.0.2.1:7000".parse()?, data_centre: "a".into(), incarnation: 1, version: 0,
+///     sighted: false, leaving: false,
+/// };
+/// let (list, period) = (Members::default(), Duration::from_secs(2));
+/// let lacking = Position { revision: 3, operators: 7 };
+/// assert!(reads_servers(&own, &list, lacking, None, period));
+/// assert!(!reads_servers(&own, &list, lacking, Some(period / 2), period));
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[must_use]
+pub fn reads_servers(
+    own: &Member,
+    list: &Members,
+    position: Position,
+    idle: Option<Duration>,
+    period: Duration,
+) -> bool {
+    if !position.lacks_servers() {
+        return false;
+    }
+    let periods = idle.map_or(0, |idle| idle.as_millis() / period.as_millis().max(1));
+    let is_heard = idle.is_some() && periods == 0;
+    let key = mix(position.revision ^ mix(periods as u64));
+    is_reader(own, list) || !is_heard && is_chosen(own, list, key, 1)
+}
+
 /// The first `count` balancers of a data centre in the order for `key`; see [`is_chosen`].
 ///
 /// ```
--- a/crates/catalog/tests/it/spread.rs
+++ b/crates/catalog/tests/it/spread.rs
@@ -155,7 +155,7 @@
     while now < Duration::from_secs(20) {
         match schedule.next_action(now, false, 0.5, failing) {
             spread::Action::Wait(wait) => now += wait,
-            spread::Action::Watch | spread::Action::Poll => {
+            _ => {
                 calls += 1;
                 schedule.failed(now);
             }
@@ -238,7 +238,7 @@
     while now < Duration::from_secs(10) {
         match schedule.next_action(now, true, 0.0, 0) {
             spread::Action::Wait(wait) => now += wait,
-            spread::Action::Watch | spread::Action::Poll => {
+            _ => {
                 calls += 1;
                 now += Duration::from_millis(5);
                 schedule.answered(now);
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -7,6 +7,7 @@
 mod failing;
 mod gossip;
 mod path;
+mod rebuild;
 mod speed;
 mod summary;
 
@@ -34,6 +35,8 @@
 use rand_pcg::Pcg64;
 
 pub use examine::{Examination, Target};
+pub use rebuild::Page;
+use rebuild::Rebuild;
 pub use summary::{Evacuation, Summary};
 
 use super::{
@@ -122,6 +125,12 @@
     control_is_near: bool,
     /// Whether a configuration patch was missed, so that the full state has to be fetched.
     missed_change: bool,
+    /// Whether the store has dropped the history after what is known here.
+    history_gone: bool,
+    /// The read of all servers' entries that this balancer has begun, if any.
+    rebuild: Option<Rebuild>,
+    /// When a balancer, this or another, was last known to be reading all servers' entries.
+    rebuild_seen: Option<Duration>,
     /// A peer that knew a later revision while this balancer waited for the store's first answer.
     peer_ahead: Option<SocketAddrV4>,
     random: Pcg64,
@@ -177,6 +186,9 @@
             isolated: false,
             control_is_near: false,
             missed_change: false,
+            history_gone: false,
+            rebuild: None,
+            rebuild_seen: None,
             peer_ahead: None,
             jitter: random.random(),
             random,
@@ -259,8 +271,25 @@
             log::info!("event=reader reads={reads} peers={}", self.peers().len());
         }
         let without_store = self.balancers_without_store();
-        self.schedule
-            .next_action(now, reads, self.jitter, without_store)
+        let action = self
+            .schedule
+            .next_action(now, reads, self.jitter, without_store);
+        let is_waiting = matches!(action, spread::Action::Wait(_));
+        let backs_off = self
+            .schedule
+            .is_backing_off(now, self.jitter, without_store);
+        let reads_servers = !backs_off && self.reads_servers(now);
+        if is_waiting && !reads_servers {
+            action
+        } else if self.catalog.revision() == 0 {
+            spread::Action::ReadAll
+        } else if self.history_gone || reads_servers && self.rebuild.is_none() {
+            spread::Action::ReadOperators
+        } else if reads_servers {
+            spread::Action::ReadServers
+        } else {
+            action
+        }
     }
 
     /// Whether this balancer has just started and may still discover its peers. When a whole fleet
@@ -290,7 +319,8 @@
         (!is_counting).then(|| known as u32 + 1)
     }
 
-    /// Applies the store's answer to a watch: `changes` up to `revision`, complete as of `sent`.
+    /// Applies the store's answer to a watch after [`Core::followed`]: `changes` up to `revision`,
+    /// complete as of `sent`.
     pub fn apply_store_changes(
         &mut self,
         changes: Vec<Change>,
@@ -299,14 +329,20 @@
         now: Duration,
     ) -> Outcome {
         self.log_store_regained();
-        let base = self.catalog.revision();
+        let mark = self.catalog.mark();
         if !changes.is_empty() {
             self.schedule.changed(now);
         }
-        let changed = self.apply_all(changes).changed;
-        self.catalog.complete(revision);
+        let changed = self.apply_all(changes, Catalog::apply).changed;
+        match &mut self.rebuild {
+            Some(rebuild) => {
+                rebuild.follow(revision);
+                self.catalog.complete_operators(revision);
+            }
+            None => self.catalog.complete(revision),
+        }
         self.schedule.answered(sent);
-        self.propagate(changed, base, &Source::Store, now)
+        self.propagate(changed, &mark, &Source::Store, now)
     }
 
     /// Replaces the catalog with the store's answer to a full read that was requested at `sent`.
@@ -318,11 +354,11 @@
         now: Duration,
     ) -> Outcome {
         self.log_store_regained();
-        let base = self.catalog.revision();
+        let mark = self.catalog.mark();
         let changed = self.catalog.replace(reading, revision);
         log::info!("event=store-read revision={revision} changed={changed}");
         self.schedule.answered(sent);
-        self.propagate(changed, base, &Source::Store, now)
+        self.propagate(changed, &mark, &Source::Store, now)
     }
 
     /// Replaces the catalog with a full read that may be seconds old, complete up to `revision`.
@@ -378,10 +414,10 @@
         let letters = self.group.receive(&from, &gossip, now);
         self.log_member_changes();
         let mut outcome = Outcome::default();
-        if base <= self.catalog.revision() {
-            outcome = self.apply_peer_changes(known, changes, &source, now);
+        if base.revision <= self.catalog.revision() {
+            outcome = self.apply_peer_changes(known, base, changes, &source, now);
         }
-        let behind = self.missed_change || known.revision > self.catalog.revision();
+        let behind = self.missed_change || !self.catalog.position().covers(&known.position);
         outcome.fetch = behind && !self.awaits_store(now);
         if behind && !outcome.fetch {
             self.peer_ahead = Some(sender);
@@ -416,7 +452,7 @@
         let tree = if near {
             message.tree
         } else {
-            Some(self.new_tree(message.known.revision))
+            Some(self.new_tree(message.known.position.operators))
         };
         Source::Peer { tree }
     }
@@ -432,7 +468,7 @@
         Message {
             from: self.own().clone(),
             known: self.known(now),
-            base: self.catalog.revision(),
+            base: self.catalog.position(),
             tree: None,
             changes: Vec::new(),
             gossip: Gossip::default(),
@@ -448,13 +484,11 @@
     }
 
     fn known(&self, now: Duration) -> Known {
-        let age = self
-            .schedule
-            .fresh_until()
-            .map(|fresh| now.saturating_sub(fresh));
+        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
         Known {
-            revision: self.catalog.revision(),
-            age_ms: age.map(|age| age.as_millis() as u64),
+            position: self.catalog.position(),
+            age_ms: self.schedule.fresh_until().map(age_ms),
+            rebuild_age_ms: self.rebuild_seen.map(age_ms),
         }
     }
 
--- a/crates/node/src/cookie/core/changes.rs
+++ b/crates/node/src/cookie/core/changes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use acacia_catalog::{
-    Change,
+    Catalog, Change, Mark, Position,
     spread::{children, relays},
 };
 
@@ -38,30 +38,27 @@
             whole,
         } = difference;
         if !whole {
-            return self.apply_peer_changes(known, changes, source, now);
+            let base = self.catalog.position();
+            return self.apply_peer_changes(known, base, changes, source, now);
         }
-        let base = self.catalog.revision();
-        let changed = self.catalog.replace(changes, known.revision);
-        let revision = known.revision;
+        let mark = self.catalog.mark();
+        let (revision, base) = (known.position.revision, mark.position.revision);
+        let changed = self.catalog.replace(changes, revision);
         log::info!("event=whole-fetched revision={revision} base={base} changed={changed}");
-        let fresher = known.at(now).is_some_and(|at| self.confirm_freshness(at));
-        if !changed && !fresher {
-            return Outcome::default();
-        }
-        self.propagate(changed, base, source, now)
+        self.apply_known(known, changed, &mark, source, now)
     }
 
-    /// Applies all changes up to the revision that a peer knows, and forwards them if they are new
-    /// here.
+    /// Applies a peer's changes from `base` to what it knows, and forwards them if they are new here.
     pub(super) fn apply_peer_changes(
         &mut self,
         known: Known,
+        base: Position,
         changes: Vec<Change>,
         source: &Source,
         now: Duration,
     ) -> Outcome {
-        let base = self.catalog.revision();
-        let Applied { changed, missed } = self.apply_all(changes);
+        let mark = self.catalog.mark();
+        let Applied { changed, missed } = self.apply_all(changes, Catalog::apply);
         if let Some(revision) = missed {
             log::info!("event=step-missed revision={revision}");
             self.missed_change = true;
@@ -70,12 +67,35 @@
                 ..Outcome::default()
             };
         }
-        self.catalog.complete(known.revision);
+        if !mark.position.covers(&base) {
+            // Changes of the operators between what was known here and `base` are missing.
+            return Outcome {
+                changed,
+                ..Outcome::default()
+            };
+        }
+        self.apply_known(known, changed, &mark, source, now)
+    }
+
+    /// Records what a peer knows, after its changes since `mark` have been applied, and forwards them if
+    /// they are new here.
+    fn apply_known(
+        &mut self,
+        known: Known,
+        changed: bool,
+        mark: &Mark,
+        source: &Source,
+        now: Duration,
+    ) -> Outcome {
+        self.catalog.complete(known.position.revision);
+        self.catalog.complete_operators(known.position.operators);
+        self.end_rebuild_if_complete();
         let fresher = known.at(now).is_some_and(|at| self.confirm_freshness(at));
-        if !changed && !fresher {
+        let rebuilds = known.rebuild_at(now).is_some_and(|at| self.see_rebuild(at));
+        if !changed && !fresher && !rebuilds {
             return Outcome::default();
         }
-        self.propagate(changed, base, source, now)
+        self.propagate(changed, mark, source, now)
     }
 
     /// Records that all changes up to `at` are known. Returns true if that is so much fresher than
@@ -84,12 +104,21 @@
     fn confirm_freshness(&mut self, at: Duration) -> bool {
         let before = self.schedule.fresh_until();
         self.schedule.confirmed(at);
+        self.is_worth_forwarding(before, at)
+    }
+
+    /// Whether `at` is so much later than `before` that peers are told.
+    pub(super) fn is_worth_forwarding(&self, before: Option<Duration>, at: Duration) -> bool {
         before.is_none_or(|before| at > before + self.schedule.timing().watch_timeout / 2)
     }
 
-    /// Applies changes to the catalog, up to a patch that doesn't fit, and logs them: each in a line of its
-    /// own, or many of servers in one line for all.
-    pub(super) fn apply_all(&mut self, changes: Vec<Change>) -> Applied {
+    /// Applies changes to the catalog by `apply`, up to a patch that doesn't fit, and logs them: each in a
+    /// line of its own, or many of servers in one line for all.
+    pub(super) fn apply_all(
+        &mut self,
+        changes: Vec<Change>,
+        apply: fn(&mut Catalog, Change) -> bool,
+    ) -> Applied {
         let mut applied = Applied::default();
         let mut servers = describe::Servers::default();
         let is_server = |change: &Change| matches!(change, Change::Server { .. });
@@ -101,14 +130,14 @@
             }
             if is_server(&change) && count > MAX_LOGGED_SERVERS {
                 let counted = servers.with(&change);
-                if self.catalog.apply(change) {
+                if apply(&mut self.catalog, change) {
                     applied.changed = true;
                     servers = counted;
                 }
                 continue;
             }
             let line = describe::change(&change, self.catalog.config());
-            if self.catalog.apply(change) {
+            if apply(&mut self.catalog, change) {
                 applied.changed = true;
                 log::info!("{line}");
             }
@@ -119,18 +148,18 @@
         applied
     }
 
-    /// Forwards the changes after `base` to this balancer's children in the tree of the change and, if
+    /// Forwards the changes since `mark` to this balancer's children in the tree of the change and, if
     /// they come from the store, to the relays of the other data centres. Those that don't fit into a
     /// datagram are only announced, and the receivers fetch them.
     pub(super) fn propagate(
         &mut self,
         changed: bool,
-        base: u64,
+        mark: &Mark,
         source: &Source,
         now: Duration,
     ) -> Outcome {
         let tree = match source {
-            Source::Store => Some(self.new_tree(self.catalog.revision())),
+            Source::Store => Some(self.new_tree(self.catalog.position().operators)),
             Source::Peer { tree } => *tree,
         };
         let Some(tree) = tree else {
@@ -143,21 +172,58 @@
         if *source == Source::Store {
             to.extend(relays(self.own(), self.peers()));
         }
-        let mut message = self.empty_message(now);
-        message.tree = Some(tree);
-        let changes = self.catalog.since(base);
-        let size = postcard::experimental::serialized_size(&changes);
-        let complete = base >= self.catalog.forgotten();
-        if complete && size.is_ok_and(|size| size <= MAX_CHANGES_BYTES) {
-            (message.base, message.changes) = (base, changes);
-        }
+        let outgoing = self.batches(mark).into_iter().map(|changes| {
+            let mut message = self.empty_message(now);
+            message.tree = Some(tree);
+            if let Some(changes) = changes {
+                (message.base, message.changes) = (mark.position, changes);
+            }
+            let to = to.clone();
+            Outgoing { to, message }
+        });
         Outcome {
-            outgoing: vec![Outgoing { to, message }],
+            outgoing: outgoing.collect(),
             changed,
             ..Outcome::default()
         }
     }
 
+    /// The changes since `mark`, as one datagram each can carry them; `None` where they are only
+    /// announced.
+    ///
+    /// While the servers' entries are read anew, each page's changes are sent without the others, as
+    /// many messages as it takes: peers can't tell by revisions that something is missing, so that they
+    /// wouldn't fetch it before the read has ended.
+    fn batches(&self, mark: &Mark) -> Vec<Option<Vec<Change>>> {
+        let size = |changes: &[Change]| {
+            postcard::experimental::serialized_size(changes).unwrap_or(usize::MAX)
+        };
+        if self.catalog.position().revision > mark.position.revision {
+            let changes = self.catalog.since(mark.position.revision);
+            let complete = mark.position.revision >= self.catalog.forgotten();
+            let fits = complete && size(&changes) <= MAX_CHANGES_BYTES;
+            return vec![fits.then_some(changes)];
+        }
+        let mut batches = vec![Vec::new()];
+        let mut used = 0;
+        for change in self.catalog.since_mark(mark) {
+            let bytes = size(std::slice::from_ref(&change));
+            if bytes > MAX_CHANGES_BYTES {
+                // A configuration, which peers fetch, as they see that they lack changes of the operators.
+                return vec![None];
+            }
+            used += bytes;
+            if used > MAX_CHANGES_BYTES {
+                batches.push(Vec::new());
+                used = bytes;
+            }
+            if let Some(last) = batches.last_mut() {
+                last.push(change);
+            }
+        }
+        batches.into_iter().map(Some).collect()
+    }
+
     /// All changes after a revision, for a peer that fetches them. If some removals since then have
     /// been discarded here, the full state.
     #[must_use]
--- a/crates/node/src/cookie/follow.rs
+++ b/crates/node/src/cookie/follow.rs
@@ -1,6 +1,13 @@
 //! Reads and watches the store at the times that the core chooses.
 
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use acacia_adapter::{entry, store};
 use acacia_catalog::{Change, spread};
@@ -8,7 +15,7 @@
 use acacia_platform::{Client, Error, Options, transport::Consistency};
 use tokio::time;
 
-use super::{control::Control, meters::Call};
+use super::{control::Control, core::Page, meters::Call};
 use crate::clock;
 
 /// Timeout of a watch that serves as a poll and is to return at once. The store accepts whole
@@ -31,10 +38,9 @@
 
 async fn follow(control: &Control, client: &Client) {
     prime(control, client).await;
-    let mut needs_full_read = false;
     loop {
-        let turn = control.core(|core, now| core.next_store_action(now));
-        let wait = match turn {
+        let action = control.core(|core, now| core.next_store_action(now));
+        let result = match action {
             spread::Action::Wait(wait) => {
                 tokio::select! {
                     () = time::sleep(wait) => {}
@@ -42,29 +48,23 @@
                 }
                 continue;
             }
-            spread::Action::Watch => control.core(|core, _| core.timing().watch_timeout),
-            spread::Action::Poll => POLL_TIMEOUT,
-        };
-        let sent = clock::now();
-        needs_full_read |= control.core(|core, _| core.revision()) == 0;
-        let result = match needs_full_read {
-            true => read_all(control, client, sent).await,
-            false => watch(control, client, wait, sent).await,
-        };
-        let kind = if needs_full_read {
-            Call::Range
-        } else {
-            Call::Watch
+            spread::Action::Watch => {
+                let wait = control.core(|core, _| core.timing().watch_timeout);
+                watch(control, client, wait).await
+            }
+            spread::Action::Poll => watch(control, client, POLL_TIMEOUT).await,
+            spread::Action::ReadAll => read_all(control, client).await,
+            spread::Action::ReadOperators => read_operators(control, client).await,
+            spread::Action::ReadServers => read_servers(control, client).await,
         };
-        control.meters.record_call(kind, result.as_ref().err());
         match result {
-            Ok(()) => needs_full_read = false,
+            Ok(()) => {}
             Err(Error::HistoryGone) => {
                 log::info!(
                     "event=store-history-gone code={}",
                     Error::HistoryGone.code()
                 );
-                needs_full_read = true;
+                control.core(|core, _| core.record_history_gone());
             }
             Err(error) => control.core(|core, now| core.record_store_failure(&error, now)),
         }
@@ -89,25 +89,90 @@
     }
 }
 
-async fn read_all(control: &Control, client: &Client, sent: Duration) -> Result<(), Error> {
-    let prefix: Arc<str> = entry::PREFIX.into();
-    let (items, revision) = client.range(&prefix, Consistency::Linearizable).await?;
-    let changes: Vec<Change> = items.iter().filter_map(entry::item).collect();
+async fn read_all(control: &Control, client: &Client) -> Result<(), Error> {
+    let sent = clock::now();
+    let (changes, revision) = range(control, client, entry::PREFIX).await?;
     control
         .apply(|core, now| core.apply_full_read(changes, revision, sent, now))
         .await;
     Ok(())
 }
 
-async fn watch(
+async fn read_operators(control: &Control, client: &Client) -> Result<(), Error> {
+    let sent = clock::now();
+    let (changes, revision) = range(control, client, entry::OPERATORS).await?;
+    control
+        .apply(|core, now| core.begin_rebuild(changes, revision, sent, now))
+        .await;
+    Ok(())
+}
+
+/// Makes a linearizable read of all entries whose keys begin with `prefix`. Also returns the revision up
+/// to which they are complete.
+async fn range(
+    control: &Control,
+    client: &Client,
+    prefix: &str,
+) -> Result<(Vec<Change>, u64), Error> {
+    let read = client
+        .range(&prefix.into(), Consistency::Linearizable)
+        .await;
+    control.meters.record_call(Call::Range, read.as_ref().err());
+    let (items, revision) = read?;
+    Ok((items.iter().filter_map(entry::item).collect(), revision))
+}
+
+/// Reads the servers' entries page by page, and follows the store's changes until that has ended.
+async fn read_servers(control: &Control, client: &Client) -> Result<(), Error> {
+    let ended = AtomicBool::new(false);
+    let read = async {
+        let result = read_pages(control, client).await;
+        ended.store(true, Ordering::Relaxed);
+        result
+    };
+    let (pages, changes) = tokio::join!(read, follow_changes(control, client, &ended));
+    pages.and(changes)
+}
+
+async fn read_pages(control: &Control, client: &Client) -> Result<(), Error> {
+    let prefix: Arc<str> = entry::SERVERS.into();
+    while let Some(after) = control.core(|core, _| core.next_page()) {
+        let read = client.page(&prefix, after, Consistency::Linearizable).await;
+        control.meters.record_call(Call::Range, read.as_ref().err());
+        let read = read?;
+        let last = read.items.last().map(|item| Arc::clone(&item.key));
+        let page = Page {
+            entries: read.items.iter().filter_map(entry::item).collect(),
+            next: last.filter(|_| read.more),
+        };
+        control.apply(|core, now| core.apply_page(page, now)).await;
+    }
+    Ok(())
+}
+
+/// Watches until `ended` is set.
+async fn follow_changes(
     control: &Control,
     client: &Client,
-    wait: Duration,
-    sent: Duration,
+    ended: &AtomicBool,
 ) -> Result<(), Error> {
+    let timing = control.core(|core, _| core.timing());
+    while !ended.load(Ordering::Relaxed) {
+        watch(control, client, timing.watch_timeout).await?;
+        time::sleep(timing.pause).await;
+    }
+    Ok(())
+}
+
+async fn watch(control: &Control, client: &Client, wait: Duration) -> Result<(), Error> {
     let prefix: Arc<str> = entry::PREFIX.into();
-    let after = control.core(|core, _| core.revision());
-    let answer = client.changes(&prefix, after, wait).await?;
+    let after = control.core(|core, _| core.followed());
+    let sent = clock::now();
+    let answer = client.changes(&prefix, after, wait).await;
+    control
+        .meters
+        .record_call(Call::Watch, answer.as_ref().err());
+    let answer = answer?;
     let changes: Vec<Change> = answer.events.iter().filter_map(entry::event).collect();
     // The store answers a watch at its timeout or at an event, so the answer was current just before it
     // was sent. Without events that was at `sent + wait` plus the time that the request took to arrive;
--- a/crates/node/src/cookie/message.rs
+++ b/crates/node/src/cookie/message.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use acacia_catalog::{
-    Change,
+    Change, Position,
     member::{Gossip, Member},
     spread::Tree,
 };
@@ -19,11 +19,11 @@
     pub from: Member,
     /// How much of the store's state the sender knows.
     pub known: Known,
-    /// The revision on which `changes` are based.
-    pub base: u64,
+    /// What the sender knew before `changes`.
+    pub base: Position,
     /// The tree along which the receiver passes the message's changes on; `None` if it doesn't.
     pub tree: Option<Tree>,
-    /// All changes from `base` to the sender's revision. Empty if they don't fit; receivers that
+    /// All changes from `base` to what the sender knows. Empty if they don't fit; receivers that
     /// need them fetch them over TCP.
     pub changes: Vec<Change>,
     /// What the sender tells of other balancers.
@@ -109,28 +109,42 @@
 /// How much of the store's state a balancer knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Known {
-    /// The revision up to which it knows all changes.
-    pub revision: u64,
-    /// How long ago that was known to be the store's latest revision, in milliseconds; `None` if it
-    /// never was.
+    /// What it knows.
+    pub position: Position,
+    /// How long ago that was known to be the store's latest, in milliseconds; `None` if it never was.
     pub age_ms: Option<u64>,
+    /// How long ago a balancer was last known to be reading all servers' entries anew, in milliseconds;
+    /// `None` if none ever was.
+    pub rebuild_age_ms: Option<u64>,
 }
 
 impl Known {
-    /// The time at which `revision` was known to be the store's latest, on the clock of `now`.
+    /// The time at which `position` was known to be the store's latest, on the clock of `now`.
     ///
     /// ```
     /// use std::time::Duration;
+    /// use acacia_catalog::Position;
     /// use acacia_node::cookie::message::Known;
-    /// let known = Known { revision: 3, age_ms: Some(400) };
+    /// let position = Position { revision: 3, operators: 3 };
+    /// let known = Known { position, age_ms: Some(400), rebuild_age_ms: None };
     /// let at = known.at(Duration::from_secs(1));
     /// assert_eq!(at, Some(Duration::from_millis(600)));
     /// ```
     #[must_use]
     pub fn at(&self, now: Duration) -> Option<Duration> {
-        let age = Duration::from_millis(self.age_ms?);
-        now.checked_sub(age)
+        before(now, self.age_ms)
     }
+
+    /// The time at which a balancer was last known to be reading all servers' entries anew, on the clock
+    /// of `now`.
+    #[must_use]
+    pub fn rebuild_at(&self, now: Duration) -> Option<Duration> {
+        before(now, self.rebuild_age_ms)
+    }
+}
+
+fn before(now: Duration, age_ms: Option<u64>) -> Option<Duration> {
+    now.checked_sub(Duration::from_millis(age_ms?))
 }
 
 /// Maximum size of the changes in a datagram, in bytes. With the envelope, the datagram still fits
--- a/crates/node/tests/it/cookie/core.rs
+++ b/crates/node/tests/it/cookie/core.rs
@@ -308,7 +308,7 @@
             .iter_mut()
             .filter_map(|(address, core)| match core.next_store_action(now) {
                 spread::Action::Wait(_) => None,
-                spread::Action::Watch | spread::Action::Poll => Some(*address),
+                _ => Some(*address),
             })
             .collect();
         calls += callers.len();
--- a/crates/node/tests/it/cookie/exchange.rs
+++ b/crates/node/tests/it/cookie/exchange.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use acacia_catalog::Change;
+use acacia_catalog::{Change, Position};
 use acacia_node::cookie::{
     exchange,
     message::{Difference, Known},
@@ -86,8 +86,12 @@
 fn difference(changes: Vec<Change>) -> Difference {
     Difference {
         known: Known {
-            revision: 9,
+            position: Position {
+                revision: 9,
+                operators: 9,
+            },
             age_ms: Some(3),
+            rebuild_age_ms: None,
         },
         changes,
         whole: false,
--- a/crates/node/tests/it/cookie/fixture.rs
+++ b/crates/node/tests/it/cookie/fixture.rs
@@ -136,19 +136,34 @@
         settings.control
     }
 
+    /// Gives every balancer settings by which changes are in force within `bound`.
+    pub fn set_in_force(&mut self, bound: Duration) {
+        for core in self.cores.values_mut() {
+            let number = core.own().address.ip().octets()[3];
+            let mut settings = settings(number, &core.own().data_centre);
+            settings.in_force = bound;
+            core.update_settings(&settings);
+        }
+    }
+
     /// Runs rounds of gossip, half a second each.
     pub fn rounds(&mut self, rounds: u32) {
         for _ in 0..rounds {
             self.now += ms(500);
-            let now = self.now;
-            let mut sent = Vec::new();
-            for (address, core) in &mut self.cores {
-                if !self.unreachable.contains(address) {
-                    sent.extend(core.gossip(now));
-                }
+            self.gossip();
+        }
+    }
+
+    /// Lets every balancer send its gossip.
+    pub fn gossip(&mut self) {
+        let now = self.now;
+        let mut sent = Vec::new();
+        for (address, core) in &mut self.cores {
+            if !self.unreachable.contains(address) {
+                sent.extend(core.gossip(now));
             }
-            self.deliver(sent);
         }
+        self.deliver(sent);
     }
 
     /// Applies changes from the store at one balancer and delivers the messages that follow.
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the balancer for packets that carry a cookie.
 
+mod compaction;
 mod core;
 mod cut;
 mod evacuation;
@@ -11,3 +12,4 @@
 mod refused;
 mod settings;
 mod speed;
+mod store;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -19,7 +19,7 @@
     retry::Schedule,
     revisions::{Freshness, Highest},
     service,
-    store::{Entry, Events, Item, Lease, Outcome, Refusal, Swap},
+    store::{Entry, Events, Item, Lease, Outcome, Page, Refusal, Swap},
     transport::{Answer, Call, Consistency, Failure, Transport},
 };
 
@@ -271,17 +271,7 @@
     ) -> Result<(Vec<Item>, u64), Error> {
         let (mut items, mut revision, mut after) = (Vec::new(), None, None);
         loop {
-            let page = self
-                .retry(async || {
-                    let (prefix, after) = (Arc::clone(prefix), after.clone());
-                    let call = Call::Range {
-                        prefix,
-                        after,
-                        consistency,
-                    };
-                    self.read_call(call, Answer::page).await
-                })
-                .await?;
+            let page = self.page(prefix, after, consistency).await?;
             revision.get_or_insert_with(|| page.complete_to(consistency));
             after = page.items.last().map(|item| Arc::clone(&item.key));
             let more = page.more && after.is_some();
@@ -292,6 +282,29 @@
         }
     }
 
+    /// Reads one page of the items whose keys begin with `prefix`: those after the key `after`, or the
+    /// first ones.
+    ///
+    /// # Errors
+    /// When every attempt has failed, or the platform does not offer the call.
+    pub async fn page(
+        &self,
+        prefix: &Arc<str>,
+        after: Option<Arc<str>>,
+        consistency: Consistency,
+    ) -> Result<Page, Error> {
+        self.retry(async || {
+            let (prefix, after) = (Arc::clone(prefix), after.clone());
+            let call = Call::Range {
+                prefix,
+                after,
+                consistency,
+            };
+            self.read_call(call, Answer::page).await
+        })
+        .await
+    }
+
     /// Waits until a key that begins with `prefix` changes after the revision `after`, at most for
     /// `wait`, and returns the changes. The call is not retried, as the caller decides how to go on
     /// after a failure.
