Saturate the sums of flows that peers report (IP)

A peer's report may hold any count. The sums of servers' counts saturated, those of admitted and refused flows of a class overflowed: the control thread ended in a build with checks; otherwise a flood looked like next to no demand, and its callers were told to retry too soon. Found by reading; the new test report::absurd_counts_of_peers_do_not_overflow failed before ("attempt to add with overflow").

--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -119,15 +119,15 @@
         }
     }
 
-    /// Adds the counts of another thread or balancer.
+    /// Adds the counts of another thread or balancer. The sums saturate; see [`Count::add`].
     pub fn add(&mut self, other: &Tally) {
         for (to, from) in self.servers.iter_mut().zip(&other.servers) {
             to.add(from);
         }
         for (to, from) in self.classes.iter_mut().zip(&other.classes) {
-            to.admitted += from.admitted;
-            to.refused += from.refused;
-            to.closed += from.closed;
+            to.admitted = to.admitted.saturating_add(from.admitted);
+            to.refused = to.refused.saturating_add(from.refused);
+            to.closed = to.closed.saturating_add(from.closed);
         }
     }
 
--- a/crates/load/tests/it/report.rs
+++ b/crates/load/tests/it/report.rs
@@ -45,6 +45,24 @@
     }
 }
 
+/// A peer's report may contain absurdly large counts of flows. Their sum must not overflow: it would end the
+/// control thread, or make a flood look like next to no demand.
+#[test]
+fn absurd_counts_of_peers_do_not_overflow() {
+    let mut peers = Peers::new(1, 1);
+    let mut tally = Tally::new(1, 1);
+    (tally.classes[0].admitted, tally.classes[0].refused) = (u32::MAX, u32::MAX);
+    for peer in 1..=2 {
+        let mut sender = Peers::new(1, 1);
+        sender.absorb(&tally);
+        peers.merge(peer, &end_tick(&mut sender), seconds(1.0));
+    }
+
+    let (_, seen) = peers.end_tick(1, seconds(1.0), &Limits::default());
+
+    assert_eq!(seen.classes, tally.classes);
+}
+
 /// A balancer may send a few KB of control traffic per second. With 15 servers and 2,000 new flows
 /// per second at each balancer, a report stays under 320 bytes; sent to seven peers each second,
 /// that is 2.2 KB per second.
