Don't delay the pages of a linearizable read by the limit on calls

After the store had dropped its history, what changed meanwhile (servers that drain or left) was known only when the page that shows it was read. A balancer made ten calls at once and five a second, so 22 pages took 2.4 s more than the store needs, and 43 pages, the size of the users' aim, would take 6.6 s of the 8 s within which a change is to be known. Pages are read one after the other, which is a limit too. Serializable reads, which a whole fleet makes at its start, stay limited.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -285,6 +285,10 @@
     /// Reads one page of the items whose keys begin with `prefix`: those after the key `after`, or the
     /// first ones.
     ///
+    /// Of a linearizable read, only the first page counts towards [`Options::rate`]. The pages are read one
+    /// after the other, which limits their rate as well, and with thousands of items the limit would
+    /// delay the read by seconds. Serializable reads are what many clients make when they start at once.
+    ///
     /// # Errors
     /// When every attempt has failed, or the platform does not offer the call.
     pub async fn page(
@@ -293,14 +297,20 @@
         after: Option<Arc<str>>,
         consistency: Consistency,
     ) -> Result<Page, Error> {
+        let counts = after.is_none() || consistency == Consistency::Serializable;
         self.retry(async || {
+            if counts {
+                self.wait_for_token().await?;
+            }
             let (prefix, after) = (Arc::clone(prefix), after.clone());
             let call = Call::Range {
                 prefix,
                 after,
                 consistency,
             };
-            self.read_call(call, Answer::page).await
+            let wait = self.options.deadline;
+            let answer = self.execute(&self.calls, wait, Kind::Read, call).await?;
+            answer.page().ok_or(Error::Malformed)
         })
         .await
     }
@@ -362,8 +372,7 @@
         extract(answer).ok_or(Error::Malformed)
     }
 
-    /// Makes one call over the slot's connection. A connection that has broken or gone silent is
-    /// discarded; the next call opens a new one.
+    /// Waits for the rate limit and makes one call over the slot's connection.
     async fn call(
         &self,
         slot: &Slot,
@@ -372,6 +381,18 @@
         call: Call,
     ) -> Result<Answer, Error> {
         self.wait_for_token().await?;
+        self.execute(slot, wait, kind, call).await
+    }
+
+    /// Makes one call over the slot's connection. A connection that has broken or gone silent is
+    /// discarded; the next call opens a new one.
+    async fn execute(
+        &self,
+        slot: &Slot,
+        wait: Duration,
+        kind: Kind,
+        call: Call,
+    ) -> Result<Answer, Error> {
         let deadline = Instant::now() + wait;
         let opening = slot.get_or_open(&self.transport, self.address, self.start);
         let open = time::timeout_at(
