Let the operator of the end-to-end tests read back a write whose answer was lost

Cause: the tests' operator wrote with a compare-and-swap of its own and gave up when the answer took longer than a second; the operators' tool reads back whether the change was accepted.

Change: the tests' operator applies changes by the product's apply::run. What that does after a lost answer is covered by platform: apply. The test that the loss of an answer is reported keeps the bare write (Deployment::write) and its check. The new test an_operator_whose_answer_was_lost_learns_that_the_change_ was_accepted can't pass with the bare write, which reports the loss in the test beside it.

--- a/crates/e2e/src/operator.rs
+++ b/crates/e2e/src/operator.rs
@@ -11,7 +11,7 @@
     Config,
     document::{Document, Draft, Id, KEY},
 };
-use acacia_platform::{Client, Options, store};
+use acacia_platform::{Client, Options, apply, store};
 
 use crate::{
     deployment::{Deployment, Service, wait_until},
@@ -72,21 +72,33 @@
         }
     }
 
-    /// Writes `config` to the platform's store with a compare-and-swap, as the operators' tool does,
-    /// and returns its revision.
+    /// Applies `config` as the operators' tool does, which reads the key back if the answer to its write is
+    /// lost, and returns the configuration's revision.
     pub fn apply(&mut self, config: &Config) -> anyhow::Result<u64> {
-        self.changes += 1;
-        let draft = Draft {
-            change: Id::new(self.changes),
-            author: "e2e".into(),
-            time: SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
-            config: config.clone(),
-            in_force: None,
+        let draft = self.draft(config)?;
+        let seed = self.changes as u64;
+        let request = apply::Request {
+            draft,
+            reviewed_revision: None,
+            read_back: apply::READ_BACK,
         };
-        self.applied = Some(config.clone());
-        let address = SocketAddr::V4(self.network.port(PLATFORM_HOST, PLATFORM));
+        let client = self.operator();
+        match self.runtime.block_on(apply::run(&client, request, seed)) {
+            apply::Verdict::Accepted { revision } | apply::Verdict::Unchanged { revision } => {
+                Ok(revision)
+            }
+            apply::Verdict::Conflict { .. } => anyhow::bail!("concurrent config change"),
+            apply::Verdict::Refused(reason) => Err(reason.into()),
+            apply::Verdict::Unknown { .. } => Err(acacia_platform::Error::Unknown.into()),
+        }
+    }
+
+    /// Writes `config` to the platform's store with a compare-and-swap and returns its revision. Unlike
+    /// [`Deployment::apply`], it fails if the answer to the write is lost.
+    pub fn write(&mut self, config: &Config) -> anyhow::Result<u64> {
+        let draft = self.draft(config)?;
+        let client = self.operator();
         self.runtime.block_on(async {
-            let client = Client::new(address, Options::default());
             let key: Arc<str> = KEY.into();
             let before = client.get(&key).await?;
             let document = before.value.as_deref().map(Document::decode).transpose()?;
@@ -104,6 +116,23 @@
         })
     }
 
+    fn draft(&mut self, config: &Config) -> anyhow::Result<Draft> {
+        self.changes += 1;
+        self.applied = Some(config.clone());
+        Ok(Draft {
+            change: Id::new(self.changes),
+            author: "e2e".into(),
+            time: SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
+            config: config.clone(),
+            in_force: None,
+        })
+    }
+
+    fn operator(&self) -> Client {
+        let address = SocketAddr::V4(self.network.port(PLATFORM_HOST, PLATFORM));
+        Client::new(address, Options::default())
+    }
+
     /// The last revision of the configuration that balancer `id` logged as in force, or 0, and
     /// whether the logged revisions never decreased.
     #[must_use]
--- a/crates/e2e/tests/it/platform.rs
+++ b/crates/e2e/tests/it/platform.rs
@@ -144,7 +144,7 @@
     });
 
     deployment.set_faults(lost).unwrap();
-    let answer = deployment.apply(&config);
+    let answer = deployment.write(&config);
 
     let error = answer.expect_err("the answer was lost").to_string();
     assert!(error.contains("lost"), "{error}");
@@ -160,6 +160,28 @@
     assert_never_reverted(&deployment);
 }
 
+/// On a busy machine, the platform's answer to an operator's write may come too late. The operators' tool
+/// then reads back that the change was accepted; it must not report a failure, as the change is in force.
+#[test]
+fn an_operator_whose_answer_was_lost_learns_that_the_change_was_accepted() {
+    let mut deployment = drained(3);
+    let revision = deployment.in_force(1).0;
+    let lost = Faults {
+        lose_writes: 4,
+        ..Faults::default()
+    };
+    let mut config = deployment.current().unwrap();
+    config.update_server("talkoo-live-2", |server| {
+        server.state = State::Drain { deadline: None };
+    });
+
+    deployment.set_faults(lost).unwrap();
+    let accepted = deployment.apply(&config).unwrap();
+
+    assert_eq!(accepted, revision + 1);
+    deployment.wait_in_force(&[1, 2, 3], accepted).unwrap();
+}
+
 fn assert_never_reverted(deployment: &Deployment) {
     for id in deployment.balancers() {
         assert!(
