Let the operator of the end-to-end tests try again while the platform is silent

No check of the test had failed; the operators' tool says that nothing was written, and an operator would try again, which the tests' operator now does for up to 20 s.

--- a/crates/e2e/src/operator.rs
+++ b/crates/e2e/src/operator.rs
@@ -4,7 +4,7 @@
 use std::{
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use acacia_config::{
@@ -23,6 +23,8 @@
 /// Time limit for a change to be in force on all balancers: several times the guaranteed limit, to
 /// allow for machines that run other tests.
 const IN_FORCE: Duration = Duration::from_secs(20);
+/// Time for which an operator tries again while the platform doesn't answer.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(20);
 /// Connection limit of each backend server.
 const CONNECTIONS: u32 = 2_000;
 
@@ -73,24 +75,37 @@
     }
 
     /// Applies `config` as the operators' tool does, which reads the key back if the answer to its write is
-    /// lost, and returns the configuration's revision.
+    /// lost, and returns the configuration's revision. If the platform doesn't answer, it tries again, as
+    /// an operator would whom the tool tells that nothing was written.
     pub fn apply(&mut self, config: &Config) -> anyhow::Result<u64> {
         let draft = self.draft(config)?;
-        let seed = self.changes as u64;
+        let end = Instant::now() + OPERATOR_PATIENCE;
+        loop {
+            match self.attempt(&draft) {
+                apply::Verdict::Accepted { revision } | apply::Verdict::Unchanged { revision } => {
+                    return Ok(revision);
+                }
+                apply::Verdict::Refused(apply::Reason::Platform(error)) if Instant::now() < end => {
+                    eprintln!("event=apply-repeated reason=\"{error}\"");
+                }
+                apply::Verdict::Refused(reason) => return Err(reason.into()),
+                apply::Verdict::Conflict { .. } => anyhow::bail!("concurrent config change"),
+                apply::Verdict::Unknown { .. } => {
+                    return Err(acacia_platform::Error::Unknown.into());
+                }
+            }
+        }
+    }
+
+    fn attempt(&self, draft: &Draft) -> apply::Verdict {
         let request = apply::Request {
-            draft,
+            draft: draft.clone(),
             reviewed_revision: None,
             read_back: apply::READ_BACK,
         };
         let client = self.operator();
-        match self.runtime.block_on(apply::run(&client, request, seed)) {
-            apply::Verdict::Accepted { revision } | apply::Verdict::Unchanged { revision } => {
-                Ok(revision)
-            }
-            apply::Verdict::Conflict { .. } => anyhow::bail!("concurrent config change"),
-            apply::Verdict::Refused(reason) => Err(reason.into()),
-            apply::Verdict::Unknown { .. } => Err(acacia_platform::Error::Unknown.into()),
-        }
+        let seed = self.changes as u64;
+        self.runtime.block_on(apply::run(&client, request, seed))
     }
 
     /// Writes `config` to the platform's store with a compare-and-swap and returns its revision. Unlike
