Count late copies of ended flows apart from packets of unknown flows (stand-in)

Cause: a balancer without processor time holds a packet of a check-in back for longer than the caller's retransmission timeout; the copy ends the flow through another balancer, and then the first packet arrives. A server answers that by a reset, rightly; the stand-in counted it as a packet of a flow it never had.

Change: the stand-in counts resets to flows whose opening it received as `late`, all others as `resets`. The test and its check are untouched: a packet of an old feed, or of a flow that another server has, still counts. The new test late_copies_count_apart_from_packets_of_unknown_flows replays ends of flows, and one with another port that must count.

--- a/crates/e2e/tests/it/stand_in.rs
+++ b/crates/e2e/tests/it/stand_in.rs
@@ -14,6 +14,8 @@
 use nix::sys::signal::Signal;
 use smoltcp::iface::SocketHandle;
 
+use crate::fixture::counts;
+
 /// Host number of the caller.
 const CALLER_HOST: u8 = 2;
 /// Host number of the backend server.
@@ -30,6 +32,12 @@
 const SYN_ACK: u8 = 18;
 /// Bit of the flag SYN.
 const SYN: u8 = 2;
+/// Bit of the flag FIN.
+const FIN: u8 = 1;
+/// Offset of the source port in a packet without IP options.
+const SOURCE_PORT: usize = 20;
+/// Offset of the TCP checksum in a packet without IP options.
+const CHECKSUM: usize = 36;
 
 /// A backend server process, and a caller whose packets the test forwards to it.
 struct Pair {
@@ -38,8 +46,9 @@
     /// Receives the caller's packets and forwards them.
     forwarder: UdpSocket,
     listen: SocketAddr,
-    /// Forwarded SYN packets.
+    /// Forwarded SYN packets, and packets that end a flow.
     openings: Vec<Vec<u8>>,
+    endings: Vec<Vec<u8>>,
     _claim: TcpListener,
 }
 
@@ -79,6 +88,7 @@
             forwarder,
             listen,
             openings: Vec::new(),
+            endings: Vec::new(),
             _claim: claim,
         }
     }
@@ -108,6 +118,9 @@
             if packet[FLAGS] & SYN_ACK == SYN {
                 self.openings.push(packet.to_vec());
             }
+            if packet[FLAGS] & FIN != 0 {
+                self.endings.push(packet.to_vec());
+            }
             self.forwarder.send_to(packet, self.listen).unwrap();
         }
     }
@@ -180,3 +193,42 @@
 
     assert_eq!(pair.ask(&mut flows), 10);
 }
+
+/// Replaces the source port of a packet without IP options, and updates the TCP checksum.
+fn with_source_port(mut packet: Vec<u8>, port: u16) -> Vec<u8> {
+    let word = |packet: &[u8], at: usize| u16::from_be_bytes([packet[at], packet[at + 1]]);
+    let old = word(&packet, SOURCE_PORT);
+    let sum = u32::from(!word(&packet, CHECKSUM)) + u32::from(!old) + u32::from(port);
+    let folded = (sum & 0xffff) + (sum >> 16);
+    let checksum = !((folded & 0xffff) + (folded >> 16)) as u16;
+    packet[SOURCE_PORT..SOURCE_PORT + 2].copy_from_slice(&port.to_be_bytes());
+    packet[CHECKSUM..CHECKSUM + 2].copy_from_slice(&checksum.to_be_bytes());
+    packet
+}
+
+/// A balancer that gets no CPU time holds a caller's packet back for longer than the retransmission timeout,
+/// and forwards it when the copy has already ended the flow. The server answers the late packet by a reset. If
+/// that counted as a packet of a flow that the server never had, tests would take it for a packet that a
+/// balancer sent to the wrong server; one of such a flow must still count.
+#[test]
+fn late_copies_count_apart_from_packets_of_unknown_flows() {
+    let mut pair = Pair::start();
+    let mut flows = pair.open(10_000, 3);
+    assert_eq!(pair.ask(&mut flows), 3);
+    for flow in &flows {
+        pair.stack.socket(flow.handle).close();
+    }
+    pair.poll_for(SHORT);
+    let late = std::mem::take(&mut pair.endings);
+    let stray = with_source_port(late[0].clone(), 20_000);
+
+    for packet in late.iter().chain([&stray]) {
+        pair.forwarder.send_to(packet, pair.listen).unwrap();
+    }
+    pair.poll_for(SHORT);
+
+    let ended = pair.server.end(LIMIT).unwrap();
+    let counts = counts(&ended.output);
+    assert!(counts["late"] >= 3, "{}", ended.output);
+    assert_eq!(counts["resets"], 1, "{}", ended.output);
+}
--- a/crates/stand/src/backend.rs
+++ b/crates/stand/src/backend.rs
@@ -69,8 +69,12 @@
     pub feeds: u64,
     /// Requests that could not be parsed.
     pub unreadable: u64,
-    /// Resets sent in answer to packets that belong to no connection.
+    /// Resets sent in answer to packets of flows that this server never had.
     pub resets: u64,
+    /// Resets sent in answer to packets of flows that this server had, and that have ended. A caller whose
+    /// packet waits for longer than the retransmission timeout sends a copy, which may arrive after the
+    /// flow's end.
+    pub late: u64,
 }
 
 #[derive(Debug)]
@@ -144,7 +148,8 @@
         }
     }
     Ok(Outcome {
-        resets: server.stack.resets(),
+        resets: server.stack.resets().stray,
+        late: server.stack.resets().late,
         ..server.outcome
     })
 }
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -54,7 +54,8 @@
         Command::Backend(options) => {
             let outcome = backend::run(&options, &stop)?;
             println!(
-                "name={} opened={} checkins={} duplicates={} maps={} feeds={} unreadable={} resets={}",
+                "name={} opened={} checkins={} duplicates={} maps={} feeds={} unreadable={} \
+                 resets={} late={}",
                 options.name,
                 outcome.opened,
                 outcome.checkins,
@@ -62,7 +63,8 @@
                 outcome.maps,
                 outcome.feeds,
                 outcome.unreadable,
-                outcome.resets
+                outcome.resets,
+                outcome.late
             );
             Ok(())
         }
--- a/crates/stand/src/stack.rs
+++ b/crates/stand/src/stack.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use acacia_wire::collections::Set;
 use smoltcp::{
     iface::{Config, Interface, SocketHandle, SocketSet},
     phy::{self, DeviceCapabilities, Medium},
@@ -33,7 +34,19 @@
     link: UdpSocket,
     next_hop: SocketAddr,
     started: Instant,
-    resets: u64,
+    /// Remote endpoints whose SYN was received.
+    opened_by: Set<SocketAddrV4>,
+    resets: Resets,
+}
+
+/// Numbers of resets sent in answer to packets that belong to no connection.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Resets {
+    /// In answer to packets of connections that were never opened here.
+    pub stray: u64,
+    /// In answer to packets of connections that were opened here and have ended: copies that were
+    /// retransmitted and arrived late.
+    pub late: u64,
 }
 
 impl Stack {
@@ -61,7 +74,8 @@
             link,
             next_hop,
             started: Instant::now(),
-            resets: 0,
+            opened_by: Set::default(),
+            resets: Resets::default(),
         })
     }
 
@@ -82,7 +96,13 @@
         for _ in 0..MAX_PACKETS_PER_POLL {
             match self.link.recv(&mut bytes) {
                 Ok(len) if self.is_repeated_syn(&bytes[..len]) => {}
-                Ok(len) => self.device.received.push_back(bytes[..len].to_vec()),
+                Ok(len) => {
+                    let packet = &bytes[..len];
+                    if is_syn(packet) {
+                        self.opened_by.insert(Endpoints::of(packet).from);
+                    }
+                    self.device.received.push_back(packet.to_vec());
+                }
                 Err(_) => break,
             }
             self.link.set_nonblocking(true)?;
@@ -94,9 +114,11 @@
                 .get(TCP_FLAGS_OFFSET)
                 .is_some_and(|flags| flags & RESET != 0)
             {
-                self.resets += 1;
                 let Endpoints { from, to } = Endpoints::of(&packet);
-                log::info!("event=reset-sent from={from} to={to}");
+                let is_late = self.opened_by.contains(&to);
+                self.resets.late += u64::from(is_late);
+                self.resets.stray += u64::from(!is_late);
+                log::info!("event=reset-sent from={from} to={to} late={is_late}");
             }
             // A packet that doesn't fit the socket buffer is lost, as in a network; TCP
             // retransmits it.
@@ -114,11 +136,6 @@
     /// and later packets of the flow would be answered by resets. The repeated SYN can be dropped,
     /// because the answer to the first one serves the caller as well.
     fn is_repeated_syn(&self, packet: &[u8]) -> bool {
-        let is_syn = |packet: &[u8]| {
-            packet
-                .get(TCP_FLAGS_OFFSET)
-                .is_some_and(|flags| flags & (SYN | ACK) == SYN)
-        };
         if !is_syn(packet) {
             return false;
         }
@@ -131,9 +148,9 @@
             || received.any(|other| is_syn(other) && Some(Endpoints::of(other).from) == remote)
     }
 
-    /// Returns the number of resets sent in answer to packets that belong to no connection.
+    /// Returns the numbers of resets sent in answer to packets that belong to no connection.
     #[must_use]
-    pub fn resets(&self) -> u64 {
+    pub fn resets(&self) -> Resets {
         self.resets
     }
 
@@ -173,6 +190,13 @@
     }
 }
 
+/// Returns whether a packet opens a connection.
+fn is_syn(packet: &[u8]) -> bool {
+    packet
+        .get(TCP_FLAGS_OFFSET)
+        .is_some_and(|flags| flags & (SYN | ACK) == SYN)
+}
+
 /// Source and destination of a TCP packet without IP options.
 struct Endpoints {
     from: SocketAddrV4,
