Let a stand-in caller that got no processor time make all its requests

Cause: a caller started what was due only until its set time was over; one that got no processor time for the last second left out the rest. It now starts late what was due. The test and its check are untouched.

stand_in::a_caller_that_was_paused_makes_all_its_requests failed before (1 of 30 requests).

--- a/crates/e2e/tests/it/stand_in.rs
+++ b/crates/e2e/tests/it/stand_in.rs
@@ -1,6 +1,7 @@
 //! Tests of the simulated components, whose faults would be attributed to balancers.
 
 use std::{
+    collections::BTreeSet,
     net::{SocketAddr, TcpListener, UdpSocket},
     time::{Duration, Instant},
 };
@@ -194,6 +195,44 @@
     assert_eq!(pair.ask(&mut flows), 10);
 }
 
+/// A caller gets no CPU time until its set time is over. It must make its requests nevertheless; tests require
+/// a minimum of them, and would fail although no balancer did anything wrong.
+#[test]
+fn a_caller_that_was_paused_makes_all_its_requests() {
+    let (network, _claim) = Network::claim().unwrap();
+    let fabric = UdpSocket::bind(network.port(CALLER_HOST, TRAFFIC)).unwrap();
+    fabric.set_read_timeout(Some(SHORT)).unwrap();
+    let arguments = [
+        "caller".to_owned(),
+        format!("--fabric={}", fabric.local_addr().unwrap()),
+        format!("--listen={}:0", network.host(1)),
+        "--address=192.0.2.1".to_owned(),
+        "--service=198.51.100.1:443".to_owned(),
+        "--rate=30".to_owned(),
+        "--seconds=1".to_owned(),
+    ];
+
+    let mut ports = BTreeSet::new();
+    let mut collect_until = |count: usize| {
+        let mut bytes = [0; 2_048];
+        let deadline = Instant::now() + LIMIT;
+        while ports.len() < count && Instant::now() < deadline {
+            if let Ok(len) = fabric.recv(&mut bytes) {
+                ports.insert(bytes[..len][SOURCE_PORT..SOURCE_PORT + 2].to_vec());
+            }
+        }
+        ports.len()
+    };
+
+    let caller = Process::start("acacia-stand", &arguments, "").unwrap();
+    assert_eq!(collect_until(1), 1);
+    caller.signal(Signal::SIGSTOP).unwrap();
+    std::thread::sleep(Duration::from_millis(1_500));
+    caller.signal(Signal::SIGCONT).unwrap();
+
+    assert_eq!(collect_until(30), 30);
+}
+
 /// Replaces the source port of a packet without IP options, and updates the TCP checksum.
 fn with_source_port(mut packet: Vec<u8>, port: u16) -> Vec<u8> {
     let word = |packet: &[u8], at: usize| u16::from_be_bytes([packet[at], packet[at + 1]]);
--- a/crates/stand/src/caller.rs
+++ b/crates/stand/src/caller.rs
@@ -159,8 +159,9 @@
     loop {
         let now = Instant::now();
         let over = now - start >= length || stop.is_raised();
-        if !over {
-            caller.start_due_requests(now - start)?;
+        if !stop.is_raised() {
+            // A caller that got no processor time starts what is due by then, also at the end.
+            caller.start_due_requests((now - start).min(length))?;
         }
         caller.stack.poll(MAX_POLL_WAIT)?;
         caller.serve(Instant::now(), over);
