--- /dev/null
+++ b/crates/node/src/cookie/core/store.rs
@@ -0,0 +1,132 @@
+//! Decides on calls to the store, and takes their answers.
+
+use std::time::Duration;
+
+use acacia_catalog::{
+    Catalog, Change,
+    spread::{self, is_reader},
+};
+
+use super::{Core, Outcome, Source};
+
+/// How long a balancer that has just started and knows no peers waits before it assumes that there
+/// are none: two rounds of gossip.
+const PEER_DISCOVERY: Duration = Duration::from_secs(1);
+
+impl Core {
+    /// Returns whether to call the store now, and how.
+    pub fn next_store_action(&mut self, now: Duration) -> spread::Action {
+        self.group.set_sighted(self.schedule.is_store_reachable());
+        let reads = !self.is_discovering_peers(now) && is_reader(self.own(), self.peers());
+        if reads != self.reads {
+            self.reads = reads;
+            log::info!("event=reader reads={reads} peers={}", self.peers().len());
+        }
+        let without_store = self.balancers_without_store();
+        let action = self
+            .schedule
+            .next_action(now, reads, self.jitter, without_store);
+        let is_waiting = matches!(action, spread::Action::Wait(_));
+        let backs_off = self
+            .schedule
+            .is_backing_off(now, self.jitter, without_store);
+        let reads_servers = !backs_off && self.reads_servers(now);
+        if is_waiting && !reads_servers {
+            action
+        } else if self.catalog.revision() == 0 {
+            spread::Action::ReadAll
+        } else if self.history_gone || reads_servers && self.rebuild.is_none() {
+            spread::Action::ReadOperators
+        } else if reads_servers {
+            spread::Action::ReadServers
+        } else {
+            action
+        }
+    }
+
+    /// Whether this balancer has just started and may still discover its peers. When a whole fleet
+    /// starts at once, each member would otherwise assume that it is the reader and open its own
+    /// watch.
+    fn is_discovering_peers(&self, now: Duration) -> bool {
+        self.peers().is_empty() && self.has_seeds() && now < self.started + PEER_DISCOVERY
+    }
+
+    /// The number of other balancers that can't reach the store. The members of the own data centre stand
+    /// for those of the others.
+    fn balancers_without_store(&self) -> usize {
+        let near = || self.peers().of(&self.own().data_centre);
+        let without_store = near().filter(|member| !member.sighted).count();
+        let population = self.group.population();
+        without_store * population / near().count().max(1)
+    }
+
+    /// Applies the store's answer to a watch after [`Core::followed`]: `changes` up to `revision`,
+    /// complete as of `sent`.
+    pub fn apply_store_changes(
+        &mut self,
+        changes: Vec<Change>,
+        revision: u64,
+        sent: Duration,
+        now: Duration,
+    ) -> Outcome {
+        self.log_store_regained();
+        let mark = self.catalog.mark();
+        if !changes.is_empty() {
+            self.schedule.changed(now);
+        }
+        let changed = self.apply_all(changes, Catalog::apply).changed;
+        match &mut self.rebuild {
+            Some(rebuild) => {
+                rebuild.follow(revision);
+                self.catalog.complete_operators(revision);
+            }
+            None => self.catalog.complete(revision),
+        }
+        self.schedule.answered(sent);
+        self.propagate(changed, &mark, &Source::Store, now)
+    }
+
+    /// Replaces the catalog with the store's answer to a full read that was requested at `sent`.
+    pub fn apply_full_read(
+        &mut self,
+        reading: Vec<Change>,
+        revision: u64,
+        sent: Duration,
+        now: Duration,
+    ) -> Outcome {
+        self.log_store_regained();
+        let mark = self.catalog.mark();
+        let changed = self.catalog.replace(reading, revision);
+        log::info!("event=store-read revision={revision} changed={changed}");
+        self.schedule.answered(sent);
+        self.propagate(changed, &mark, &Source::Store, now)
+    }
+
+    /// Replaces the catalog with a full read that may be seconds old, complete up to `revision`.
+    /// Later changes come from peers or from the next call to the store.
+    pub fn prime(&mut self, reading: Vec<Change>, revision: u64, now: Duration) -> Outcome {
+        let changed = self.catalog.replace(reading, revision);
+        log::info!("event=store-primed revision={revision} changed={changed}");
+        self.schedule.prime(now);
+        Outcome {
+            changed,
+            ..Outcome::default()
+        }
+    }
+
+    pub(super) fn log_store_regained(&self) {
+        if !self.schedule.is_store_reachable() {
+            let revision = self.catalog.revision();
+            log::info!("event=store-regained revision={revision}");
+        }
+    }
+
+    /// Records that a call to the store has failed.
+    pub fn record_store_failure(&mut self, reason: &dyn std::fmt::Display, now: Duration) {
+        if self.schedule.is_store_reachable() {
+            let revision = self.catalog.revision();
+            log::warn!("event=store-lost revision={revision} reason=\"{reason}\"");
+        }
+        self.schedule.failed(now);
+    }
+}
