--- a/crates/load/src/track.rs
+++ b/crates/load/src/track.rs
@@ -37,21 +37,26 @@
         acknowledged: u32,
         sequence: u32,
     },
-    /// An answer was acknowledged up to `acknowledged`. A later packet with the same `sequence` shows
-    /// whether the answer had ended there.
-    Answered {
-        at: Duration,
-        acknowledged: u32,
-        sequence: u32,
-    },
+    /// An answer was acknowledged; a later packet shows whether it had ended there.
+    Answered(Answer),
+}
+
+/// An answer of which some part was acknowledged.
+#[derive(Debug, Clone, Copy)]
+struct Answer {
+    /// When the latest acknowledgement was seen.
+    at: Duration,
+    /// The acknowledgement number.
+    acknowledged: u32,
+    /// The sequence number of the caller's packets until its next request.
+    sequence: u32,
 }
 
 impl Sample {
     fn at(&self) -> Duration {
         match self {
-            Sample::Opening { at, .. } | Sample::Data { at, .. } | Sample::Answered { at, .. } => {
-                *at
-            }
+            Sample::Opening { at, .. } | Sample::Data { at, .. } => *at,
+            Sample::Answered(answer) => answer.at,
         }
     }
 }
@@ -186,48 +191,44 @@
                 let timed = self.is_server_time(packet, advance, took);
                 tally.answered(server, timed.then_some(took));
                 let is_first = packet.sequence == sequence && is_pure(packet);
-                is_first.then_some(Sample::Answered {
+                is_first.then_some(Sample::Answered(Answer {
                     at: now,
                     acknowledged: packet.acknowledgement,
                     sequence,
-                })
+                }))
+            }
+            Sample::Answered(answer) => {
+                let answer = self.follow_answer(answer, packet, now);
+                answer.map(Sample::Answered)
             }
-            Sample::Answered { .. } => self.follow_answer(sample, packet, now),
         }
     }
 
-    /// Learns from the next packet after an answer's first acknowledgement whether the answer had
-    /// ended there. Returns the flow's sample from now on, if any.
+    /// Learns from the next packet after an answer's acknowledgement whether the answer had ended there.
+    /// Returns the answer if that is still open.
     ///
     /// A packet with another sequence number shows nothing, as a request in between may have passed
     /// through another balancer. Nor does an acknowledgement on a packet with data or FIN, which comes
     /// when the caller chooses, unless it acknowledges nothing more.
-    fn follow_answer(&mut self, sample: Sample, packet: &Packet, now: Duration) -> Option<Sample> {
-        let Sample::Answered {
-            at,
-            acknowledged,
-            sequence,
-        } = sample
-        else {
-            return None;
-        };
-        if packet.sequence != sequence {
+    fn follow_answer(&mut self, answer: Answer, packet: &Packet, now: Duration) -> Option<Answer> {
+        if packet.sequence != answer.sequence {
             return None;
         }
-        match (advance(packet, acknowledged), is_pure(packet)) {
-            (None, true) => Some(sample),
+        let paused = now.saturating_sub(answer.at) > MAX_ACK_DELAY;
+        match (advance(packet, answer.acknowledged), is_pure(packet)) {
+            (None, true) => Some(answer),
             (None, false) => {
                 self.learn_streaming(false);
                 None
             }
-            (Some(_), true) if now.saturating_sub(at) > MAX_ACK_DELAY => {
+            (Some(_), true) if paused => {
                 self.learn_streaming(true);
                 None
             }
-            (Some(_), true) => Some(Sample::Answered {
+            (Some(_), true) => Some(Answer {
                 at: now,
                 acknowledged: packet.acknowledgement,
-                sequence,
+                ..answer
             }),
             (Some(_), false) => None,
         }
