--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -309,6 +309,13 @@
     }
 
     /// Records that all changes of the operators up to `revision` have been applied.
+    ///
+    /// ```
+    /// let mut catalog = acacia_catalog::Catalog::default();
+    /// catalog.complete(3);
+    /// catalog.complete_operators(7);
+    /// assert!(catalog.position().lacks_servers());
+    /// ```
     pub fn complete_operators(&mut self, revision: u64) {
         self.position.operators = self.position.operators.max(revision);
     }
@@ -346,6 +353,15 @@
 
     /// Applies an entry that the store itself has listed. Unlike [`Catalog::apply`], it accepts entries
     /// that are not newer than [`Catalog::forgotten`].
+    ///
+    /// ```
+    /// use acacia_catalog::{Catalog, Change};
+    /// let mut catalog = Catalog::default();
+    /// catalog.forget(9);
+    /// let change = || Change::Server { id: "a".into(), revision: 7, server: None };
+    /// assert!(!catalog.apply(change()));
+    /// assert!(catalog.apply_listed(change()));
+    /// ```
     pub fn apply_listed(&mut self, change: Change) -> bool {
         match change {
             Change::Server {
@@ -366,12 +382,25 @@
 
     /// Removes the servers that a read of all of them, as of `revision`, lacks. Returns whether any was
     /// removed.
+    ///
+    /// ```
+    /// let mut catalog = acacia_catalog::Catalog::default();
+    /// assert!(!catalog.retain_servers(vec!["a".into()], 9), "none was known");
+    /// ```
     pub fn retain_servers(&mut self, listed: Vec<Arc<str>>, revision: u64) -> bool {
         self.servers.remove_unlisted(listed, revision)
     }
 
     /// Removes the evacuations that a read of all of them, as of `revision`, lacks. Returns whether any was
     /// removed.
+    ///
+    /// ```
+    /// use acacia_catalog::{Catalog, Change};
+    /// let mut catalog = Catalog::default();
+    /// catalog.apply(Change::Evacuation { data_centre: "a".into(), revision: 7, stands: true });
+    /// assert!(catalog.retain_evacuations(Vec::new(), 9));
+    /// assert_eq!(catalog.evacuations().count(), 0);
+    /// ```
     pub fn retain_evacuations(&mut self, listed: Vec<Arc<str>>, revision: u64) -> bool {
         self.evacuations.remove_unlisted(listed, revision)
     }
--- a/crates/node/src/cookie/message.rs
+++ b/crates/node/src/cookie/message.rs
@@ -137,6 +137,15 @@
 
     /// The time at which a balancer was last known to be reading all servers' entries anew, on the clock
     /// of `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_catalog::Position;
+    /// use acacia_node::cookie::message::Known;
+    /// let known = Known { position: Position::default(), age_ms: None, rebuild_age_ms: Some(400) };
+    /// let at = known.rebuild_at(Duration::from_secs(1));
+    /// assert_eq!(at, Some(Duration::from_millis(600)));
+    /// ```
     #[must_use]
     pub fn rebuild_at(&self, now: Duration) -> Option<Duration> {
         before(now, self.rebuild_age_ms)
