--- a/crates/node/tests/it/cookie/store.rs
+++ b/crates/node/tests/it/cookie/store.rs
@@ -25,12 +25,17 @@
 const ROUND_TRIP: Duration = Duration::from_millis(4);
 const STEP: Duration = Duration::from_millis(10);
 
-/// Keys of the store: the operators' come before those of servers.
+/// Prefixes of the keys of this store: the operators' come before those of servers.
+const OPERATORS: &str = "a/";
+const SERVERS: &str = "b/";
+
 fn key(change: &Change) -> Arc<str> {
     match change {
-        Change::Config { .. } | Change::Patch { .. } => "op/config".into(),
-        Change::Evacuation { data_centre, .. } => format!("op/evacuate/{data_centre}").into(),
-        Change::Server { id, .. } => format!("servers/{id}").into(),
+        Change::Config { .. } | Change::Patch { .. } => format!("{OPERATORS}config").into(),
+        Change::Evacuation { data_centre, .. } => {
+            format!("{OPERATORS}evacuation/{data_centre}").into()
+        }
+        Change::Server { id, .. } => format!("{SERVERS}{id}").into(),
     }
 }
 
@@ -164,8 +169,8 @@
         };
         match pending.call {
             Call::All => Some(page("", self.page_size)),
-            Call::Operators => Some(page("op/", usize::MAX)),
-            Call::Servers => Some(page("servers/", self.page_size)),
+            Call::Operators => Some(page(OPERATORS, usize::MAX)),
+            Call::Servers => Some(page(SERVERS, self.page_size)),
             Call::Watch { .. } if now < self.deaf_until => None,
             Call::Watch { after, .. } if after < self.dropped => Some(Answer::HistoryGone),
             Call::Watch { after, wait } => {
