Never split the operators' changes over datagrams

What callers could see: flows opened in an evacuated data centre, or a change of configuration missing, for the seconds in which the servers' entries are read after the store has dropped its history.

Cause: during that read, what is new is split into datagrams with the same base. Whoever lost the one with an evacuation and got the next took its position for complete and fetched nothing until the read had ended.

Change: changes that include some of the operators' go out in a single datagram or are only announced; who misses either sees by its position that it lacks them. Servers' changes alone are still split, as before.

Evidence: cookie::compaction::a_lost_datagram_hides_no_change_of_the_operators failed before: the balancer that got the second of two datagrams neither knew the evacuation nor fetched.

--- a/crates/node/src/cookie/core/changes.rs
+++ b/crates/node/src/cookie/core/changes.rs
@@ -191,37 +191,26 @@
     /// The changes since `mark`, as one datagram each can carry them; `None` where they are only
     /// announced.
     ///
-    /// While the servers' entries are read anew, each page's changes are sent without the others, as
-    /// many messages as it takes: peers can't tell by revisions that something is missing, so that they
-    /// wouldn't fetch it before the read has ended.
+    /// While the servers' entries are read anew, only what is new is sent, in as many datagrams as it
+    /// takes: after a lost one, peers learn of its servers at the end of the read. Changes of the
+    /// operators must not be missed for so long. They are sent in a single datagram or announced, and
+    /// whoever misses that sees by its position that it has to fetch them.
     fn batches(&self, mark: &Mark) -> Vec<Option<Vec<Change>>> {
-        let size = |changes: &[Change]| {
-            postcard::experimental::serialized_size(changes).unwrap_or(usize::MAX)
-        };
         if self.catalog.position().revision > mark.position.revision {
             let changes = self.catalog.since(mark.position.revision);
             let complete = mark.position.revision >= self.catalog.forgotten();
-            let fits = complete && size(&changes) <= MAX_CHANGES_BYTES;
+            let fits = complete && encoded_size(&changes) <= MAX_CHANGES_BYTES;
             return vec![fits.then_some(changes)];
         }
-        let mut batches = vec![Vec::new()];
-        let mut used = 0;
-        for change in self.catalog.since_mark(mark) {
-            let bytes = size(std::slice::from_ref(&change));
-            if bytes > MAX_CHANGES_BYTES {
-                // A configuration, which peers fetch, as they see that they lack changes of the operators.
-                return vec![None];
-            }
-            used += bytes;
-            if used > MAX_CHANGES_BYTES {
-                batches.push(Vec::new());
-                used = bytes;
-            }
-            if let Some(last) = batches.last_mut() {
-                last.push(change);
+        let changes = self.catalog.since_mark(mark);
+        let is_server = |change: &Change| matches!(change, Change::Server { .. });
+        let only_servers = changes.iter().all(is_server);
+        match split(changes) {
+            Some(batches) if batches.len() == 1 || only_servers => {
+                batches.into_iter().map(Some).collect()
             }
+            _ => vec![None],
         }
-        batches.into_iter().map(Some).collect()
     }
 
     /// All changes after a revision, for a peer that fetches them. If some removals since then have
@@ -246,3 +235,28 @@
         }
     }
 }
+
+fn encoded_size(changes: &[Change]) -> usize {
+    postcard::experimental::serialized_size(changes).unwrap_or(usize::MAX)
+}
+
+/// Splits changes into batches that fit into a datagram each, at least one; `None` if one of them doesn't fit.
+fn split(changes: Vec<Change>) -> Option<Vec<Vec<Change>>> {
+    let mut batches = vec![Vec::new()];
+    let mut used = 0;
+    for change in changes {
+        let bytes = encoded_size(std::slice::from_ref(&change));
+        if bytes > MAX_CHANGES_BYTES {
+            return None;
+        }
+        used += bytes;
+        if used > MAX_CHANGES_BYTES {
+            batches.push(Vec::new());
+            used = bytes;
+        }
+        if let Some(last) = batches.last_mut() {
+            last.push(change);
+        }
+    }
+    Some(batches)
+}
--- a/crates/node/tests/it/cookie/compaction.rs
+++ b/crates/node/tests/it/cookie/compaction.rs
@@ -1,7 +1,7 @@
-use std::time::Duration;
+use std::{net::SocketAddrV4, time::Duration};
 
 use acacia_catalog::Change;
-use acacia_node::cookie::core::Core;
+use acacia_node::cookie::{core::Core, message::Outgoing};
 use rstest::rstest;
 
 use super::{
@@ -188,6 +188,42 @@
     assert!(lacks(&deployment, core, 7));
 }
 
+/// The address of the balancer that watches the store.
+fn reader(deployment: &Deployment) -> SocketAddrV4 {
+    let now = deployment.fleet.now;
+    let mut cores = deployment.fleet.cores.iter();
+    let reader = cores.find(|(_, core)| core.summary(now).reads);
+    *reader.expect("a reader").0
+}
+
+/// While the servers' entries are read, an answer of the store holds a new evacuation and changes of many
+/// servers, and the first datagram about them is lost. Whoever gets only the last one must know the
+/// evacuation or fetch it. It would otherwise open flows in that data centre until the read has ended.
+#[test]
+fn a_lost_datagram_hides_no_change_of_the_operators() {
+    let mut deployment = deployment();
+    lose_history(&mut deployment);
+    deployment.run_until(ms(1_000), |deployment| deployment.store.pages > 3);
+    let (reader, now) = (reader(&deployment), deployment.fleet.now);
+    let first = deployment.fleet.cores[&reader].followed() + 1;
+    let servers = (1..=40).map(|number| server(&id(number + 100), first + number));
+    let changes = [evacuation("c", first, true)].into_iter().chain(servers);
+
+    let core = deployment.fleet.cores.get_mut(&reader).expect("the reader");
+    let outcome = core.apply_store_changes(changes.collect(), first + 40, now, now);
+    let Outgoing { to, message } = outcome.outgoing.last().expect("a message").clone();
+
+    let receiver = deployment.fleet.cores.get_mut(&to[0]).expect("a balancer");
+    let received = receiver.receive(message, now);
+    let known = receiver.difference(0, now).changes;
+    let is_known = known.contains(&evacuation("c", first, true));
+    assert!(
+        received.fetch || is_known,
+        "{} messages",
+        outcome.outgoing.len()
+    );
+}
+
 /// The reader dies when the store has dropped its history. The others must read the store in its place, but
 /// not all of them the servers' entries.
 #[rstest]
@@ -197,12 +233,7 @@
     #[case] after_ms: u64,
 ) {
     let mut deployment = deployment();
-    let readers = deployment.fleet.cores.iter_mut();
-    let now = deployment.fleet.now;
-    let reader = readers
-        .filter_map(|(address, core)| core.summary(now).reads.then_some(*address))
-        .next()
-        .expect("a reader");
+    let reader = reader(&deployment);
 
     lose_history(&mut deployment);
     deployment.run(ms(after_ms));
