Bound the datagrams about one answer of the store

What callers could see: packets queued behind control traffic at the balancer that reads the store, when thousands of servers change at once while the servers' entries are read.

Cause: what is new in that read was split into as many datagrams as it took: 193 for 5,000 entries, to each of up to seven peers (cookie::compaction::the_datagrams_ about_one_answer_are_bounded, which failed before).

Change: beyond 64, a full page of changed entries, they are announced and fetched along the tree like any large set of changes; the test shows that the receiver of the announcement fetches.

--- a/crates/node/src/cookie/core/changes.rs
+++ b/crates/node/src/cookie/core/changes.rs
@@ -14,6 +14,10 @@
 /// starts, thousands of servers report within seconds.
 const MAX_LOGGED_SERVERS: usize = 16;
 
+/// Maximum number of datagrams about one answer of the store: a page of it with every entry changed. More
+/// are announced and fetched, so that they don't fill the sender's link.
+const MAX_BATCHES: usize = 64;
+
 /// The result of applying changes.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Applied {
@@ -206,7 +210,7 @@
         let is_server = |change: &Change| matches!(change, Change::Server { .. });
         let only_servers = changes.iter().all(is_server);
         match split(changes) {
-            Some(batches) if batches.len() == 1 || only_servers => {
+            Some(batches) if batches.len() == 1 || only_servers && batches.len() <= MAX_BATCHES => {
                 batches.into_iter().map(Some).collect()
             }
             _ => vec![None],
--- a/crates/node/tests/it/cookie/compaction.rs
+++ b/crates/node/tests/it/cookie/compaction.rs
@@ -224,6 +224,28 @@
     );
 }
 
+/// An answer of the store may hold changes of thousands of servers. They must not be sent one datagram after
+/// the other, as these would fill the reader's link.
+#[test]
+fn the_datagrams_about_one_answer_are_bounded() {
+    let mut deployment = deployment();
+    lose_history(&mut deployment);
+    deployment.run_until(ms(1_000), |deployment| deployment.store.pages > 3);
+    let (reader, now) = (reader(&deployment), deployment.fleet.now);
+    let first = deployment.fleet.cores[&reader].followed() + 1;
+    let changes = (1..=5_000).map(|number| server(&id(number), first + number));
+
+    let core = deployment.fleet.cores.get_mut(&reader).expect("the reader");
+    let outcome = core.apply_store_changes(changes.collect(), first + 5_000, now, now);
+
+    let messages = outcome.outgoing.len();
+    assert!(messages <= 64, "{messages}");
+    let Outgoing { to, message } = outcome.outgoing.last().expect("a message").clone();
+    let receiver = deployment.fleet.cores.get_mut(&to[0]).expect("a balancer");
+    let received = receiver.receive(message, now);
+    assert!(received.fetch, "what isn't sent is fetched");
+}
+
 /// The reader dies when the store has dropped its history. The others must read the store in its place, but
 /// not all of them the servers' entries.
 #[rstest]
