--- a/review/stand/deployment.rs
+++ b/review/stand/deployment.rs
@@ -15,7 +15,9 @@
 
 unsafe extern "C" {
     fn prctl(option: i32, ...) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
+const SIGTERM: i32 = 15;
 const SET_PARENT_DEATH_SIGNAL: i32 = 1;
 const SIGKILL: u64 = 9;
 
@@ -132,6 +134,18 @@
         }
     }
 
+    /// Stops a balancer with SIGTERM, waits for its end, and starts it again.
+    pub fn restart(&self, balancer: usize) {
+        if let Some(mut child) = self.balancers.lock().unwrap()[balancer].take() {
+            // SAFETY: the process was started here and has not been waited for.
+            unsafe { kill(child.id() as i32, SIGTERM) };
+            let status = child.wait();
+            self.record
+                .line(&format!("balancer={balancer} stopped: {status:?}"));
+        }
+        self.start(balancer);
+    }
+
     /// The exit status of a balancer that has ended by itself.
     pub fn ended(&self, balancer: usize) -> Option<String> {
         let mut balancers = self.balancers.lock().unwrap();
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -4,6 +4,7 @@
 
 mod deployment;
 mod net;
+mod release;
 mod store;
 mod storm;
 
@@ -52,6 +53,7 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let broken = match case.as_str() {
+        "release" => release::run(&record, trouble),
         "storm" => storm::run(&record, trouble),
         other => fail(&format!("no case {other}")),
     };
--- a/review/stand/net.rs
+++ b/review/stand/net.rs
@@ -5,7 +5,7 @@
     net::{SocketAddrV4, TcpListener, UdpSocket},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -79,11 +79,20 @@
     pub service: &'static str,
     pub address: SocketAddrV4,
     ran: Mutex<HashMap<String, Instant>>,
+    /// The callers' ends of the flows that it holds.
+    held: Mutex<HashSet<([u8; 4], u16)>>,
+    draining: AtomicBool,
 }
 
 impl Host {
     /// Starts a server that sends to callers on `port`.
-    pub fn start(number: u8, service: &'static str, port: u16, record: Record) -> Arc<Host> {
+    pub fn start(
+        number: u8,
+        tag: u64,
+        service: &'static str,
+        port: u16,
+        record: Record,
+    ) -> Arc<Host> {
         let (listener, socket, address) = loop {
             let listener = TcpListener::bind(format!("127.0.20.{number}:0")).unwrap();
             let address = listener.local_addr().unwrap();
@@ -94,13 +103,14 @@
         let std::net::SocketAddr::V4(address) = address else {
             unreachable!()
         };
-        let tag = 0x7f3a_9100 + u64::from(number);
         let id = format!("i-{tag:08x}");
         let host = Arc::new(Host {
             id,
             service,
             address,
             ran: Mutex::default(),
+            held: Mutex::default(),
+            draining: AtomicBool::new(false),
         });
         thread::spawn(move || {
             for stream in listener.incoming() {
@@ -114,13 +124,28 @@
 
     /// The server's entry in the store.
     pub fn entry(&self, zone: &str) -> String {
+        let state = if self.draining.load(Ordering::Relaxed) {
+            "draining"
+        } else {
+            "ready"
+        };
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":1,\"born\":1790000000000}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":2,\"state\":\"{state}\",\"warmup_left_ms\":0,\"seq\":1,\"born\":1790000000000}}",
             self.service, self.address
         )
     }
 
-    /// When the request with this name ran, if it did.
+    /// Makes the server close each flow after its next response.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the server holds the flow with this end of the caller.
+    pub fn holds(&self, end: ([u8; 4], u16)) -> bool {
+        self.held.lock().unwrap().contains(&end)
+    }
+
+    /// Whether the request with this name ran.
     pub fn ran(&self, request: &str) -> bool {
         self.ran.lock().unwrap().contains_key(request)
     }
@@ -175,10 +200,15 @@
             }
             let Some(flow) = flows.get_mut(&packet.src) else {
                 if packet.flags & RST == 0 {
+                    record.line(&format!(
+                        "server={} resets unknown flow of {:?}",
+                        self.id, packet.src
+                    ));
                     reply(RST, packet.ack, 0, Vec::new());
                 }
                 continue;
             };
+            self.held.lock().unwrap().insert(packet.src);
             if packet.flags & RST != 0 {
                 flow.ended = true;
                 continue;
@@ -204,6 +234,9 @@
                 let seq = flow.seq;
                 flow.seq = flow.seq.wrapping_add(data.len() as u32);
                 reply(ACK, seq, flow.expected, data);
+                if self.draining.load(Ordering::Relaxed) {
+                    reply(FIN | ACK, flow.seq, flow.expected, Vec::new());
+                }
             } else if !packet.data.is_empty() {
                 reply(ACK, flow.seq, flow.expected, Vec::new());
             }
@@ -233,107 +266,142 @@
 
 static PORTS: AtomicU32 = AtomicU32::new(0);
 
-/// Opens a flow from `caller` to `route` through a balancer, sends one request on it, and closes it.
-pub fn ask(
-    caller: [u8; 4],
-    port: u16,
-    balancer: SocketAddrV4,
+/// A caller with one open flow.
+pub struct Client {
+    socket: UdpSocket,
+    /// Its end of the flow.
+    pub end: ([u8; 4], u16),
     route: ([u8; 4], u16),
-    request: &str,
-) -> End {
-    let number = PORTS.fetch_add(1, Ordering::Relaxed);
-    let from = (caller, 20_000 + (number % 40_000) as u16);
-    let Ok(socket) = UdpSocket::bind(SocketAddrV4::new(caller.into(), port)) else {
-        return End::Silent;
-    };
-    let isn = number.wrapping_mul(0x9e37_79b1) ^ 0x2468_ace0;
-    let send = |flags: u8, seq: u32, ack: u32, echo: u32, data: &[u8]| {
-        let packet = Packet {
-            flags,
+    seq: u32,
+    expected: u32,
+    echo: u32,
+}
+
+impl Client {
+    /// Opens a flow from the address `caller` to `route` through a balancer. Packets for the caller arrive
+    /// on `port`.
+    pub fn open(
+        caller: [u8; 4],
+        port: u16,
+        balancer: SocketAddrV4,
+        route: ([u8; 4], u16),
+    ) -> Result<Client, End> {
+        let number = PORTS.fetch_add(1, Ordering::Relaxed);
+        let end = (caller, 20_000 + (number % 40_000) as u16);
+        let Ok(socket) = UdpSocket::bind(SocketAddrV4::new(caller.into(), port)) else {
+            return Err(End::Silent);
+        };
+        let isn = number.wrapping_mul(0x9e37_79b1) ^ 0x2468_ace0;
+        let (seq, expected, echo) = (isn, 0, 0);
+        let mut client = Client {
+            socket,
+            end,
+            route,
             seq,
-            ack,
+            expected,
             echo,
-            dst: route,
-            src: from,
-            data: data.to_vec(),
         };
-        let _ = socket.send_to(&packet.encode(SUM), balancer);
-    };
-    let receive = |until: Instant| loop {
-        let left = until.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return None;
-        }
-        let _ = socket.set_read_timeout(Some(left.max(Duration::from_millis(1))));
-        let mut buffer = [0; 2_048];
-        let Ok((length, _)) = socket.recv_from(&mut buffer) else {
-            continue;
-        };
-        if let Some(packet) = Packet::decode(&buffer[..length]).filter(|packet| packet.dst == from)
-        {
-            return Some(packet);
-        }
-    };
-    let begun = Instant::now();
-    let mut opened = None;
-    for (copy, until) in [200, 600, 1_400].into_iter().enumerate() {
-        send(SYN, isn, copy as u32, 0, &[]);
-        while let Some(packet) = receive(begun + Duration::from_millis(until)) {
-            if packet.flags & RST != 0 {
-                return End::Refused;
-            }
-            if packet.flags & (SYN | ACK) == SYN | ACK && packet.ack == isn.wrapping_add(1) {
-                opened = Some(packet);
-                break;
+        let begun = Instant::now();
+        for (copy, until) in [200, 600, 1_400].into_iter().enumerate() {
+            client.expected = copy as u32;
+            client.send(balancer, SYN, &[]);
+            while let Some(packet) = client.receive(begun + Duration::from_millis(until)) {
+                if packet.flags & RST != 0 {
+                    return Err(End::Refused);
+                }
+                if packet.flags & (SYN | ACK) == SYN | ACK && packet.ack == isn.wrapping_add(1) {
+                    client.seq = packet.ack;
+                    client.expected = packet.seq.wrapping_add(1);
+                    client.echo = packet.echo;
+                    client.send(balancer, ACK, &[]);
+                    return Ok(client);
+                }
             }
         }
-        if opened.is_some() {
-            break;
+        Err(End::Silent)
+    }
+
+    /// Sends a request through a balancer and waits for the answer, which has the same bytes.
+    pub fn request(&mut self, balancer: SocketAddrV4, request: &str) -> End {
+        let deadline = Instant::now() + Duration::from_millis(1_000);
+        let mut wait = Duration::from_millis(200);
+        while Instant::now() < deadline {
+            self.send(balancer, ACK, request.as_bytes());
+            let until = deadline.min(Instant::now() + wait);
+            wait *= 2;
+            while let Some(packet) = self.receive(until) {
+                // A reset is accepted if it continues what was received.
+                if packet.flags & RST != 0 && packet.seq == self.expected {
+                    return End::Reset;
+                }
+                if packet.data.is_empty() || packet.seq != self.expected {
+                    continue;
+                }
+                self.seq = self.seq.wrapping_add(request.len() as u32);
+                self.expected = self.expected.wrapping_add(packet.data.len() as u32);
+                self.echo = packet.echo;
+                self.send(balancer, ACK, &[]);
+                return match packet.data == request.as_bytes() {
+                    true => End::Answered,
+                    false => End::Wrong,
+                };
+            }
         }
+        End::Silent
     }
-    let Some(packet) = opened else {
-        return End::Silent;
-    };
-    let (seq, expected, echo) = (isn.wrapping_add(1), packet.seq.wrapping_add(1), packet.echo);
-    send(ACK, seq, expected, echo, &[]);
-    let deadline = Instant::now() + Duration::from_millis(1_000);
-    let mut wait = Duration::from_millis(200);
-    while Instant::now() < deadline {
-        send(ACK, seq, expected, echo, request.as_bytes());
-        let until = deadline.min(Instant::now() + wait);
-        wait *= 2;
-        while let Some(packet) = receive(until) {
-            if packet.flags & RST != 0 {
-                return End::Reset;
+
+    /// Closes the flow.
+    pub fn close(&self, balancer: SocketAddrV4) {
+        self.send(balancer, FIN | ACK, &[]);
+    }
+
+    fn send(&self, balancer: SocketAddrV4, flags: u8, data: &[u8]) {
+        let packet = Packet {
+            flags,
+            seq: self.seq,
+            ack: self.expected,
+            echo: self.echo,
+            dst: self.route,
+            src: self.end,
+            data: data.to_vec(),
+        };
+        let _ = self.socket.send_to(&packet.encode(SUM), balancer);
+    }
+
+    fn receive(&self, until: Instant) -> Option<Packet> {
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
             }
-            if packet.data.is_empty() || packet.seq != expected {
+            let left = left.max(Duration::from_millis(1));
+            let _ = self.socket.set_read_timeout(Some(left));
+            let mut buffer = [0; 2_048];
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer) else {
                 continue;
-            }
-            let (next, acknowledged) = (
-                seq.wrapping_add(request.len() as u32),
-                expected.wrapping_add(packet.data.len() as u32),
-            );
-            send(ACK, next, acknowledged, echo, &[]);
-            send(FIN | ACK, next, acknowledged, echo, &[]);
-            return if packet.data == request.as_bytes() {
-                End::Answered
-            } else {
-                End::Wrong
             };
+            let packet = Packet::decode(&buffer[..length]);
+            if let Some(packet) = packet.filter(|packet| packet.dst == self.end) {
+                return Some(packet);
+            }
         }
     }
-    End::Silent
 }
 
-/// Names of requests that several servers ran.
-pub fn repeated(hosts: &[Arc<Host>]) -> Vec<String> {
-    let (mut known, mut repeated) = (HashSet::new(), Vec::new());
-    for host in hosts {
-        for request in host.ran.lock().unwrap().keys() {
-            if !known.insert(request.clone()) {
-                repeated.push(request.clone());
-            }
+/// Opens a flow from `caller` to `route` through a balancer, sends one request on it, and closes it.
+pub fn ask(
+    caller: [u8; 4],
+    port: u16,
+    balancer: SocketAddrV4,
+    route: ([u8; 4], u16),
+    request: &str,
+) -> End {
+    match Client::open(caller, port, balancer, route) {
+        Ok(mut client) => {
+            let end = client.request(balancer, request);
+            client.close(balancer);
+            end
         }
+        Err(end) => end,
     }
-    repeated
 }
--- a/review/stand/storm.rs
+++ b/review/stand/storm.rs
@@ -89,7 +89,15 @@
     let services = ["talkoo-live", "talkoo-live", "talkoo-live", "karttapalvelu"];
     let hosts: Vec<Arc<Host>> = (1..)
         .zip(services)
-        .map(|(number, service)| Host::start(number, service, deployment.port, record.clone()))
+        .map(|(number, service)| {
+            Host::start(
+                number,
+                0x7f3a_9100 + u64::from(number),
+                service,
+                deployment.port,
+                record.clone(),
+            )
+        })
         .collect();
     for (number, host) in hosts.iter().enumerate() {
         let entry = host.entry(ZONES[number % ZONES.len()]);
