--- a/review/stand/storm.rs
+++ b/review/stand/storm.rs
@@ -18,10 +18,10 @@
 /// Configurations of the storm, and the pause between two.
 const STORM: u32 = 25;
 const GAP: Duration = Duration::from_millis(60);
-/// Routes that see no traffic, and three growths of the configuration.
+/// Routes that see no traffic, and two growths of the configuration.
 const IDLE_ROUTES: u32 = 110;
-const GROWTH: u32 = 350;
-const GROWTHS: u32 = 3;
+const GROWTH: u32 = 400;
+const GROWTHS: u32 = 2;
 /// The bound on configurations.
 const APPLY: Duration = Duration::from_millis(3_000);
 /// How long the routes are requested after the last configuration.
