--- a/review/stand/storm.rs
+++ b/review/stand/storm.rs
@@ -14,7 +14,7 @@
     net::{End, Host, ask},
 };
 
-const BALANCERS: usize = 3;
+const BALANCERS: usize = 9;
 /// Configurations of the storm, and the pause between two.
 const STORM: u32 = 25;
 const GAP: Duration = Duration::from_millis(60);
