--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../target/review
-rustc --edition 2024 -O -o ../target/review/stand stand/main.rs
+rustc --edition 2024 -O -o ../target/review/stand 1/main.rs
