Keep a shared cookie at the same server on balancers that started at different times

Cause: of servers with one cookie, the older keeps it. A balancer took for a server's age the revision at which it had first seen the entry. One that starts later reads only the last revision of each entry; the old server's entry had changed when it began to drain, so it counted as the newer of the two, and the other server got its packets and reset the flows.

Change: the store's revision of the entry's creation is decoded, travels with the server's description and decides. It is the same whenever an entry is read, so it doesn't depend on what a balancer has seen. Where the store doesn't name it, the revision at which the entry was first seen is used as before.

--- a/crates/bench/src/speed/cookie.rs
+++ b/crates/bench/src/speed/cookie.rs
@@ -159,6 +159,7 @@
         state: State::Ready,
         warmup_ms: 0,
         started_ms: 0,
+        created: 0,
     }
 }
 
--- a/crates/catalog/src/server.rs
+++ b/crates/catalog/src/server.rs
@@ -13,7 +13,7 @@
     Draining,
 }
 
-/// A backend server, as it describes itself in the store.
+/// A backend server, as its entry in the store describes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
     /// Its unique name; a restarted server usually has a new one.
@@ -36,4 +36,6 @@
     /// When it started, in milliseconds since the Unix epoch by its own clock. It tells a restart
     /// under the same name, after which the server has lost all its flows.
     pub started_ms: u64,
+    /// The store's revision at which its entry was created; 0 if unknown.
+    pub created: u64,
 }
--- a/crates/catalog/tests/it/fixture.rs
+++ b/crates/catalog/tests/it/fixture.rs
@@ -19,6 +19,7 @@
         state: State::Ready,
         warmup_ms: 0,
         started_ms: 0,
+        created: 0,
     })
 }
 
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -60,9 +60,9 @@
 #[derive(Debug, Clone)]
 struct Record {
     server: Arc<server::Server>,
-    /// Revision of the store at which this balancer first saw the server. It orders servers in the
-    /// same way on all balancers that follow one store.
-    first_revision: u64,
+    /// Revision of the store at which its entry was created or, if the store doesn't say, was first seen
+    /// here. An entry that lapses is created anew; then it is that of the first time.
+    created: u64,
     /// When its entry went missing.
     missing: Option<Duration>,
     /// Whether its entry has been missing for so long that it is no longer expected back.
@@ -87,9 +87,11 @@
         self.missing.is_some() && self.server.state == State::Draining
     }
 
-    /// The order in which servers keep a cookie that they share: the older one keeps it.
+    /// The order in which servers keep a cookie that they share: the older one keeps it, as it may have
+    /// flows with it. The order must not depend on what a balancer has seen itself, as one that has just
+    /// started must forward open flows like the others.
     fn seniority(&self) -> (u64, &Arc<str>) {
-        (self.first_revision, &self.server.id)
+        (self.created, &self.server.id)
     }
 }
 
@@ -230,7 +232,10 @@
             None => {
                 let known = Record {
                     server: Arc::clone(server),
-                    first_revision: revision,
+                    created: match server.created {
+                        0 => revision,
+                        created => created,
+                    },
                     missing: None,
                     is_expired: false,
                     warm_at,
@@ -329,7 +334,7 @@
             // Older servers come first: they keep a cookie that a newer server turns out to share.
             order.sort_by_cached_key(|id| {
                 let known = self.servers.get(id);
-                known.map(|known| (known.first_revision, Arc::clone(id)))
+                known.map(|known| (known.created, Arc::clone(id)))
             });
             for id in order {
                 self.refresh(&id, now);
--- a/crates/cookie/tests/it/fixture.rs
+++ b/crates/cookie/tests/it/fixture.rs
@@ -37,6 +37,7 @@
         state: State::Ready,
         warmup_ms: 0,
         started_ms: 0,
+        created: 0,
     }
 }
 
--- a/crates/cookie/tests/it/roster.rs
+++ b/crates/cookie/tests/it/roster.rs
@@ -184,6 +184,32 @@
     );
 }
 
+/// Guards against a balancer that has just started, and knows only the last change of each entry, which
+/// takes the older of two servers with one cookie for the newer once its entry has changed, and sends its
+/// open flows to the other.
+#[test]
+fn a_balancer_that_starts_late_keeps_a_shared_cookie_at_the_older_server() {
+    let (one, other) = names_with_same_cookie();
+    let older = acacia_catalog::server::Server {
+        created: 1,
+        ..server(&one, "live")
+    };
+    let draining = acacia_catalog::server::Server {
+        state: State::Draining,
+        ..older.clone()
+    };
+    let newer = acacia_catalog::server::Server {
+        created: 2,
+        ..server(&other, "live")
+    };
+    let opened = snapshot([present(older, 1)]).servers[0].cookie;
+
+    let late = snapshot([present(newer, 2), present(draining, 3)]);
+
+    let found = late.server(opened).map(|server| &*server.id);
+    assert_eq!(found, Some(one.as_str()));
+}
+
 /// Servers that were shut down one after the other remain known by their cookies for a minute.
 /// Reports of peers that they are silent must not cause examinations during that time.
 #[test]
--- a/crates/node/tests/it/cookie/fixture.rs
+++ b/crates/node/tests/it/cookie/fixture.rs
@@ -44,6 +44,7 @@
         state: State::Ready,
         warmup_ms: 0,
         started_ms: 0,
+        created: 0,
     };
     Change::Server {
         id: id.into(),
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -77,6 +77,8 @@
     pub value: Arc<[u8]>,
     /// The store's revision of the last write of the key.
     pub revision: u64,
+    /// The store's revision of the write that created the key; 0 if the store doesn't say.
+    pub created: u64,
 }
 
 /// A part of a range, ordered by key.
@@ -118,6 +120,9 @@
     pub key: Arc<str>,
     /// The store's revision of the change.
     pub revision: u64,
+    /// The store's revision of the write that created the key; 0 if the store doesn't say or the key was
+    /// removed.
+    pub created: u64,
     /// The new value; `None` if the key was removed.
     pub value: Option<Arc<[u8]>>,
 }
