Find a server by its name also where another one has its first cookie

What callers see: of two servers with the same first cookie, the newer one's flows use its second. When the older one leaves, each balancer resets the newer one's open flows at their callers ("flow-ended", code FlowServerGone), although their server lives.

Cause: servers were looked up by name through their first cookie, which leads to the other server. So the flows of the newer server were taken for those of the one that had left. In the same way its speed and its failures were not applied, its retransmitted openings were placed anew, and its metrics carried the other's service.

Shown by two tests that failed before (an open flow of the newer server was ended; the newer server was not found by name).

Change: a lookup by name tries all the cookies of the name and checks the name.

--- a/crates/cookie/src/resolver.rs
+++ b/crates/cookie/src/resolver.rs
@@ -274,7 +274,7 @@
     /// A caller that is notified opens another flow at once; otherwise it would wait until its deadline.
     pub fn end_flows_of_gone_servers(&mut self, snapshot: &Snapshot) -> Vec<Reset> {
         let is_gone = |server: &Arc<str>| {
-            let server = snapshot.server(Cookie::of(server, 0));
+            let server = snapshot.named(server);
             server.is_some_and(|server| server.standing == Standing::Gone)
         };
         let removed = self.flows.remove_flows_of(is_gone);
@@ -288,7 +288,7 @@
 
     /// Removes estimates and rates of servers and services that are not in the snapshot.
     pub fn retain_known(&mut self, snapshot: &Snapshot) {
-        let is_server = |id: &Arc<str>| snapshot.server(Cookie::of(id, 0)).is_some();
+        let is_server = |id: &Arc<str>| snapshot.position(id).is_some();
         let is_service = |name: &Arc<str>| snapshot.pools.iter().any(|pool| pool.service == *name);
         self.delays.retain(is_server, is_service);
         self.limits.retain(|name, _| is_service(name));
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -7,7 +7,11 @@
 use acacia_load::{delay::Idle, overload};
 use acacia_wire::{collections::Map, flow::mix};
 
-use crate::{cold, cookie::Cookie, ring::Rings};
+use crate::{
+    cold,
+    cookie::{Cookie, VARIANTS},
+    ring::Rings,
+};
 
 /// Indexes of servers by cookie. A clone shares its memory with the original.
 pub type Cookies = imbl::GenericHashMap<
@@ -190,15 +194,28 @@
         None
     }
 
-    /// The index of a server by its name.
+    /// The index of a server by its name. Any of its cookies may lead to another server with the same
+    /// cookie, so all are tried.
     ///
     /// ```
     /// assert!(acacia_cookie::Snapshot::default().position("a").is_none());
     /// ```
     #[must_use]
     pub fn position(&self, id: &str) -> Option<u32> {
-        let position = *self.cookies.get(&Cookie::of(id, 0))?;
-        let server = self.servers.get(position as usize)?;
-        (*server.id == *id).then_some(position)
+        (0..VARIANTS).find_map(|variant| {
+            let position = *self.cookies.get(&Cookie::of(id, variant))?;
+            let server = self.servers.get(position as usize)?;
+            (*server.id == *id).then_some(position)
+        })
+    }
+
+    /// Looks up a server by its name.
+    ///
+    /// ```
+    /// assert!(acacia_cookie::Snapshot::default().named("a").is_none());
+    /// ```
+    #[must_use]
+    pub fn named(&self, id: &str) -> Option<&Server> {
+        self.servers.get(self.position(id)? as usize)
     }
 }
--- a/crates/cookie/tests/it/resolver.rs
+++ b/crates/cookie/tests/it/resolver.rs
@@ -1,6 +1,9 @@
 use std::sync::Arc;
 
-use acacia_catalog::Change;
+use acacia_catalog::{
+    Change,
+    server::{Server, State},
+};
 use acacia_code::Code;
 use acacia_cookie::{
     Action, Notice, Resolver, Roster,
@@ -9,7 +12,8 @@
 use proptest::prelude::*;
 
 use crate::fixture::{
-    absent, catalog, middle, ms, opening, present, routed, sent, server, snapshot, unrouted,
+    absent, catalog, middle, ms, names_with_same_cookie, opening, present, routed, sent, server,
+    snapshot, unrouted,
 };
 
 fn fleet(count: u64) -> Vec<Change> {
@@ -158,6 +162,54 @@
     );
 }
 
+/// Guards against flows that are ended because another server with the same cookie has left.
+#[test]
+fn flows_of_a_server_outlast_another_with_the_same_cookie() {
+    let (one, other) = names_with_same_cookie();
+    let older = Server {
+        state: State::Draining,
+        ..server(&one, "live")
+    };
+    let entries = [
+        routed(&["live"], 1),
+        present(older, 2),
+        present(server(&other, "live"), 3),
+    ];
+    let mut roster = Roster::default();
+    roster.update(&catalog(entries.clone()), ms(0));
+    let before = roster.snapshot(&Detector::default(), ms(0));
+    let mut resolver = Resolver::default();
+    let action = resolver.resolve(&before, &opening(1), None, ms(0));
+    let (opened, cookie) = sent(&action, &before).expect("a server");
+    resolver.resolve(&before, &middle(1, 101, 50, 7), Some(cookie), ms(5));
+
+    let left = entries.into_iter().chain([absent(&one, 4)]);
+    roster.update(&catalog(left), ms(10));
+    let after = roster.snapshot(&Detector::default(), ms(10));
+    let ended = resolver.end_flows_of_gone_servers(&after);
+
+    assert_eq!(&*opened, other.as_str());
+    assert_eq!(ended, []);
+}
+
+/// Guards against a server that is treated like one of unknown speed, or not at all, because another has
+/// the same cookie.
+#[test]
+fn servers_with_the_same_cookie_are_found_by_name() {
+    let (one, other) = names_with_same_cookie();
+
+    let snapshot = snapshot([
+        present(server(&one, "live"), 1),
+        present(server(&other, "maps"), 2),
+    ]);
+
+    let service = |id: &str| snapshot.named(id).map(|server| &*server.service);
+    assert_eq!(
+        (service(&one), service(&other)),
+        (Some("live"), Some("maps"))
+    );
+}
+
 /// A server with open flows stops answering. Its callers would wait until their deadlines; when their
 /// flows are ended, they open others at once. No flow of another server may be ended.
 #[test]
--- a/crates/cookie/tests/it/roster.rs
+++ b/crates/cookie/tests/it/roster.rs
@@ -7,7 +7,9 @@
 };
 use rstest::rstest;
 
-use crate::fixture::{absent, catalog, ms, present, routed, server, snapshot};
+use crate::fixture::{
+    absent, catalog, ms, names_with_same_cookie, present, routed, server, snapshot,
+};
 
 /// The standing of `id` at `at` ms, after the changes were applied at time 0.
 fn standing(changes: Vec<acacia_catalog::Change>, id: &str, at: u64) -> Standing {
@@ -126,19 +128,6 @@
     assert!(beyond.server(Cookie::of("h-1", 0)).is_none());
 }
 
-/// Two server names with the same first cookie, found by search. With 30 bits, this takes some
-/// fifty thousand names.
-fn names_with_same_cookie() -> (String, String) {
-    let mut seen = std::collections::HashMap::new();
-    for number in 0.. {
-        let id = format!("i-{number:x}");
-        if let Some(other) = seen.insert(Cookie::of(&id, 0), id.clone()) {
-            return (other, id);
-        }
-    }
-    unreachable!("the search ends with a pair")
-}
-
 /// Two of 21,000 servers have the same cookie. Without an alternative cookie, half of the packets
 /// of their flows would reach the other server, which ends these flows.
 #[test]
--- a/crates/node/src/cookie/burn.rs
+++ b/crates/node/src/cookie/burn.rs
@@ -6,7 +6,7 @@
 
 use acacia_burn::{Count, Mark};
 use acacia_catalog::route::Front;
-use acacia_cookie::{Reset, Snapshot, Timing, cookie::Cookie};
+use acacia_cookie::{Reset, Snapshot, Timing};
 use acacia_wire::flow::Key;
 
 use crate::ledger::Ledger;
@@ -57,7 +57,7 @@
 }
 
 fn add(ledger: &Ledger, server: &Arc<str>, count: Count, snapshot: &Snapshot) {
-    if let Some(server) = snapshot.server(Cookie::of(server, 0)) {
+    if let Some(server) = snapshot.named(server) {
         ledger.add(&server.service, Mark::Paying, count);
     }
 }
--- a/crates/node/src/cookie/meters.rs
+++ b/crates/node/src/cookie/meters.rs
@@ -10,7 +10,7 @@
 };
 
 use acacia_accept::Limiter;
-use acacia_cookie::{Snapshot, Timing, cookie::Cookie};
+use acacia_cookie::{Snapshot, Timing};
 use acacia_platform::Error;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
@@ -111,7 +111,7 @@
             Timing::Opening { server, took } => (&self.opening, server, took),
             Timing::Answer { server, took } => (&self.answer, server, took),
         };
-        let found = snapshot.server(Cookie::of(server, 0));
+        let found = snapshot.named(server);
         let labels = ServerLabels {
             service: found.map_or_else(String::new, |server| server.service.to_string()),
             server: server.to_string(),
--- a/crates/node/src/cookie/traffic.rs
+++ b/crates/node/src/cookie/traffic.rs
@@ -225,7 +225,7 @@
 /// Resets the flow of a server that is gone towards its caller, and logs and counts it.
 fn end_flow(ended: &Reset, snapshot: &Snapshot, context: &Context, to_send: &mut ToSend) {
     let (code, server) = (Code::FlowServerGone, &ended.server);
-    let found = snapshot.server(Cookie::of(server, 0));
+    let found = snapshot.named(server);
     let data_centre = found.map_or("", |server| &server.data_centre);
     burn::count_ended(&context.ledger, ended, snapshot);
     log_decision(
