Pass a shared cookie on once the server that had it has ended

What callers see: a server leaves; another one with the same cookie serves on. A balancer that starts after that doesn't know the first one and gives the cookie to flows of the second. For the maximum lifetime of a flow, 60 s, all other balancers reset these flows at their callers ("FlowServerGone"), as the cookie still leads to the server that left. The same follows a restart of a server under its name: its entry is created anew on some balancers' view and not on others'.

Who has a cookie depended on servers that only some balancers have seen: a server that had left kept its cookie, and one that restarted or came back kept its age.

Change: a server that has left, or whose address belongs to another, comes last among those that share a cookie, and doesn't contest it. A server that has restarted, or that is ready again after it had drained, counts from the creation of its new entry. Each change of who has a cookie is logged, event=cookie-shared; nothing in the logs told of shared cookies before.

--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -24,6 +24,7 @@
     silence::Detector,
     snapshot::{Server, Snapshot, Standing},
 };
+pub use index::Election;
 use index::Index;
 use service::{Place, Services};
 
@@ -67,6 +68,8 @@
     missing: Option<Duration>,
     /// Whether its entry has been missing for so long that it is no longer expected back.
     is_expired: bool,
+    /// Whether it no longer exists: it has left, or its address belongs to another server.
+    has_ended: bool,
     /// End of its warm-up, according to its entry.
     warm_at: Duration,
     /// End of its warm-up if it has restarted unnoticed, as it may have.
@@ -87,11 +90,20 @@
         self.missing.is_some() && self.server.state == State::Draining
     }
 
-    /// The order in which servers keep a cookie that they share: the older one keeps it, as it may have
-    /// flows with it. The order must not depend on what a balancer has seen itself, as one that has just
-    /// started must forward open flows like the others.
-    fn seniority(&self) -> (u64, &Arc<str>) {
-        (self.created, &self.server.id)
+    /// The order of servers that share a cookie; the first one keeps it. The older one may have flows with
+    /// it, and one that has ended has none.
+    ///
+    /// The order must not depend on what a balancer has seen itself. One that has just started doesn't know
+    /// the servers that have ended, and must forward open flows like the others.
+    fn rank(&self) -> (bool, u64, &Arc<str>) {
+        (self.has_ended, self.created, &self.server.id)
+    }
+
+    /// Whether the server that `entry` describes may still have the flows of this one. A server loses them
+    /// in a restart, and one that drains is never ready again.
+    fn is_continued_by(&self, entry: &server::Server) -> bool {
+        let is_ready_again = self.server.state == State::Draining && entry.state == State::Ready;
+        !self.has_ended && !is_ready_again && self.server.started_ms == entry.started_ms
     }
 }
 
@@ -130,6 +142,8 @@
     services: Services,
     /// Lapses that began or ended since the last call of [`Roster::take_lapses`].
     lapses: Vec<lapse::Event>,
+    /// Elections since the last call of [`Roster::take_elections`].
+    elections: Vec<Election>,
 }
 
 impl Roster {
@@ -214,6 +228,10 @@
         now: Duration,
     ) {
         let warm_at = now + Duration::from_millis(server.warmup_ms.into());
+        let created = match server.created {
+            0 => revision,
+            created => created,
+        };
         self.record_return(id, now);
         self.left.remove(id);
         match self.servers.get_mut(id) {
@@ -221,6 +239,9 @@
                 (known.missing, known.is_expired) = (None, false);
             }
             Some(known) => {
+                if !known.is_continued_by(server) {
+                    known.created = created;
+                }
                 if known.server.started_ms != server.started_ms {
                     self.restarted.push(Arc::clone(id));
                 }
@@ -232,12 +253,10 @@
             None => {
                 let known = Record {
                     server: Arc::clone(server),
-                    created: match server.created {
-                        0 => revision,
-                        created => created,
-                    },
+                    created,
                     missing: None,
                     is_expired: false,
+                    has_ended: false,
                     warm_at,
                     suspected_until: Duration::ZERO,
                     cookies: std::array::from_fn(|variant| Cookie::of(id, variant as u32)),
@@ -301,6 +320,12 @@
         std::mem::take(&mut self.departed)
     }
 
+    /// Returns the cookies that several servers have and for which something has changed since the last
+    /// call.
+    pub fn take_elections(&mut self) -> Vec<Election> {
+        std::mem::take(&mut self.elections)
+    }
+
     /// When the standing or the warm-up of some server next changes by the passage of time alone, as of
     /// the last snapshot.
     #[must_use]
@@ -444,14 +469,10 @@
         let place = self.place(known, standing, now);
         let (deadline, before) = (self.deadline(known, now), known.deadline);
         let position = known.position;
+        let has_ended = known.has_left() || known.missing.is_some() && self.is_replaced(known);
         let mut server = self.server(known, standing, now);
-        if position.is_none() {
-            let shared = self.index.push(server.clone(), known, &self.servers);
-            self.stale.extend(shared);
-        }
-        server.cookie = self.index.unshared(&known.cookies);
-        let position = position.unwrap_or_else(|| self.index.last());
-        self.index.set(position, server);
+        let cookies = known.cookies;
+        let position = position.unwrap_or_else(|| self.index.push(server.clone(), &cookies));
         let place = place.map(|place| Place { position, ..place });
         let Some(known) = self.servers.get_mut(id) else {
             return;
@@ -459,6 +480,7 @@
         known.position = Some(position);
         known.deadline = deadline;
         known.is_expired = is_expired;
+        known.has_ended = has_ended;
         let old = std::mem::replace(&mut known.place, place.clone());
         if old != place {
             old.iter().for_each(|old| self.services.remove(old));
@@ -468,6 +490,12 @@
             before.map(|at| self.deadlines.remove(&(at, Arc::clone(id))));
             deadline.map(|at| self.deadlines.insert((at, Arc::clone(id))));
         }
+        let elections = self.index.elect(&cookies, &self.servers);
+        let affected = elections.iter().flat_map(|election| &election.servers);
+        self.stale.extend(affected.cloned());
+        self.elections.extend(elections);
+        server.cookie = self.index.own_cookie(&cookies);
+        self.index.set(position, server);
     }
 
     /// When a server next changes by the passage of time alone.
--- a/crates/cookie/tests/it/fixture.rs
+++ b/crates/cookie/tests/it/fixture.rs
@@ -1,6 +1,6 @@
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
@@ -164,12 +164,16 @@
 /// Two server names with the same first cookie, found by search. With 30 bits, this takes some
 /// fifty thousand names.
 pub fn names_with_same_cookie() -> (String, String) {
-    let mut seen = std::collections::HashMap::new();
-    for number in 0.. {
-        let id = format!("i-{number:x}");
-        if let Some(other) = seen.insert(Cookie::of(&id, 0), id.clone()) {
-            return (other, id);
+    static NAMES: OnceLock<(String, String)> = OnceLock::new();
+    let search = || {
+        let mut seen = std::collections::HashMap::new();
+        for number in 0.. {
+            let id = format!("i-{number:x}");
+            if let Some(other) = seen.insert(Cookie::of(&id, 0), id.clone()) {
+                return (other, id);
+            }
         }
-    }
-    unreachable!("the search ends with a pair")
+        unreachable!("the search ends with a pair")
+    };
+    NAMES.get_or_init(search).clone()
 }
--- a/crates/cookie/tests/it/main.rs
+++ b/crates/cookie/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod resolver;
 mod ring;
 mod roster;
+mod shared;
 mod silence;
 mod speed;
 mod spill;
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -7,9 +7,9 @@
 mod examine;
 mod failing;
 mod gossip;
-mod lapse;
 mod path;
 mod rebuild;
+mod roster;
 mod speed;
 mod store;
 mod summary;
@@ -421,6 +421,7 @@
         self.roster.set_lost(lost);
         let mut snapshot = self.roster.snapshot(detector, now);
         self.log_lapses();
+        self.log_elections();
         if let Some(version) = self.version()
             && self.enforced.is_none_or(|(before, _)| before != version)
         {
--- a/crates/node/src/cookie/core/lapse.rs
+++ b/crates/node/src/cookie/core/roster.rs
@@ -1,4 +1,5 @@
-//! Logs when leases of a service's servers lapse together, and when the last of them is back or given up.
+//! Logs what the roster reports: leases of a service's servers that lapse together, and cookies that several
+//! servers have.
 
 use acacia_cookie::roster::lapse::Event;
 
@@ -26,4 +27,16 @@
             }
         }
     }
+
+    /// Logs which server keeps a cookie that several servers have, if that has changed with the last
+    /// snapshot.
+    pub(super) fn log_elections(&mut self) {
+        for election in self.roster.take_elections() {
+            let (cookie, holder) = (election.cookie.bits(), &election.holder);
+            let (servers, contested) = (election.servers.join(","), election.is_contested);
+            log::info!(
+                "event=cookie-shared cookie={cookie:08x} holder={holder} contested={contested} servers={servers}"
+            );
+        }
+    }
 }
