--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -341,8 +341,22 @@
         service: usize,
         work: Duration,
     ) -> anyhow::Result<()> {
-        let address = self.network.port(SERVERS + number, SERVER);
         let tag = u64::from(number) + 0x7f00;
+        self.add_server_with_tag(number, service, tag, work).await
+    }
+
+    /// As [`Fleet::add_server`], for a server whose identifier ends in `tag` as a hexadecimal number.
+    ///
+    /// # Errors
+    /// When its address is in use.
+    pub async fn add_server_with_tag(
+        &mut self,
+        number: u8,
+        service: usize,
+        tag: u64,
+        work: Duration,
+    ) -> anyhow::Result<()> {
+        let address = self.network.port(SERVERS + number, SERVER);
         let server = Server {
             host: Host::start(address, tag, TRAFFIC, work).await?,
             service,
--- a/crates/soak/tests/it/main.rs
+++ b/crates/soak/tests/it/main.rs
@@ -9,4 +9,5 @@
 mod output;
 mod path;
 mod seeds;
+mod shared;
 mod watch;
