Catch up by other calls when the changes of the store are too long to be read

What callers saw: the balancer that watches the store is lost during 25 configurations of 167 KB in 1.5 s.

Cause: the store answers a watch with every change since a revision, here 5.1 MB. The client read 4 MiB, took the rest for a broken connection, and asked for the same again until the store had dropped that history.

Change: an answer over the limit is an error of its own, platform-answer-too-long(58), logged (event=store-answer-too-long) and counted by its outcome. The balancer then asks for the changes of the servers alone, and reads the operators' keys after that. Together these are all changes up to the revision of the first call, at the cost of one value instead of all its versions. If the servers' changes are too long as well, it goes on as after a dropped history.

Tests: adapter store (too long, without an end, slow, cut off, stalled, no JSON), node cookie::overlong (9 and 61 balancers, nothing asked twice), soak overlong (five real balancers, 167 KB x 25 and 1 MB x 12).

Tried and taken back: catching up after a watch that isn't answered at all. After an outage more balancers then had calls under way when the store came back, and two took themselves for the reader (cookie::reader).

--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -61,7 +61,7 @@
 }
 
 /// The next action of a balancer towards the store. A [`Schedule`] decides by the age of the data alone
-/// between the first three; [`reads_servers`] decides on the last one.
+/// between the first three; [`reads_servers`] decides on the last one, and failed calls lead to the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
     /// Call, and let the store hold the answer until something changes.
@@ -72,6 +72,9 @@
     Wait(Duration),
     /// Read everything, as nothing is known yet.
     ReadAll,
+    /// Read the changes of servers, then the operators' entries, as a watch's answer with all changes couldn't
+    /// be read.
+    CatchUp,
     /// Read the operators' entries, as the store has dropped the history after what is known.
     ReadOperators,
     /// Read the servers' entries page by page, and follow the changes meanwhile.
--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -84,6 +84,7 @@
     55 ServiceCycle "service-cycle": "The services of a process have a circular dependency."; "Report it as a bug in how the program is assembled".
     56 ServiceType "service-type": "A service looked up by name has an unexpected type."; "Report it as a bug in how the program is assembled".
     57 ServiceStartFailed "service-start-failed": "A service of the process failed to start; the log line gives the reason."; "Correct the cause given in the log line and restart".
+    58 PlatformAnswerTooLong "platform-answer-too-long": "A response from the platform is longer than the balancer reads; it reads the newest state in its place."; "Nothing unless the rate rises".
     60 ApplyConflict "apply-conflict": "Another operator's change was applied first; nothing was written."; "Review the difference shown, then apply again".
     61 ApplyUnknown "apply-unknown": "The platform does not answer, so it is unknown whether the change took effect."; "Run acaciactl history once the platform answers; look for the change id".
     63 WaitTimeout "wait-timeout": "The change was accepted, but not every balancer has confirmed that it is in force."; "Check the listed balancers".
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -41,6 +41,7 @@
 pub use examine::{Examination, Target};
 pub use rebuild::Page;
 use rebuild::Rebuild;
+use store::Overlong;
 pub use summary::{Demand, Evacuation, Summary};
 
 use super::{
@@ -136,6 +137,8 @@
     missed_change: bool,
     /// Whether the store has dropped the history after what is known here.
     history_gone: bool,
+    /// The last watch whose answer was too long to be read.
+    overlong: Option<Overlong>,
     /// The read of all servers' entries that this balancer has begun, if any.
     rebuild: Option<Rebuild>,
     /// When a balancer, this or another, was last known to be reading all servers' entries.
@@ -200,6 +203,7 @@
             control_is_near: false,
             missed_change: false,
             history_gone: false,
+            overlong: None,
             rebuild: None,
             rebuild_seen: None,
             peer_ahead: None,
--- a/crates/node/src/cookie/core/rebuild.rs
+++ b/crates/node/src/cookie/core/rebuild.rs
@@ -61,6 +61,7 @@
     pub fn record_history_gone(&mut self) {
         self.history_gone = true;
         self.rebuild = None;
+        self.overlong = None;
     }
 
     /// Whether this balancer is to read all servers' entries, or to go on reading them.
@@ -83,14 +84,7 @@
     ) -> Outcome {
         self.log_store_regained();
         let mark = self.catalog.mark();
-        let evacuated = entries.iter().filter_map(|change| match change {
-            Change::Evacuation { data_centre, .. } => Some(Arc::clone(data_centre)),
-            _ => None,
-        });
-        let evacuated = evacuated.collect();
-        let mut changed = self.apply_all(entries, Catalog::apply_listed).changed;
-        changed |= self.catalog.retain_evacuations(evacuated, revision);
-        self.catalog.complete_operators(revision);
+        let changed = self.replace_operators(entries, revision);
         self.history_gone = false;
         self.rebuild = Some(Rebuild::new(revision));
         self.end_rebuild_if_complete();
@@ -103,11 +97,25 @@
         self.propagate(changed, &mark, &Source::Store, now)
     }
 
+    /// Replaces all entries of the operators by a read of them as of `revision`. Returns whether any changed.
+    pub(super) fn replace_operators(&mut self, entries: Vec<Change>, revision: u64) -> bool {
+        let evacuated = entries.iter().filter_map(|change| match change {
+            Change::Evacuation { data_centre, .. } => Some(Arc::clone(data_centre)),
+            _ => None,
+        });
+        let evacuated = evacuated.collect();
+        let mut changed = self.apply_all(entries, Catalog::apply_listed).changed;
+        changed |= self.catalog.retain_evacuations(evacuated, revision);
+        self.catalog.complete_operators(revision);
+        changed
+    }
+
     /// The key of the store after which the next page of servers begins, `None` for the first page. No
     /// page is to be read if the outer result is `None`.
     #[must_use]
     pub fn next_page(&self) -> Option<Option<Arc<str>>> {
-        self.rebuild.as_ref().map(|rebuild| rebuild.after.clone())
+        let rebuild = self.rebuild.as_ref().filter(|_| !self.catches_up());
+        rebuild.map(|rebuild| rebuild.after.clone())
     }
 
     /// Applies the page after [`Core::next_page`].
--- a/crates/node/src/cookie/core/store.rs
+++ b/crates/node/src/cookie/core/store.rs
@@ -6,6 +6,7 @@
     Catalog, Change,
     spread::{self, is_reader},
 };
+use acacia_code::Code;
 
 use super::{Core, Outcome, Source};
 
@@ -13,6 +14,19 @@
 /// are none: two rounds of gossip.
 const PEER_DISCOVERY: Duration = Duration::from_secs(1);
 
+/// Number of balancers from which on those that catch up at the same time are spread over the longest
+/// backoff. The first one that has caught up tells the others.
+const SPREAD_BALANCERS: f64 = 64.0;
+
+/// A watch whose answer was too long to be read.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Overlong {
+    /// The revision after which it would have told the changes.
+    after: u64,
+    /// When this balancer catches up by other calls at the earliest.
+    due: Duration,
+}
+
 impl Core {
     /// Returns whether to call the store now, and how.
     pub fn next_store_action(&mut self, now: Duration) -> spread::Action {
@@ -33,7 +47,13 @@
             .schedule
             .is_backing_off(now, self.jitter, without_store);
         let reads_servers = !backs_off && self.reads_servers(now);
-        if is_waiting && !reads_servers {
+        let overlong = self.overlong.filter(|_| !backs_off && self.catches_up());
+        if let Some(Overlong { due, .. }) = overlong {
+            match due.checked_sub(now) {
+                Some(wait) if !wait.is_zero() => spread::Action::Wait(wait),
+                _ => spread::Action::CatchUp,
+            }
+        } else if is_waiting && !reads_servers {
             action
         } else if self.catalog.revision() == 0 {
             spread::Action::ReadAll
@@ -89,6 +109,13 @@
             self.schedule.changed(now);
         }
         let changed = self.apply_all(changes, Catalog::apply).changed;
+        self.complete_changes(revision);
+        self.schedule.answered(sent);
+        self.propagate(changed, &mark, &Source::Store, now)
+    }
+
+    /// Records that all changes after [`Core::followed`] up to `revision` have been applied.
+    fn complete_changes(&mut self, revision: u64) {
         match &mut self.rebuild {
             Some(rebuild) => {
                 rebuild.follow(revision);
@@ -96,7 +123,52 @@
             }
             None => self.catalog.complete(revision),
         }
+    }
+
+    /// Records that the store's answer to a watch after [`Core::followed`] was longer than `limit` bytes, which
+    /// is what can be read. The same watch would fail again, until the store drops that history.
+    pub fn record_overlong(&mut self, limit: usize, now: Duration) {
+        let after = self.followed();
+        let code = Code::PlatformAnswerTooLong;
+        log::warn!(
+            "event=store-answer-too-long code={code} call=watch limit_bytes={limit} revision={after}"
+        );
+        let longest = match self.reads {
+            true => Duration::ZERO,
+            false => self.schedule.timing().max_backoff,
+        };
+        let population = (self.group.population() + 1) as f64;
+        let fraction = self.jitter * (population / SPREAD_BALANCERS).min(1.0);
+        let due = now + longest.mul_f64(fraction);
+        self.overlong = Some(Overlong { after, due });
+    }
+
+    /// Whether the answer to the last watch couldn't be read, and nothing newer is known.
+    #[must_use]
+    pub fn catches_up(&self) -> bool {
+        self.overlong
+            .is_some_and(|overlong| overlong.after >= self.followed())
+    }
+
+    /// Applies the changes of servers after [`Core::followed`] up to `revision`, as of `sent`, and a read of
+    /// the operators' entries that was made after that, as of `operators_revision`.
+    pub fn apply_catch_up(
+        &mut self,
+        servers: Vec<Change>,
+        revision: u64,
+        operators: Vec<Change>,
+        operators_revision: u64,
+        sent: Duration,
+        now: Duration,
+    ) -> Outcome {
+        self.log_store_regained();
+        let (mark, base) = (self.catalog.mark(), self.followed());
+        let mut changed = self.replace_operators(operators, operators_revision);
+        changed |= self.apply_all(servers, Catalog::apply).changed;
+        self.complete_changes(revision);
+        self.overlong = None;
         self.schedule.answered(sent);
+        log::info!("event=caught-up revision={revision} base={base} changed={changed}");
         self.propagate(changed, &mark, &Source::Store, now)
     }
 
--- a/crates/node/src/cookie/follow.rs
+++ b/crates/node/src/cookie/follow.rs
@@ -12,7 +12,7 @@
 use acacia_adapter::{entry, store};
 use acacia_catalog::{Change, spread};
 use acacia_kernel::BoxError;
-use acacia_platform::{Client, Error, Options, transport::Consistency};
+use acacia_platform::{Client, Error, Options, store::Events, transport::Consistency};
 use tokio::time;
 
 use super::{control::Control, core::Page, meters::Call};
@@ -53,6 +53,7 @@
                 watch(control, client, wait).await
             }
             spread::Action::Poll => watch(control, client, POLL_TIMEOUT).await,
+            spread::Action::CatchUp => catch_up(control, client).await,
             spread::Action::ReadAll => read_all(control, client).await,
             spread::Action::ReadOperators => read_operators(control, client).await,
             spread::Action::ReadServers => read_servers(control, client).await,
@@ -107,6 +108,28 @@
     Ok(())
 }
 
+/// Reads the changes of servers, and then the operators' entries as they are. Together these are all changes up
+/// to the revision of the first call, whatever the number and the size of the configurations in between.
+async fn catch_up(control: &Control, client: &Client) -> Result<(), Error> {
+    let after = control.core(|core, _| core.followed());
+    let sent = clock::now();
+    let servers = changes(control, client, entry::SERVERS, after, POLL_TIMEOUT).await;
+    let servers = servers.map_err(|error| match error {
+        // The servers' entries are read page by page then.
+        Error::TooLong { .. } => Error::HistoryGone,
+        error => error,
+    })?;
+    let revision = servers.revision;
+    let servers = decode(&servers);
+    let (operators, operators_revision) = range(control, client, entry::OPERATORS).await?;
+    control
+        .apply(|core, now| {
+            core.apply_catch_up(servers, revision, operators, operators_revision, sent, now)
+        })
+        .await;
+    Ok(())
+}
+
 /// Makes a linearizable read of all entries whose keys begin with `prefix`. Also returns the revision up
 /// to which they are complete.
 async fn range(
@@ -157,7 +180,7 @@
     ended: &AtomicBool,
 ) -> Result<(), Error> {
     let timing = control.core(|core, _| core.timing());
-    while !ended.load(Ordering::Relaxed) {
+    while !ended.load(Ordering::Relaxed) && !control.core(|core, _| core.catches_up()) {
         watch(control, client, timing.watch_timeout).await?;
         time::sleep(timing.pause).await;
     }
@@ -165,15 +188,16 @@
 }
 
 async fn watch(control: &Control, client: &Client, wait: Duration) -> Result<(), Error> {
-    let prefix: Arc<str> = entry::PREFIX.into();
     let after = control.core(|core, _| core.followed());
     let sent = clock::now();
-    let answer = client.changes(&prefix, after, wait).await;
-    control
-        .meters
-        .record_call(Call::Watch, answer.as_ref().err());
-    let answer = answer?;
-    let changes: Vec<Change> = answer.events.iter().filter_map(entry::event).collect();
+    let answer = match changes(control, client, entry::PREFIX, after, wait).await {
+        Err(Error::TooLong { limit }) => {
+            control.core(|core, now| core.record_overlong(limit, now));
+            return Ok(());
+        }
+        answer => answer?,
+    };
+    let changes = decode(&answer);
     // The store answers a watch at its timeout or at an event, so the answer was current just before it
     // was sent. Without events that was at `sent + wait` plus the time that the request took to arrive;
     // leaving that time out errs on the safe side.
@@ -188,3 +212,22 @@
         .await;
     Ok(())
 }
+
+/// Waits for changes of keys that begin with `prefix`.
+async fn changes(
+    control: &Control,
+    client: &Client,
+    prefix: &str,
+    after: u64,
+    wait: Duration,
+) -> Result<Events, Error> {
+    let answer = client.changes(&prefix.into(), after, wait).await;
+    control
+        .meters
+        .record_call(Call::Watch, answer.as_ref().err());
+    answer
+}
+
+fn decode(answer: &Events) -> Vec<Change> {
+    answer.events.iter().filter_map(entry::event).collect()
+}
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -10,6 +10,7 @@
 mod failing;
 mod fixture;
 mod flows;
+mod overlong;
 mod permit;
 mod reader;
 mod refused;
--- a/crates/node/tests/it/cookie/store.rs
+++ b/crates/node/tests/it/cookie/store.rs
@@ -57,6 +57,8 @@
     Operators,
     /// A page of the servers' entries.
     Servers,
+    /// The changes of servers' entries after a revision.
+    ServerChanges { after: u64 },
 }
 
 #[derive(Debug, Clone)]
@@ -73,6 +75,8 @@
     Changes(Vec<Change>, u64),
     Page(Page, u64),
     HistoryGone,
+    /// It holds more changes than can be read.
+    TooLong,
 }
 
 /// The store.
@@ -81,6 +85,8 @@
     history: Vec<Change>,
     revision: u64,
     dropped: u64,
+    /// Number of changes from which an answer with changes of the operators is too long to be read.
+    too_long: usize,
     page_size: usize,
     /// Time that a page takes on the link.
     page_time: Duration,
@@ -106,6 +112,7 @@
             history: Vec::new(),
             revision,
             dropped: 0,
+            too_long: usize::MAX,
             page_size,
             page_time,
             calls: VecDeque::new(),
@@ -139,6 +146,11 @@
         self.silent_until = until;
     }
 
+    /// Sets the number of changes from which an answer with changes of the operators is too long to be read.
+    pub fn set_too_long(&mut self, changes: usize) {
+        self.too_long = changes;
+    }
+
     /// Drops the history.
     pub fn compact(&mut self) {
         self.dropped = self.revision;
@@ -171,6 +183,15 @@
             Call::All => Some(page("", self.page_size)),
             Call::Operators => Some(page(OPERATORS, usize::MAX)),
             Call::Servers => Some(page(SERVERS, self.page_size)),
+            Call::ServerChanges { after } if after < self.dropped => Some(Answer::HistoryGone),
+            Call::ServerChanges { after } => {
+                let is_later = |change: &&Change| {
+                    let is_server = matches!(change, Change::Server { .. });
+                    is_server && change.revision() > after
+                };
+                let changes = self.history.iter().filter(is_later).cloned().collect();
+                Some(Answer::Changes(changes, self.revision))
+            }
             Call::Watch { .. } if now < self.deaf_until => None,
             Call::Watch { after, .. } if after < self.dropped => Some(Answer::HistoryGone),
             Call::Watch { after, wait } => {
@@ -179,6 +200,10 @@
                     .iter()
                     .filter(|change| change.revision() > after);
                 let changes: Vec<Change> = later.cloned().collect();
+                let is_server = |change: &Change| matches!(change, Change::Server { .. });
+                if changes.len() >= self.too_long && !changes.iter().all(is_server) {
+                    return Some(Answer::TooLong);
+                }
                 let is_due = !changes.is_empty() || now >= pending.sent + wait;
                 is_due.then_some(Answer::Changes(changes, self.revision))
             }
@@ -224,6 +249,9 @@
     /// The entries of a read of everything so far, and the revision of its first page.
     all: Vec<Change>,
     all_revision: Option<u64>,
+    /// The changes of servers, while the operators' entries are still to be read: with their revision, and
+    /// when they were asked for.
+    caught_up: Option<(Vec<Change>, u64, Duration)>,
     /// Whether the servers' entries are being read, and changes followed meanwhile.
     reads_servers: bool,
     tokens: f64,
@@ -237,6 +265,8 @@
     pub store: Store,
     clients: BTreeMap<SocketAddrV4, Client>,
     calls: u64,
+    /// The watches whose answers were too long: who asked, and after which revision.
+    pub overlong: Vec<(SocketAddrV4, u64)>,
 }
 
 impl Deployment {
@@ -253,6 +283,7 @@
             fleet,
             store,
             calls: 0,
+            overlong: Vec::new(),
         }
     }
 
@@ -322,6 +353,17 @@
                 core.record_history_gone();
                 return;
             }
+            (Call::Watch { after, .. }, Answer::TooLong) => {
+                self.overlong.push((to, after));
+                core.record_overlong(0, now);
+                return;
+            }
+            (_, Answer::TooLong) => return,
+            (Call::ServerChanges { .. }, Answer::Changes(changes, revision)) => {
+                client.caught_up = Some((changes, revision, pending.sent));
+                self.call(to, Call::Operators, None, 1);
+                return;
+            }
             (_, Answer::Changes(changes, revision)) => {
                 client.paused = now + core.timing().pause;
                 // An answer without changes comes at the end of the wait.
@@ -331,6 +373,10 @@
                 };
                 core.apply_store_changes(changes, revision, fresh, now)
             }
+            (Call::Operators, Answer::Page(page, at)) if client.caught_up.is_some() => {
+                let (servers, revision, sent) = client.caught_up.take().expect("changes");
+                core.apply_catch_up(servers, revision, page.entries, at, sent, now)
+            }
             (Call::Operators, Answer::Page(page, revision)) => {
                 core.begin_rebuild(page.entries, revision, pending.sent, now)
             }
@@ -369,6 +415,7 @@
         if late_read.is_some() || late_watch.is_some() {
             let client = self.clients.get_mut(&address).expect("a client");
             (client.all, client.all_revision) = (Vec::new(), None);
+            client.caught_up = None;
             client.reads_servers &= late_read.is_none();
             let core = self.fleet.cores.get_mut(&address).expect("a balancer");
             core.record_store_failure(&"no answer in time", now);
@@ -402,6 +449,10 @@
             Action::Wait(_) => {}
             Action::Watch => self.call(address, watch_call, None, 1),
             Action::Poll => self.call(address, poll, None, 1),
+            Action::CatchUp => {
+                let after = core.followed();
+                self.call(address, Call::ServerChanges { after }, None, 1);
+            }
             Action::ReadAll => self.call(address, Call::All, None, 1),
             Action::ReadOperators => self.call(address, Call::Operators, None, 1),
             Action::ReadServers => {
@@ -432,7 +483,9 @@
         }
         match call {
             Call::All | Call::Servers => self.store.pages += 1,
-            Call::Watch { .. } | Call::Operators => self.store.others += 1,
+            Call::Watch { .. } | Call::Operators | Call::ServerChanges { .. } => {
+                self.store.others += 1;
+            }
         }
         if sent >= self.store.silent_until {
             let arrival = sent + ROUND_TRIP;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -178,7 +178,13 @@
         loop {
             let answer = read().await;
             let Err(error) = answer else { return answer };
-            let pause = self.options.retry.pause(tried, &mut self.state().random);
+            let pause = match error {
+                Error::TooLong { .. } => None,
+                _ => {
+                    let random = &mut self.state().random;
+                    self.options.retry.pause(tried, random)
+                }
+            };
             let Some(pause) = pause else {
                 return Err(error);
             };
@@ -404,7 +410,8 @@
         .map_err(|_| Error::Unreachable)?;
         self.made.fetch_add(1, Ordering::Relaxed);
         let sent = self.start.elapsed();
-        let answer = time::timeout_at(deadline, open.call(call, deadline)).await;
+        let end = deadline + self.transport.transfer();
+        let answer = time::timeout_at(end, open.call(call, deadline)).await;
         match answer {
             Ok(Ok(value)) => {
                 open.record_answer(self.start.elapsed());
@@ -416,6 +423,10 @@
             }
             Ok(Err(Failure::Deadline)) | Err(_) if !open.is_silent(sent) => {}
             Ok(Err(Failure::Broken(error))) => self.discard(slot, &open, &error),
+            Ok(Err(Failure::TooLong(limit))) => {
+                self.discard(slot, &open, "answer too long");
+                return Err(Error::TooLong { limit });
+            }
             Ok(Err(Failure::Deadline)) | Err(_) => self.discard(slot, &open, "silent"),
         }
         Err(match kind {
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -38,6 +38,13 @@
     /// The answer can't be decoded or does not belong to the kind of call.
     #[error("the platform's answer is malformed")]
     Malformed,
+    /// The answer is longer than can be read. The same call would be answered in the same way.
+    #[error("the platform's answer is longer than {limit} bytes")]
+    TooLong {
+        /// What was read at most, in bytes. It is less than the transport's limit if the answer arrived too
+        /// slowly.
+        limit: usize,
+    },
     /// The platform does not offer the call.
     #[error("the platform does not offer this call")]
     Unsupported,
@@ -68,6 +75,7 @@
             Error::Busy => Code::PlatformBusy,
             Error::HistoryGone => Code::PlatformHistoryGone,
             Error::Malformed => Code::PlatformMalformed,
+            Error::TooLong { .. } => Code::PlatformAnswerTooLong,
             Error::Unsupported => Code::PlatformUnsupported,
             Error::Limited { .. } => Code::PlatformLimited,
         }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -152,6 +152,9 @@
     Deadline,
     /// The connection has failed, for the given reason.
     Broken(String),
+    /// The answer is longer than can be read; this many bytes were read at most. The rest of it is left on
+    /// the connection, which is no longer usable.
+    TooLong(usize),
     /// The call failed for the given reason, but the connection is usable: the platform refused or
     /// does not offer the call, or its answer is malformed.
     Refused(Error),
@@ -159,7 +162,8 @@
 
 /// The future of a call.
 pub type CallFuture = Pin<Box<dyn Future<Output = Result<Answer, Failure>> + Send>>;
-/// Makes a call over a connection, with a deadline.
+/// Makes a call over a connection. The answer must begin by the deadline, and may take
+/// [`Transport::with_transfer`] longer to arrive.
 pub type CallFn = Box<dyn Fn(Call, Instant) -> CallFuture + Send + Sync>;
 /// The future of a connection that is being opened.
 pub type ConnectFuture = Pin<Box<dyn Future<Output = std::io::Result<Connection>> + Send>>;
@@ -175,6 +179,7 @@
 /// Opens connections to a platform.
 pub struct Transport {
     open: Box<dyn Fn(SocketAddr) -> ConnectFuture + Send + Sync>,
+    transfer: Duration,
 }
 
 impl Transport {
@@ -188,9 +193,21 @@
     pub fn new(open: impl Fn(SocketAddr) -> ConnectFuture + Send + Sync + 'static) -> Self {
         Transport {
             open: Box::new(open),
+            transfer: Duration::ZERO,
         }
     }
 
+    /// Allows an answer that has begun by the deadline of its call to take `transfer` longer to arrive. The
+    /// calls themselves enforce their deadlines then.
+    #[must_use]
+    pub fn with_transfer(self, transfer: Duration) -> Self {
+        Transport { transfer, ..self }
+    }
+
+    pub(crate) const fn transfer(&self) -> Duration {
+        self.transfer
+    }
+
     pub(crate) fn open(&self, address: SocketAddr) -> ConnectFuture {
         (self.open)(address)
     }
--- a/crates/soak/tests/it/main.rs
+++ b/crates/soak/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod operators;
 mod output;
+mod overlong;
 mod path;
 mod seeds;
 mod shared;
