--- a/crates/cookie/src/flow.rs
+++ b/crates/cookie/src/flow.rs
@@ -343,6 +343,9 @@
     /// caller had data to send.
     fn advance(&mut self, packet: &Packet, end: u32, now: Duration) -> Observation {
         let took = self.unanswered_since.map(|since| now.saturating_sub(since));
+        // Where routers spread a flow's packets over balancers, the answer that this packet acknowledges may
+        // be to a later request, which another balancer has seen.
+        let took = took.filter(|_| packet.sequence == self.next_sequence);
         let opened = std::mem::take(&mut self.half_open);
         self.acknowledged = packet.acknowledgement;
         self.unanswered_since = None;
