Keep the flows of a draining server that falls silent for another half second

Cause: a server that had drained for 3.5 s answered neither packets nor probes in the last 0.2 s before its entry was removed. Balancers that examined it just then, for another reason, took it for dead and reset its flows.

Change: a verdict of silence on a draining server takes effect after half a second. A server that leaves is known to be gone by the removal of its entry; only one that crashes while it drains is reset later.

--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -18,7 +18,7 @@
     route::Config,
     server::{self, State},
 };
-use acacia_wire::collections::{Map, Set};
+use acacia_wire::collections::Map;
 
 use crate::{
     cookie::{self, Cookie, VARIANTS},
@@ -41,6 +41,9 @@
     /// see [`lapse`]. The default is 30 s: within that time, a store that takes 1,200 writes a second has the
     /// entries of 21,000 servers back.
     pub lapse: Duration,
+    /// How long a draining server may be silent before its flows are reset. The default is 0.5 s. When such a
+    /// server stops, it falls silent shortly before its entry is removed, and may still end its flows itself.
+    pub draining_silence: Duration,
     /// How long a server that is gone remains known by its cookie: the maximum lifetime of a flow.
     pub known: Duration,
 }
@@ -50,6 +53,7 @@
         Limits {
             missing: Duration::from_secs(2),
             lapse: Duration::from_secs(30),
+            draining_silence: Duration::from_millis(500),
             known: Duration::from_secs(60),
         }
     }
@@ -152,8 +156,8 @@
     deadlines: BTreeSet<(Duration, Arc<str>)>,
     /// Servers by address.
     addresses: Map<SocketAddrV4, Vec<Arc<str>>>,
-    /// The servers that were silent in the last snapshot.
-    silent: Set<Arc<str>>,
+    /// The servers that were silent in the last snapshot, and since when.
+    silent: Map<Arc<str>, Duration>,
     /// The data centres that can't be reached.
     lost: BTreeSet<Arc<str>>,
     index: Index,
@@ -344,7 +348,7 @@
     #[must_use]
     pub fn snapshot(&mut self, detector: &Detector, now: Duration) -> Snapshot {
         self.pass_deadlines(now);
-        self.mark_silent(detector);
+        self.mark_silent(detector, now);
         self.settle(now);
         Snapshot {
             version: self.config.as_ref().map_or(0, |config| config.version),
@@ -454,13 +458,25 @@
     }
 
     /// Marks the servers that became silent, or answer again, since the last snapshot.
-    fn mark_silent(&mut self, detector: &Detector) {
-        let silent: Set<Arc<str>> = detector.silent().into_iter().collect();
-        let changed = self.silent.symmetric_difference(&silent);
-        self.stale.extend(changed.cloned());
+    fn mark_silent(&mut self, detector: &Detector, now: Duration) {
+        let silent = detector.silent().into_iter();
+        let since = |id: &Arc<str>| self.silent.get(id).copied().unwrap_or(now);
+        let silent: Map<Arc<str>, Duration> =
+            silent.map(|id| (Arc::clone(&id), since(&id))).collect();
+        let began = silent.keys().filter(|id| !self.silent.contains_key(*id));
+        let ended = self.silent.keys().filter(|id| !silent.contains_key(*id));
+        self.stale.extend(began.chain(ended).cloned());
         self.silent = silent;
     }
 
+    /// Until when a server that is silent keeps its flows, as it may be about to leave; `None` if it isn't
+    /// silent, or ends now.
+    fn silence_end(&self, known: &Record) -> Option<Duration> {
+        let since = self.silent.get(&known.server.id)?;
+        let drains = known.missing.is_none() && known.server.state == State::Draining;
+        drains.then(|| *since + self.limits.draining_silence)
+    }
+
     /// Computes a server's part of the snapshot anew.
     fn refresh(&mut self, id: &Arc<str>, now: Duration) {
         let Some(known) = self.servers.get(id) else {
@@ -471,7 +487,7 @@
             return;
         }
         let is_expired = self.is_expired(known, now);
-        let standing = self.standing(known, is_expired);
+        let standing = self.standing(known, is_expired, now);
         let place = self.place(known, standing, now);
         let (deadline, before) = (self.deadline(known, now), known.deadline);
         let position = known.position;
@@ -517,6 +533,7 @@
             known.missing.map(|at| at + self.limits.known),
             Some(known.warm_at),
             Some(known.suspected_until),
+            self.silence_end(known),
         ];
         ends.into_iter().flatten()
     }
@@ -609,11 +626,13 @@
         present.map(|known| &known.server)
     }
 
-    fn standing(&self, known: &Record, is_expired: bool) -> Standing {
+    fn standing(&self, known: &Record, is_expired: bool, now: Duration) -> Standing {
         let draining = known.server.state == State::Draining;
         let evacuated = self.evacuated.contains(&known.server.data_centre);
         let unreachable = self.lost.contains(&known.server.data_centre);
-        if unreachable || self.silent.contains(&known.server.id) {
+        let is_silent = self.silent.contains_key(&known.server.id)
+            && self.silence_end(known).is_none_or(|end| end <= now);
+        if unreachable || is_silent {
             return Standing::Gone;
         }
         match known.missing {
