--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -366,7 +366,7 @@
         while !self.stale.is_empty() {
             let stale = std::mem::take(&mut self.stale);
             let mut order: Vec<Arc<str>> = stale.into_iter().collect();
-            // Older servers come first: they keep a cookie that a newer server turns out to share.
+            // Older servers come first, so that the snapshot lists servers in the order of their entries.
             order.sort_by_cached_key(|id| {
                 let known = self.servers.get(id);
                 known.map(|known| (known.created, Arc::clone(id)))
--- a/crates/node/src/cookie/core/roster.rs
+++ b/crates/node/src/cookie/core/roster.rs
@@ -59,7 +59,7 @@
         claims.into_iter().map(Claim::from).collect()
     }
 
-    /// Takes over a peer's claims. A peer that knows less than this balancer may not know that a server has
+    /// Takes over a peer's claims, which are few. A peer that knows less than this balancer may not know that a server has
     /// left since.
     pub(super) fn adopt_claims(
         &mut self,
@@ -72,7 +72,8 @@
         }
         // The claims are compared with what is known, which the roster may not have taken over yet.
         self.roster.update(&self.catalog, now);
-        let claims = claims.into_iter().map(claim::Claim::from).collect();
+        let claims = claims.into_iter().take(MAX_CLAIMS);
+        let claims = claims.map(claim::Claim::from).collect();
         self.roster.adopt(claims, now)
     }
 }
