Write the large configurations of a test through the tests' store

The test of answers that are too long spelled out the platform's key and fields, which only the folder of the platform may know. The store of the tests now pads a configuration to a size.

--- a/crates/soak/tests/it/overlong.rs
+++ b/crates/soak/tests/it/overlong.rs
@@ -15,29 +15,10 @@
 /// Memory that a balancer may use at most.
 const MAX_MEMORY: u64 = 128 << 20;
 
-/// A configuration with a route to the service with this index, and routes without traffic up to a size in
-/// bytes.
-fn config(version: u64, service: usize, size: usize) -> String {
-    let route = |name: &str, (address, port): ([u8; 4], u16), service: &str| {
-        let address = std::net::Ipv4Addr::from(address);
-        format!(
-            r#"{{"name":"{name}","hostname":"{address}","prefix":"/{port}/","service":"{service}"}}"#
-        )
-    };
-    let mut routes = vec![route("r-used", FRONTS[service], SERVICES[service])];
-    let mut length = routes[0].len();
-    for number in 0u16.. {
-        let [high, low] = number.to_be_bytes();
-        let name = format!("r-{version}-{number}-{}", "x".repeat(150));
-        let idle = route(&name, ([198, 19, high, low], 443), SERVICES[0]);
-        length += idle.len() + 1;
-        if length + 200 > size {
-            break;
-        }
-        routes.push(idle);
-    }
-    let routes = routes.join(",");
-    format!(r#"{{"version":{version},"routes":[{routes}],"services":[],"limits":{{}}}}"#)
+/// Writes a configuration of `size` bytes with a route to the service with this index.
+fn configure(fleet: &Fleet, version: u64, service: usize, size: usize) {
+    let route = ("r-used", FRONTS[service], SERVICES[service], None);
+    fleet.store.configure_with_size(version, &[route], size);
 }
 
 /// How an opening through one balancer ends, towards the service with this index.
@@ -67,9 +48,7 @@
     let mut fleet = Fleet::start(BALANCERS, 2, Duration::from_millis(1))
         .await
         .expect("a deployment that starts");
-    fleet
-        .store
-        .put("op/config", config(100, 0, size).as_bytes());
+    configure(&fleet, 100, 0, size);
     tokio::time::sleep(Duration::from_secs(3)).await;
     let reads = |number: &u8| {
         let log = fleet.log(*number);
@@ -80,11 +59,8 @@
     };
     let reader = fleet.balancers().into_iter().find(reads).expect("a reader");
 
-    let configs: Vec<String> = (1..=count)
-        .map(|number| config(100 + number, usize::from(number == count), size))
-        .collect();
-    for (number, config) in (1..).zip(&configs) {
-        fleet.store.put("op/config", config.as_bytes());
+    for number in 1..=count {
+        configure(&fleet, 100 + number, usize::from(number == count), size);
         if number == BEFORE_LOSS {
             fleet.kill(reader);
         }
