Count a balancer's first read as complete only to the oldest of its pages

Cause: a balancer that starts reads the store by a serializable read, page by page. Each page may come from another replica, seconds older than the page before. Client::range took the newest revision on the first page for that up to which all pages are complete. What a later, older page lacked lies below it, so neither the watch nor a peer tells it, and the balancer's position is that of its peers.

Ruled out: a peer that doesn't answer (the revision would stay behind its peers').

Change: store::Range collects the pages, and is complete up to the least, over all pages, of the newest revision on each. A replica that returned an item knows everything up to that item's revision, so no page can lack anything up to that. Peers or the watch supply the rest, as after any first read. store-primed also logs the newest revision that was read, which tells old pages from others. One page (up to some 500 entries) gives the same as before.

Related paths: evacuation marks and registrations that an old page lacks, and a restart of all balancers, are decided at the same place. Linearizable reads (full reads, operators' keys, pages after a dropped history) only have later pages that are at least as recent. The IP transport reads single keys.

Tests, all failing with the old rule: adapter store::a_serializable_read_is_complete_to_the_oldest_of_its_pages; node cookie::priming (property over histories and ages of pages; a newcomer among peers); soak priming with real processes (32 of 32 flows went to the draining server). The tests' store answers with its own revision also where the items are a replica's, as the users' page has it.

--- a/crates/node/src/cookie/core/store.rs
+++ b/crates/node/src/cookie/core/store.rs
@@ -188,11 +188,12 @@
         self.propagate(changed, &mark, &Source::Store, now)
     }
 
-    /// Replaces the catalog with a full read that may be seconds old, complete up to `revision`.
-    /// Later changes come from peers or from the next call to the store.
+    /// Replaces the catalog with a full read that may be seconds old, complete up to `revision`. Some
+    /// pages may be newer. Later changes come from peers or from the next call to the store.
     pub fn prime(&mut self, reading: Vec<Change>, revision: u64, now: Duration) -> Outcome {
+        let newest = reading.iter().map(Change::revision).max().unwrap_or(0);
         let changed = self.catalog.replace(reading, revision);
-        log::info!("event=store-primed revision={revision} changed={changed}");
+        log::info!("event=store-primed revision={revision} newest={newest} changed={changed}");
         self.schedule.prime(now);
         Outcome {
             changed,
--- a/crates/node/src/cookie/follow.rs
+++ b/crates/node/src/cookie/follow.rs
@@ -80,8 +80,9 @@
     let read = client.range(&prefix, Consistency::Serializable).await;
     control.meters.record_call(Call::Range, read.as_ref().err());
     match read {
-        Ok((items, revision)) => {
-            let changes: Vec<Change> = items.iter().filter_map(entry::item).collect();
+        Ok(range) => {
+            let changes: Vec<Change> = range.items.iter().filter_map(entry::item).collect();
+            let revision = range.complete_to();
             control
                 .apply(|core, now| core.prime(changes, revision, now))
                 .await;
@@ -141,8 +142,9 @@
         .range(&prefix.into(), Consistency::Linearizable)
         .await;
     control.meters.record_call(Call::Range, read.as_ref().err());
-    let (items, revision) = read?;
-    Ok((items.iter().filter_map(entry::item).collect(), revision))
+    let range = read?;
+    let changes = range.items.iter().filter_map(entry::item).collect();
+    Ok((changes, range.complete_to()))
 }
 
 /// Reads the servers' entries page by page, and follows the store's changes until that has ended.
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -12,6 +12,7 @@
 mod flows;
 mod overlong;
 mod permit;
+mod priming;
 mod reader;
 mod refused;
 mod reports;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -19,7 +19,7 @@
     retry::Schedule,
     revisions::{Freshness, Highest},
     service,
-    store::{Entry, Events, Item, Lease, Outcome, Page, Refusal, Swap},
+    store::{Entry, Events, Lease, Outcome, Page, Range, Refusal, Swap},
     transport::{Answer, Call, Consistency, Failure, Transport},
 };
 
@@ -264,26 +264,19 @@
         self.read_call(Call::Machines, Answer::machines).await
     }
 
-    /// Reads all items whose keys begin with `prefix`, page by page, and returns them with a
-    /// revision up to which they are complete. The pages are not a consistent snapshot:
-    /// [`Client::changes`] after that revision returns what changed while they were read.
+    /// Reads all items whose keys begin with `prefix`, page by page. The pages are not a consistent
+    /// snapshot: [`Client::changes`] after [`Range::complete_to`] returns what changed while they were
+    /// read, and what those that were read from a lagging replica lack.
     ///
     /// # Errors
     /// When every attempt to read a page has failed, or the platform does not offer the call.
-    pub async fn range(
-        &self,
-        prefix: &Arc<str>,
-        consistency: Consistency,
-    ) -> Result<(Vec<Item>, u64), Error> {
-        let (mut items, mut revision, mut after) = (Vec::new(), None, None);
+    pub async fn range(&self, prefix: &Arc<str>, consistency: Consistency) -> Result<Range, Error> {
+        let (mut range, mut after) = (Range::default(), None);
         loop {
             let page = self.page(prefix, after, consistency).await?;
-            revision.get_or_insert_with(|| page.complete_to(consistency));
-            after = page.items.last().map(|item| Arc::clone(&item.key));
-            let more = page.more && after.is_some();
-            items.extend(page.items);
-            if !more {
-                return Ok((items, revision.unwrap_or_default()));
+            after = range.push(page, consistency);
+            if after.is_none() {
+                return Ok(range);
             }
         }
     }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -93,9 +93,8 @@
 }
 
 impl Page {
-    /// The revision up to which a read of a range that begins with this page is complete. The items
-    /// of a serializable read may be older than the store's revision, so only their own revisions
-    /// count.
+    /// The revision up to which this page is complete. The items of a serializable read may be older
+    /// than the store's revision, so only their own revisions count.
     ///
     /// ```
     /// use acacia_platform::{store::Page, transport::Consistency};
@@ -113,6 +112,42 @@
     }
 }
 
+/// The pages of a range that have been read so far.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Range {
+    /// The items of these pages, ordered by key.
+    pub items: Vec<Item>,
+    /// The revision up to which all of these pages are complete; `None` before the first one.
+    complete_to: Option<u64>,
+}
+
+impl Range {
+    /// Adds the next page. Returns the key after which the one after it begins, if there is one.
+    ///
+    /// ```
+    /// use acacia_platform::{store::{Page, Range}, transport::Consistency};
+    /// let mut range = Range::default();
+    /// let page = Page { items: Vec::new(), more: false, revision: 7 };
+    /// assert_eq!(range.push(page, Consistency::Linearizable), None);
+    /// assert_eq!(range.complete_to(), 7);
+    /// ```
+    pub fn push(&mut self, page: Page, consistency: Consistency) -> Option<Arc<str>> {
+        let complete_to = page.complete_to(consistency);
+        // A later page of a serializable read may come from a replica that is further behind.
+        let earlier = self.complete_to.unwrap_or(complete_to);
+        self.complete_to = Some(earlier.min(complete_to));
+        let last = page.items.last().map(|item| Arc::clone(&item.key));
+        self.items.extend(page.items);
+        last.filter(|_| page.more)
+    }
+
+    /// The revision up to which the range is complete; 0 if nothing is known to be.
+    #[must_use]
+    pub fn complete_to(&self) -> u64 {
+        self.complete_to.unwrap_or_default()
+    }
+}
+
 /// A change of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
--- a/crates/soak/tests/it/main.rs
+++ b/crates/soak/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod output;
 mod overlong;
 mod path;
+mod priming;
 mod seeds;
 mod shared;
 mod watch;
