Let a verdict on a data centre end no flow

Cause: when none of a sample of 16 servers answered, all servers of the data centre counted as gone, and all their flows were ended. With 45 of 50 servers down, a sample misses the five living ones in one case of eight; with 97 % down in six of ten. Several balancers sample, again and again.

Model (node cookie::cut, nine balancers): with the old rule flows of living servers end at 90 and 97 % down among 150, 3,000 and 10,000 servers, never at 0 and 50 %; no probe is lost there, which rules out the path.

Change: the verdict keeps new flows away at once and ends none (Standing::Unreachable). A flow ends when its own server is found silent. A packet without an answer has its server examined also in a lost data centre, before the servers that peers or full examinations ask for. Peers are told of such findings while the data centre has up to 64 servers; of a larger one each balancer finds out for its own callers, so that a cut of thousands isn't reported server by server. Servers of lost data centres are no controls. When the data centre is back, silent servers are probed in place of being trusted on a peer's word.

Weighed: larger samples, and samples of draining and recently answering servers (128 draws still miss all at 97 % down in 2 % of cases, and a server whose flows pause looks like any other); examining all after the verdict (870 examinations where cookie::cut allows 260).

Tests, failing before: node cookie::cut::a_living_server_keeps_its_flows... (5 of 13 cases with the old standing).

--- a/crates/cookie/src/path.rs
+++ b/crates/cookie/src/path.rs
@@ -3,9 +3,13 @@
 //! A partition makes thousands of servers unreachable at once. If each were examined by itself, the
 //! examinations would take seconds and more connections than callers open. When one server of a data centre
 //! is found silent, a few balancers therefore examine a small sample of the others. If none of these
-//! answers, one verdict holds for all servers of the data centre.
+//! answers, one verdict keeps new flows away from all servers of the data centre.
 //!
 //! The few balancers announce their verdict to their data centre, whose other members adopt it.
+//!
+//! The verdict ends no flow. When most servers of a data centre are down, a sample is likely to miss those
+//! that live. A server's flows end when the server itself is found silent, which a packet without an answer
+//! starts to find out.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,7 +20,7 @@
 use crate::silence::{Finding, QUORUM, REPORT_TTL, Report, probe_interval};
 
 /// Number of servers in a sample. If half of the servers of a data centre are down, a sample without any
-/// answer is as likely as 1 to 65,536.
+/// answer is as likely as 1 to 65,536; if nine of ten are, as 1 to 5.
 pub const SAMPLE: usize = 16;
 /// Minimum number of servers without an answer that prove anything about their data centre.
 const MIN_SAMPLE: usize = 3;
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -445,7 +445,8 @@
         }
     }
 
-    /// Sets the data centres that can't be reached. Their servers count as silent.
+    /// Sets the data centres that can't be reached. Their servers get no new flows. A sample doesn't show
+    /// that all of them are down, so each keeps its flows until it is found silent itself.
     pub fn set_lost(&mut self, lost: BTreeSet<Arc<str>>) {
         if lost == self.lost {
             return;
@@ -632,16 +633,18 @@
         let unreachable = self.lost.contains(&known.server.data_centre);
         let is_silent = self.silent.contains_key(&known.server.id)
             && self.silence_end(known).is_none_or(|end| end <= now);
-        if unreachable || is_silent {
+        if is_silent {
             return Standing::Gone;
         }
         match known.missing {
             None if draining => Standing::Draining,
+            None if unreachable => Standing::Unreachable,
             None if evacuated => Standing::Evacuated,
             None => Standing::Ready,
             Some(_) if draining => Standing::Gone,
             Some(_) if self.is_replaced(known) => Standing::Gone,
             Some(_) if is_expired => Standing::Lost,
+            Some(_) if unreachable => Standing::Unreachable,
             Some(_) if evacuated => Standing::Evacuated,
             Some(_) => Standing::Missing,
         }
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -104,6 +104,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Detector {
     states: Map<Arc<str>, State>,
+    /// Suspected servers that left a packet unanswered here, which are examined before the others.
+    unanswered: Vec<Arc<str>>,
     reports: Map<Arc<str>, Vec<Report>>,
 }
 
@@ -135,31 +137,64 @@
         }
     }
 
+    /// As [`Detector::suspect`], for a server that left a packet of a caller unanswered here. It is examined
+    /// before others, as its callers are waiting.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_cookie::silence::Detector;
+    /// let mut detector = Detector::default();
+    /// assert!(detector.suspect_unanswered(&"host-1".into(), Duration::ZERO, Duration::ZERO));
+    /// assert_eq!(detector.due(Duration::ZERO).suspected, ["host-1".into()]);
+    /// ```
+    pub fn suspect_unanswered(
+        &mut self,
+        server: &Arc<str>,
+        trust: Duration,
+        now: Duration,
+    ) -> bool {
+        let examine = self.suspect(server, trust, now);
+        let is_suspected = matches!(self.states.get(server), Some(State::Suspected(_)));
+        if is_suspected && !self.unanswered.contains(server) {
+            self.unanswered.push(Arc::clone(server));
+        }
+        examine
+    }
+
     /// Returns the servers to examine or probe now, at most [`MAX_EXAMINED`]. The others wait for
-    /// the next call.
+    /// the next call. Suspected servers come before silent ones.
     ///
     /// A network partition may make a thousand servers of a data centre unreachable. Probing them
     /// all at once would need more file descriptors than a small balancer has left.
     pub fn due(&mut self, now: Duration) -> Due {
         let mut due = Due::default();
+        let first = self.unanswered.len().min(MAX_EXAMINED);
+        for server in self.unanswered.drain(..first) {
+            if let Some(state @ State::Suspected(_)) = self.states.get_mut(&server) {
+                *state = State::Examined(now);
+                due.suspected.push(server);
+            }
+        }
+        let room = MAX_EXAMINED - due.suspected.len();
+        let suspected = self.states.iter_mut();
+        let suspected = suspected.filter(|(_, state)| matches!(state, State::Suspected(_)));
+        for (server, state) in suspected.take(room) {
+            *state = State::Examined(now);
+            due.suspected.push(Arc::clone(server));
+        }
         for (server, state) in &mut self.states {
             if due.suspected.len() + due.silent.len() == MAX_EXAMINED {
                 break;
             }
-            match state {
-                State::Suspected(_) => {
-                    *state = State::Examined(now);
-                    due.suspected.push(Arc::clone(server));
-                }
-                State::Silent {
-                    since,
-                    next_probe,
-                    adopted,
-                } if now >= *next_probe => {
-                    *next_probe = now + probe_interval(now.saturating_sub(*since), *adopted);
-                    due.silent.push(Arc::clone(server));
-                }
-                _ => {}
+            if let State::Silent {
+                since,
+                next_probe,
+                adopted,
+            } = state
+                && now >= *next_probe
+            {
+                *next_probe = now + probe_interval(now.saturating_sub(*since), *adopted);
+                due.silent.push(Arc::clone(server));
             }
         }
         due.suspected.sort_unstable();
@@ -249,6 +284,25 @@
         }
     }
 
+    /// Lets a silent server be probed at once, as it may answer again.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use acacia_cookie::silence::{Detector, Finding};
+    /// let mut detector = Detector::default();
+    /// let server = "host-1".into();
+    /// detector.suspect(&server, Duration::ZERO, Duration::ZERO);
+    /// detector.due(Duration::ZERO);
+    /// detector.found(&server, Finding::Silent, Duration::ZERO);
+    /// detector.probe_at_once(&server, Duration::ZERO);
+    /// assert_eq!(detector.due(Duration::ZERO).silent, [server]);
+    /// ```
+    pub fn probe_at_once(&mut self, server: &str, now: Duration) {
+        if let Some(State::Silent { next_probe, .. }) = self.states.get_mut(server) {
+            *next_probe = now;
+        }
+    }
+
     /// When the next examination or probe is due.
     #[must_use]
     pub fn next_due(&self) -> Option<Duration> {
@@ -305,6 +359,7 @@
     /// Keeps only the servers for which `is_known` returns true.
     pub fn retain(&mut self, is_known: impl Fn(&Arc<str>) -> bool) {
         self.states.retain(|server, _| is_known(server));
+        self.unanswered.retain(&is_known);
         self.reports.retain(|server, _| is_known(server));
     }
 }
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -35,6 +35,9 @@
     /// Its data centre is being evacuated. It keeps its flows and gets no new ones, even if no other
     /// server is left.
     Evacuated,
+    /// Its data centre can't be reached, as a sample of its servers shows, but the server itself has not been
+    /// found unresponsive. It keeps its flows and gets no new ones.
+    Unreachable,
     /// Its entry has been missing for too long to be expected back, but it has not been found
     /// unresponsive. It keeps its flows and gets no new ones.
     Lost,
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -63,10 +63,7 @@
     /// Records that a packet to a server went unanswered here. Returns true if the server is to be
     /// examined.
     pub fn record_unanswered(&mut self, server: &Arc<str>, now: Duration) -> bool {
-        if self.is_in_lost_centre(server) {
-            return false;
-        }
-        let examine = self.detector.suspect(server, OWN_TRUST, now);
+        let examine = self.detector.suspect_unanswered(server, OWN_TRUST, now);
         if examine {
             log::info!("event=server-suspected server={server} by=packets");
         }
@@ -86,7 +83,7 @@
         let mut silent = Vec::new();
         let near = from.data_centre == self.own().data_centre;
         for server in servers {
-            if !self.roster.holds(server) || self.is_in_lost_centre(server) {
+            if !self.roster.holds(server) || !self.shares_finding_on(server) {
                 continue;
             }
             if near {
@@ -134,8 +131,9 @@
         let due = self.detector.due(now);
         let next = [self.detector.next_due(), self.paths.next_due()];
         let next = next.into_iter().flatten().min();
+        let suspected = due.suspected;
+        // A few probes for the whole of a data centre that can't be reached show its return.
         let is_probed = |server: &Arc<str>| !self.is_in_lost_centre(server);
-        let suspected: Vec<Arc<str>> = due.suspected.into_iter().filter(is_probed).collect();
         let silent: Vec<Arc<str>> = due.silent.into_iter().filter(is_probed).collect();
         let targets = self.targets(&suspected);
         let mut silent = self.targets(&silent);
@@ -176,12 +174,14 @@
             .any(|server| server.data_centre == self.own().data_centre)
     }
 
-    /// The address of a random server that the detector trusts: in the own data centre if `near`,
-    /// else in another one.
+    /// The address of a random server that the detector trusts, of a data centre that can be reached: of the
+    /// own one if `near`, else of another one.
     fn control(&mut self, near: bool, except: &[Arc<str>]) -> Option<SocketAddrV4> {
         let (detector, centre) = (&self.detector, &self.group.own().data_centre);
+        let lost = self.paths.lost();
         let trusted = self.roster.present().filter(|server| {
             detector.is_trusted(&server.id)
+                && !lost.contains(&server.data_centre)
                 && !except.contains(&server.id)
                 && (server.data_centre == *centre) == near
         });
@@ -196,7 +196,7 @@
         findings: Vec<(Arc<str>, Finding)>,
         now: Duration,
     ) -> Outcome {
-        let (mut silent, mut back) = (Vec::new(), Vec::new());
+        let (mut silent, mut back, mut ended) = (Vec::new(), Vec::new(), false);
         let unknown = |(_, finding): &&(Arc<str>, Finding)| *finding == Finding::Unknown;
         let unknown = findings.iter().filter(unknown);
         let unknown: Vec<Arc<str>> = unknown.map(|(server, _)| Arc::clone(server)).collect();
@@ -204,15 +204,12 @@
             self.control_is_near = !self.control_is_near;
         }
         let mut outcome = Outcome::default();
+        let lost_before = self.paths.lost();
         for (server, finding) in &findings {
             outcome.append(self.record_path_finding(server, *finding, now));
         }
+        let lost_now = &self.paths.lost() - &lost_before;
         for (server, finding) in findings {
-            // The verdict on its data centre holds for a server, too.
-            let finding = match self.is_in_lost_centre(&server) {
-                true => Finding::Unknown,
-                false => finding,
-            };
             match self.detector.found(&server, finding, now) {
                 Verdict::Same => {}
                 Verdict::Back => {
@@ -223,11 +220,16 @@
                 Verdict::Silent => {
                     log::warn!("event=server-silent server={server} by=probes");
                     outcome.examine |= self.sample_data_centre_of(&server, now);
-                    silent.push(server);
+                    ended = true;
+                    // The verdict on the data centre tells peers enough of a sample.
+                    let is_of_sample = self.is_in_any(&server, &lost_now);
+                    if !is_of_sample && self.shares_finding_on(&server) {
+                        silent.push(server);
+                    }
                 }
             }
         }
-        outcome.changed |= !silent.is_empty() || !back.is_empty();
+        outcome.changed |= ended || !back.is_empty();
         outcome.outgoing.extend(
             self.messages_to_data_centre(&silent, now, |message, listed| message.silent = listed),
         );
--- a/crates/node/src/cookie/core/path.rs
+++ b/crates/node/src/cookie/core/path.rs
@@ -1,6 +1,6 @@
 //! Verdicts on whole data centres: which servers to sample, and how results are applied and shared.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use acacia_catalog::{
     member::{Member, rank},
@@ -19,16 +19,39 @@
 /// Number of balancers per data centre that sample another data centre. With three, two still agree when
 /// one of them crashes or is cut off itself.
 const SAMPLERS: usize = 3;
+/// Number of servers up to which those of a data centre that can't be reached are reported as silent one by
+/// one: as many as are examined together.
+const MAX_SHARED: usize = silence::MAX_EXAMINED;
 /// How long before a sample an answer of a server still counts.
 const SAMPLE_TRUST: Duration = Duration::from_millis(300);
 
 impl Core {
+    /// Whether a server is in one of these data centres.
+    pub(super) fn is_in_any(&self, server: &str, data_centres: &BTreeSet<Arc<str>>) -> bool {
+        let known = self.roster.get(server);
+        known.is_some_and(|known| data_centres.contains(&known.data_centre))
+    }
+
     /// Whether a server is in a data centre that can't be reached.
     pub(super) fn is_in_lost_centre(&self, server: &str) -> bool {
         let known = self.roster.get(server);
         known.is_some_and(|known| self.paths.is_lost(&known.data_centre))
     }
 
+    /// Whether peers are told that this server is silent. Of a large data centre that can't be reached they
+    /// aren't, as reports on thousands of servers would be examined and passed on by everybody.
+    pub(super) fn shares_finding_on(&self, server: &str) -> bool {
+        let Some(known) = self.roster.get(server) else {
+            return false;
+        };
+        if !self.paths.is_lost(&known.data_centre) {
+            return true;
+        }
+        let others = self.roster.present();
+        let others = others.filter(|other| other.data_centre == known.data_centre);
+        others.take(MAX_SHARED + 1).count() <= MAX_SHARED
+    }
+
     /// The number of servers that are silent or in a data centre that can't be reached.
     pub(super) fn unreachable_servers(&self) -> usize {
         let lost = self.paths.lost();
@@ -138,13 +161,13 @@
         }
     }
 
-    /// Uses a data centre's servers again. Those that were silent before it was lost are probed at once.
+    /// Uses a data centre's servers again. Those that were found silent are probed at once.
     fn resume(&mut self, data_centre: &str, now: Duration) {
         self.roster.suspect_restarts_in(data_centre, now);
         for server in self.detector.silent() {
             let known = self.roster.get(&server);
             if known.is_some_and(|known| &*known.data_centre == data_centre) {
-                self.detector.peer_found_back(&server, now);
+                self.detector.probe_at_once(&server, now);
             }
         }
     }
--- a/crates/node/tests/it/cookie/cut.rs
+++ b/crates/node/tests/it/cookie/cut.rs
@@ -3,7 +3,13 @@
 use std::sync::Arc;
 
 use acacia_catalog::Change;
-use acacia_cookie::silence::Finding;
+use acacia_cookie::{
+    silence::Finding,
+    snapshot::{Server, Standing},
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+use rstest::rstest;
 
 use super::fixture::{Fleet, ms, server};
 
@@ -74,6 +80,7 @@
             let findings = targets.chain(back).collect();
             outgoing.extend(core.record_findings(findings, now + ms(90)).outgoing);
         }
+        fleet.now += ms(90);
         fleet.deliver(outgoing);
         if !any {
             return (examined, probed);
@@ -206,3 +213,119 @@
     let wrong = silent(&fleet).into_iter().filter(|silent| *silent > 0);
     assert!(wrong.count() <= 1);
 }
+
+/// Rounds of packets without an answer, an examination each.
+const ROUNDS: u64 = 4;
+/// Time that an examination takes.
+const EXAMINATION: u64 = 90;
+/// Packets without an answer in each round and at each balancer.
+const UNANSWERED: usize = 4;
+
+/// How many servers precede `servers` others in a small fleet, in a data centre in which none is down.
+fn sound(servers: u64) -> u64 {
+    servers / 5 + 2
+}
+
+/// Nine balancers before `servers` servers in one data centre, and some in another one.
+fn small_fleet(servers: u64) -> Fleet {
+    let mut fleet = Fleet::new(9, &["a", "b", "c"]);
+    let sound = sound(servers);
+    let all = sound + servers;
+    let entry = |number| {
+        let mut entry = server(&name(number), number);
+        if let Change::Server {
+            server: Some(server),
+            ..
+        } = &mut entry
+        {
+            let centre = if number > sound { "z" } else { "a" };
+            Arc::make_mut(server).data_centre = centre.into();
+        }
+        entry
+    };
+    let entries: Vec<Change> = (1..=all).map(entry).collect();
+    let now = fleet.now;
+    for core in fleet.cores.values_mut() {
+        core.apply_full_read(entries.clone(), all, now, now);
+        core.snapshot(now);
+    }
+    fleet
+}
+
+/// Runs one examination at each balancer and delivers what they send.
+fn examine_once(fleet: &mut Fleet, is_down: impl Fn(&str) -> bool) {
+    let now = fleet.now;
+    let mut outgoing = Vec::new();
+    for core in fleet.cores.values_mut() {
+        let (examination, _) = core.examination(now);
+        let probed = examination.targets.iter().chain(&examination.silent);
+        let findings = probed.map(|target| {
+            let finding = match is_down(&target.server) {
+                true => Finding::Silent,
+                false => Finding::Answered,
+            };
+            (Arc::clone(&target.server), finding)
+        });
+        let findings = findings.collect();
+        let end = now + ms(EXAMINATION);
+        outgoing.extend(core.record_findings(findings, end).outgoing);
+    }
+    fleet.now += ms(EXAMINATION);
+    fleet.deliver(outgoing);
+}
+
+/// Guards against a sample that misses the living servers of a data centre most of whose servers are down: all
+/// balancers ended the flows of the living ones too.
+#[rstest]
+fn a_living_server_keeps_its_flows_whatever_share_of_its_data_centre_is_down(
+    #[values(15, 150, 3_000)] servers: u64,
+    #[values(0, 50, 90, 97)] percent_down: u64,
+) {
+    check_flows_of_living_servers(servers, percent_down);
+}
+
+/// The same in a data centre of the size that is aimed at.
+#[test]
+fn a_living_server_among_ten_thousand_keeps_its_flows() {
+    check_flows_of_living_servers(10_000, 97);
+}
+
+/// Lets packets to random servers go unanswered, and checks that this ends the flows of those that are down, and
+/// of no others.
+fn check_flows_of_living_servers(servers: u64, percent_down: u64) {
+    let mut fleet = small_fleet(servers);
+    let mut random = Pcg64::seed_from_u64(servers + percent_down);
+    let is_down = |id: &str| {
+        let number: u64 = id[2..].parse().expect("a number");
+        number > sound(servers) && number % 100 < percent_down
+    };
+
+    for _ in 0..ROUNDS {
+        let now = fleet.now;
+        let mut noticed = Vec::new();
+        for (address, core) in &mut fleet.cores {
+            for _ in 0..UNANSWERED {
+                let id: Arc<str> = name(sound(servers) + random.random_range(1..=servers)).into();
+                core.record_unanswered(&id, now);
+                noticed.push((*address, id));
+            }
+        }
+        examine_once(&mut fleet, is_down);
+
+        let now = fleet.now;
+        for (address, core) in &mut fleet.cores {
+            let (snapshot, _) = core.snapshot(now);
+            let gone = |server: &&Server| server.standing == Standing::Gone;
+            let gone = snapshot.servers.iter().filter(gone);
+            let wrong: Vec<&Server> = gone.filter(|server| !is_down(&server.id)).collect();
+            assert!(wrong.is_empty(), "{wrong:?}");
+            for (_, id) in noticed
+                .iter()
+                .filter(|(at, id)| at == address && is_down(id))
+            {
+                let standing = snapshot.named(id).map(|server| server.standing);
+                assert_eq!(standing, Some(Standing::Gone), "{id} at {address}");
+            }
+        }
+    }
+}
