Let entries of other writers tell nothing of the server at whose key they stand

Cause: an entry that names no server was taken for news of the server at whose key it stood. An unreadable one became the same change as a removal, and a draining server whose entry is removed has left. A readable one replaced the address, whatever its service; probes there were refused, and the server counted as silent.

Change: an unreadable entry is passed on as such (State::Unknown). The roster keeps address, state and flows of a server at whose key a foreign entry stands, and counts it as missing: new flows go to others while there are any. The removal of a foreign entry isn't that of the server. Entries of unnamed services are kept until a configuration names the service. Strangers of unnamed services are in no sample, full examination or control, and don't take an overwritten server's address. New log line entry-overwritten.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -44,7 +44,7 @@
         id: Arc<str>,
         /// The store's revision of the change.
         revision: u64,
-        /// The server's description; `None` if the entry was removed or doesn't describe a server.
+        /// The server's description; `None` if the entry was removed.
         server: Option<Arc<Server>>,
     },
     /// The operators' evacuation mark, under which a data centre's servers get no new flows.
--- a/crates/catalog/src/server.rs
+++ b/crates/catalog/src/server.rs
@@ -1,6 +1,9 @@
 //! The backend servers.
 
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +14,8 @@
     Ready,
     /// It is shutting down: it keeps its flows and must not get new ones.
     Draining,
+    /// Its entry can't be read, so it tells nothing of the server.
+    Unknown,
 }
 
 /// A backend server, as its entry in the store describes it.
@@ -39,3 +44,28 @@
     /// The store's revision at which its entry was created; 0 if unknown.
     pub created: u64,
 }
+
+impl Server {
+    /// What an entry tells that can't be read: nothing but its key. Unlike a removal, it is no sign that the
+    /// server has left.
+    ///
+    /// ```
+    /// use acacia_catalog::server::{Server, State};
+    /// assert_eq!(Server::unreadable("i-07".into()).state, State::Unknown);
+    /// ```
+    #[must_use]
+    pub fn unreadable(id: Arc<str>) -> Self {
+        Server {
+            id,
+            tag: 0,
+            service: "".into(),
+            address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+            data_centre: "".into(),
+            slots: 0,
+            state: State::Unknown,
+            warmup_ms: 0,
+            started_ms: 0,
+            created: 0,
+        }
+    }
+}
--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -1,6 +1,7 @@
 //! Tracks every backend server that may still have flows, and whether it is usable.
 
 pub mod claim;
+mod foreign;
 mod index;
 pub mod lapse;
 mod service;
@@ -25,6 +26,7 @@
     silence::Detector,
     snapshot::{Server, Snapshot, Standing},
 };
+use foreign::Foreign;
 pub use index::Election;
 use index::Index;
 use service::{Place, Services};
@@ -73,6 +75,8 @@
     missing: Option<Duration>,
     /// Whether its entry has been missing for so long that it is no longer expected back.
     is_expired: bool,
+    /// Whether its entry went missing as a foreign one was written in its place; see [`foreign`].
+    is_overwritten: bool,
     /// Whether it no longer exists: it has left, or its address belongs to another server.
     has_ended: bool,
     /// End of its warm-up, according to its entry.
@@ -97,6 +101,7 @@
             created,
             missing: None,
             is_expired: false,
+            is_overwritten: false,
             has_ended: false,
             warm_at,
             suspected_until: Duration::ZERO,
@@ -107,9 +112,18 @@
         }
     }
 
-    /// Whether it announced its departure and its entry has been removed.
+    /// Whether it announced its departure and its entry has been removed. The removal of an entry that is not
+    /// its own says nothing of it.
     fn has_left(&self) -> bool {
-        self.missing.is_some() && self.server.state == State::Draining
+        let is_removed = self.missing.is_some() && !self.is_overwritten;
+        is_removed && self.server.state == State::Draining
+    }
+
+    /// Records that its entry exists.
+    fn restore(&mut self) {
+        self.missing = None;
+        self.is_expired = false;
+        self.is_overwritten = false;
     }
 
     /// The order of servers that share a cookie; the first one keeps it. The older one may have flows with
@@ -160,6 +174,7 @@
     silent: Map<Arc<str>, Duration>,
     /// The data centres that can't be reached.
     lost: BTreeSet<Arc<str>>,
+    foreign: Foreign,
     index: Index,
     services: Services,
     /// Lapses that began or ended since the last call of [`Roster::take_lapses`].
@@ -194,10 +209,13 @@
         self.pass_deadlines(now);
         self.settle(now);
         self.revision = catalog.revision();
-        self.update_config(catalog.config().map(|item| &item.value));
+        self.update_config(catalog.config().map(|item| &item.value), now);
         self.update_evacuations(catalog, now);
         for (id, item) in catalog.servers_edited_since(self.edit) {
             match &item.value {
+                Some(server) if self.is_foreign(id, server) => {
+                    self.overwrite_entry(id, server, item.revision, now);
+                }
                 Some(server) => self.update_server(id, server, item.revision, now),
                 None => self.remove_entry(id, now),
             }
@@ -206,7 +224,7 @@
         self.settle(now);
     }
 
-    fn update_config(&mut self, config: Option<&Arc<Config>>) {
+    fn update_config(&mut self, config: Option<&Arc<Config>>, now: Duration) {
         let is_same = match (&self.config, config) {
             (Some(old), Some(new)) => Arc::ptr_eq(old, new),
             (None, None) => true,
@@ -222,6 +240,7 @@
         self.config = config.cloned();
         if let Some(config) = config {
             self.services.set_routes(config);
+            self.name_services(config, now);
         }
     }
 
@@ -255,11 +274,10 @@
             created => created,
         };
         self.record_return(id, now);
+        self.foreign.remove(id);
         self.left.remove(id);
         match self.servers.get_mut(id) {
-            Some(known) if Arc::ptr_eq(&known.server, server) => {
-                (known.missing, known.is_expired) = (None, false);
-            }
+            Some(known) if Arc::ptr_eq(&known.server, server) => known.restore(),
             Some(known) => {
                 if !known.is_continued_by(server) {
                     known.created = created;
@@ -268,7 +286,7 @@
                     self.restarted.push(Arc::clone(id));
                 }
                 let old = std::mem::replace(&mut known.server, Arc::clone(server));
-                (known.missing, known.is_expired) = (None, false);
+                known.restore();
                 known.warm_at = warm_at;
                 self.release_address(id, old.address);
             }
@@ -283,6 +301,7 @@
 
     /// Records that a server's entry was removed.
     fn remove_entry(&mut self, id: &Arc<str>, now: Duration) {
+        self.foreign.remove(id);
         let Some(known) = self.servers.get_mut(id) else {
             return;
         };
@@ -413,6 +432,7 @@
         self.stale.remove(id);
         self.left.remove(id);
         self.silent.remove(id);
+        self.foreign.remove(id);
         self.release_address(id, known.server.address);
         self.departed.push(Arc::clone(id));
         if let Some(at) = known.deadline {
@@ -474,7 +494,7 @@
     /// silent, or ends now.
     fn silence_end(&self, known: &Record) -> Option<Duration> {
         let since = self.silent.get(&known.server.id)?;
-        let drains = known.missing.is_none() && known.server.state == State::Draining;
+        let drains = known.server.state == State::Draining && !known.has_left();
         drains.then(|| *since + self.limits.draining_silence)
     }
 
@@ -583,7 +603,10 @@
         let mut others = others.flatten().filter(|id| **id != known.server.id);
         others.any(|id| {
             let other = self.servers.get(id);
-            other.is_some_and(|other| other.missing.is_none())
+            // A foreign entry may name any address.
+            let is_server =
+                |other: &Record| !known.is_overwritten || self.is_named(&other.server.service);
+            other.is_some_and(|other| other.missing.is_none() && is_server(other))
         })
     }
 
@@ -641,8 +664,9 @@
             None if unreachable => Standing::Unreachable,
             None if evacuated => Standing::Evacuated,
             None => Standing::Ready,
-            Some(_) if draining => Standing::Gone,
+            Some(_) if known.has_left() => Standing::Gone,
             Some(_) if self.is_replaced(known) => Standing::Gone,
+            Some(_) if draining => Standing::Draining,
             Some(_) if is_expired => Standing::Lost,
             Some(_) if unreachable => Standing::Unreachable,
             Some(_) if evacuated => Standing::Evacuated,
--- a/crates/cookie/src/roster/claim.rs
+++ b/crates/cookie/src/roster/claim.rs
@@ -17,7 +17,7 @@
     pub server: Arc<Server>,
     /// The store's revision at which its entry was first created.
     pub created: u64,
-    /// How long its entry has been missing; `None` if it exists.
+    /// How long its entry has been missing; `None` if it exists, or another writer's stands in its place.
     pub missing: Option<Duration>,
 }
 
@@ -31,10 +31,13 @@
     #[must_use]
     pub fn claims(&self, now: Duration) -> Vec<Claim> {
         let holders = self.index.contested_holders();
-        let claim = |known: &Record| Claim {
-            server: Arc::clone(&known.server),
-            created: known.created,
-            missing: known.missing.map(|at| now.saturating_sub(at)),
+        let claim = |known: &Record| {
+            let missing = known.missing.filter(|_| !known.is_overwritten);
+            Claim {
+                server: Arc::clone(&known.server),
+                created: known.created,
+                missing: missing.map(|at| now.saturating_sub(at)),
+            }
         };
         holders
             .filter_map(|id| self.servers.get(id).map(claim))
@@ -71,6 +74,7 @@
                 let known = Record {
                     missing: Some(now.saturating_sub(missing)),
                     is_expired: true,
+                    is_overwritten: claim.missing.is_none(),
                     ..Record::new(&claim.server, claim.created, now)
                 };
                 self.servers.insert(Arc::clone(id), known);
--- a/crates/cookie/tests/it/main.rs
+++ b/crates/cookie/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod fixture;
 mod flood;
 mod flow;
+mod foreign;
 mod half_open;
 mod lapse;
 mod load;
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -428,6 +428,7 @@
         self.roster.set_lost(lost);
         let mut snapshot = self.roster.snapshot(detector, now);
         self.log_lapses();
+        self.log_overwritten();
         self.log_elections();
         if let Some(version) = self.version()
             && self.enforced.is_none_or(|(before, _)| before != version)
--- a/crates/node/src/cookie/core/describe.rs
+++ b/crates/node/src/cookie/core/describe.rs
@@ -53,6 +53,8 @@
     ready: usize,
     draining: usize,
     removed: usize,
+    /// Those whose entries can't be read.
+    unreadable: usize,
     /// The highest revision.
     revision: u64,
 }
@@ -69,6 +71,7 @@
             match server.as_ref().map(|server| server.state) {
                 Some(State::Ready) => counts.ready += 1,
                 Some(State::Draining) => counts.draining += 1,
+                Some(State::Unknown) => counts.unreadable += 1,
                 None => counts.removed += 1,
             }
         }
@@ -77,7 +80,7 @@
 
     /// Whether no server is counted.
     pub const fn is_empty(&self) -> bool {
-        self.ready + self.draining + self.removed == 0
+        self.ready + self.draining + self.removed + self.unreadable == 0
     }
 }
 
@@ -87,11 +90,12 @@
             ready,
             draining,
             removed,
+            unreadable,
             revision,
         } = self;
         write!(
             f,
-            "event=servers ready={ready} draining={draining} removed={removed} revision={revision}"
+            "event=servers ready={ready} draining={draining} removed={removed} unreadable={unreadable} revision={revision}"
         )
     }
 }
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -182,6 +182,7 @@
         let trusted = self.roster.present().filter(|server| {
             detector.is_trusted(&server.id)
                 && !lost.contains(&server.data_centre)
+                && self.roster.is_named(&server.service)
                 && !except.contains(&server.id)
                 && (server.data_centre == *centre) == near
         });
--- a/crates/node/src/cookie/core/path.rs
+++ b/crates/node/src/cookie/core/path.rs
@@ -101,7 +101,8 @@
         let candidates = self
             .roster
             .present()
-            .filter(|server| server.data_centre == *data_centre && !detector.is_silent(&server.id));
+            .filter(|server| server.data_centre == *data_centre && !detector.is_silent(&server.id))
+            .filter(|server| self.roster.is_named(&server.service));
         let sample = candidates.sample(&mut self.random, SAMPLE);
         let sample: Vec<Arc<str>> = sample
             .into_iter()
@@ -122,6 +123,7 @@
         for centre in self.paths.due(now) {
             let servers = self.roster.present();
             let servers = servers.filter(|server| server.data_centre == centre);
+            let servers = servers.filter(|server| self.roster.is_named(&server.service));
             let drawn = servers.sample(&mut self.random, PROBES);
             targets.extend(drawn.into_iter().map(|server| Target {
                 server: Arc::clone(&server.id),
@@ -211,6 +213,7 @@
             }
             let servers = self.roster.servers();
             let servers = servers.filter(|known| known.data_centre == *centre);
+            let servers = servers.filter(|known| self.roster.is_named(&known.service));
             let servers = servers.filter(|known| self.is_examiner(&known.id));
             let servers: Vec<Arc<str>> = servers.map(|known| Arc::clone(&known.id)).collect();
             for server in servers {
--- a/crates/node/src/cookie/core/roster.rs
+++ b/crates/node/src/cookie/core/roster.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use acacia_code::Code;
 use acacia_cookie::roster::{claim, lapse::Event};
 
 use super::Core;
@@ -35,6 +36,14 @@
         }
     }
 
+    /// Logs the servers whose entries another writer has overwritten.
+    pub(super) fn log_overwritten(&mut self) {
+        let code = Code::EntryMalformed;
+        for id in self.roster.take_overwritten() {
+            log::warn!("event=entry-overwritten code={code} server={id}");
+        }
+    }
+
     /// Logs which server keeps a cookie that several servers have, if that has changed with the last
     /// snapshot.
     pub(super) fn log_elections(&mut self) {
--- a/crates/soak/tests/it/main.rs
+++ b/crates/soak/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of real balancers against a simulated platform.
 
 mod explain;
+mod foreign;
 mod gone;
 mod ip;
 mod load;
