Take missing entries for a lapse only after an outage of the store

Cause: more missing than ready slots of a service counted as leases that lapsed together in an outage of the store, whether or not the store had answered. In a lapse, each entry that comes back lets the use of the others go on.

Change: a lapse takes an outage. Weighed and left out: a failed call of one balancer as a sign, since it may be the only one that is cut off.

The fixture of the tests of lapses now tells the roster of the outage that it stands for; what they check is as it was.

--- a/crates/cookie/src/roster/lapse.rs
+++ b/crates/cookie/src/roster/lapse.rs
@@ -4,10 +4,17 @@
 //! seconds. If the servers without entries got no new flows as soon as the first entry is back, a few servers
 //! would get the flows of all. Once more slots of a service belong to servers whose entries went missing than
 //! to servers with entries, new flows therefore go to both, until no server is left that is missing.
+//!
+//! That holds only for entries that went missing with an outage: the store was away shortly before, or half of
+//! all servers lost their entries at one moment, those of several services. A store that answers and
+//! removes entries otherwise has lost these servers, however many of a service they are.
+
+use std::{collections::BTreeSet, ops::Sub, sync::Arc, time::Duration};
 
-use std::{ops::Sub, sync::Arc, time::Duration};
+use super::{Record, Roster, service::Service};
 
-use super::{Record, Roster};
+/// Time within which entries that a store loses at one moment are known to be missing.
+const MOMENT: Duration = Duration::from_secs(1);
 
 /// The beginning or the end of a service's lapse, with numbers of servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -73,10 +80,15 @@
     /// Records which services have lapsed, and which have no missing server any more.
     pub(super) fn follow_lapses(&mut self, now: Duration) {
         let mut ended = Vec::new();
+        let is_new = |service: &Service| {
+            service.lapse.is_none() && has_lapsed(service.missing(), service.ready())
+        };
+        // Counts all servers, but only while a service may have lapsed.
+        let may_begin = self.services.iter().any(is_new) && self.is_outage_likely(now);
         for service in self.services.iter_mut() {
             let (missing, ready) = (service.missing(), service.ready());
             match service.lapse {
-                None if has_lapsed(missing, ready) => {
+                None if may_begin && has_lapsed(missing, ready) => {
                     service.lapse = Some(Lapse {
                         began: now,
                         returned: None,
@@ -107,6 +119,34 @@
         }
     }
 
+    /// Sets when the store was last known to be away from all balancers.
+    pub fn set_store_away(&mut self, at: Option<Duration>) {
+        self.store_away = at;
+    }
+
+    /// Whether entries that have just gone missing may have lapsed in an outage of the store.
+    fn is_outage_likely(&self, now: Duration) -> bool {
+        let away = self.store_away;
+        away.is_some_and(|at| now <= at + self.limits.outage) || self.lost_entries_at_once(now)
+    }
+
+    /// Whether half of the servers lost their entries a moment ago, and of several services.
+    fn lost_entries_at_once(&self, now: Duration) -> bool {
+        let (mut lost, mut present) = (0, 0);
+        let mut services = BTreeSet::new();
+        for known in self.servers.values() {
+            match known.missing {
+                None => present += 1,
+                Some(at) if !known.has_left() && now <= at + MOMENT => {
+                    lost += 1;
+                    services.insert(&known.server.service);
+                }
+                Some(_) => {}
+            }
+        }
+        services.len() > 1 && lost >= present
+    }
+
     /// Whether a server's entry is missing since a lapse.
     fn belongs(&self, known: &Record, lapse: &Lapse) -> bool {
         let is_recent = |at: Duration| at + self.limits.missing > lapse.began;
--- a/crates/cookie/src/roster/service.rs
+++ b/crates/cookie/src/roster/service.rs
@@ -176,6 +176,11 @@
     }
 
     /// All services.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Service> {
+        self.services.iter()
+    }
+
+    /// Like [`Services::iter`].
     pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Service> {
         self.services.iter_mut()
     }
--- a/crates/cookie/tests/it/lapse.rs
+++ b/crates/cookie/tests/it/lapse.rs
@@ -72,8 +72,14 @@
             + 100
     }
 
-    /// Removes the entries of servers.
+    /// Removes the entries of servers, as a store that comes back has lost their leases.
     fn lapse(&mut self, servers: impl IntoIterator<Item = u64>) {
+        self.roster.set_store_away(Some(ms(self.now)));
+        self.run_out(servers);
+    }
+
+    /// Removes the entries of servers, while the store answers.
+    fn run_out(&mut self, servers: impl IntoIterator<Item = u64>) {
         let first = self.revision();
         let servers = servers.into_iter().zip(first..);
         let changes: Vec<Change> = servers
@@ -504,3 +510,55 @@
     scene.now = 4_500;
     assert_eq!(scene.used(), [30]);
 }
+
+/// Guards against new flows to servers that can't reach the store, as most entries of a service that run out while
+/// the store answers were taken for an outage.
+#[test]
+fn entries_that_run_out_while_the_store_answers_are_no_lapse() {
+    let mut scene = Scene::new(5);
+    scene.now = 10_000;
+    scene.run_out(1..=4);
+    let others = scene.used();
+
+    for at in [11_000, 12_500, 14_000] {
+        scene.now = at;
+        scene.come_back(at / 1_000 % 4 + 1);
+        scene.run_out([at / 1_000 % 4 + 1]);
+    }
+
+    assert_eq!(others, [5]);
+    assert_eq!(scene.used(), [5]);
+    assert!(!scene.pool().lapsed);
+    assert_eq!(scene.roster.take_lapses(), []);
+}
+
+/// Guards against a lapse that goes unnoticed as the outage was too short to be.
+#[test]
+fn entries_of_several_services_that_go_at_once_are_a_lapse() {
+    let mut scene = Scene::new(6);
+    for number in 1..=2 {
+        scene.register(server(&format!("m-{number}"), "maps"));
+    }
+    scene.now = 10_000;
+    let first = scene.revision();
+    let names = ["h-1", "h-2", "h-3", "h-4", "m-1"];
+    let gone = names.iter().zip(first..);
+    let gone: Vec<Change> = gone.map(|(id, revision)| absent(id, revision)).collect();
+
+    scene.apply(gone);
+
+    assert_eq!(scene.used(), [1, 2, 3, 4, 5, 6]);
+    assert!(scene.pool().lapsed);
+}
+
+/// Guards against a lapse that is recognised long after the store was away, when servers crash one by one.
+#[test]
+fn entries_that_go_long_after_an_outage_are_no_lapse() {
+    let mut scene = Scene::new(5);
+    scene.roster.set_store_away(Some(ms(1_000)));
+    scene.now = 7_000;
+
+    scene.run_out(1..=4);
+
+    assert!(!scene.pool().lapsed);
+}
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -137,6 +137,8 @@
     missed_change: bool,
     /// Whether the store has dropped the history after what is known here.
     history_gone: bool,
+    /// When the store last answered after nobody had heard of it for long.
+    store_away: Option<Duration>,
     /// The last watch whose answer was too long to be read.
     overlong: Option<Overlong>,
     /// The read of all servers' entries that this balancer has begun, if any.
@@ -203,6 +205,7 @@
             control_is_near: false,
             missed_change: false,
             history_gone: false,
+            store_away: None,
             overlong: None,
             rebuild: None,
             rebuild_seen: None,
@@ -407,6 +410,7 @@
             balancers,
             ..self.warmup
         });
+        self.roster.set_store_away(self.store_away);
         self.roster.update(&self.catalog, now);
         for id in self.roster.take_restarted() {
             log::info!("event=server-restarted server={id}");
--- a/crates/node/src/cookie/core/rebuild.rs
+++ b/crates/node/src/cookie/core/rebuild.rs
@@ -82,7 +82,7 @@
         sent: Duration,
         now: Duration,
     ) -> Outcome {
-        self.log_store_regained();
+        self.record_store_answer(now);
         let mark = self.catalog.mark();
         let changed = self.replace_operators(entries, revision);
         self.history_gone = false;
--- a/crates/node/src/cookie/core/store.rs
+++ b/crates/node/src/cookie/core/store.rs
@@ -103,7 +103,7 @@
         sent: Duration,
         now: Duration,
     ) -> Outcome {
-        self.log_store_regained();
+        self.record_store_answer(now);
         let mark = self.catalog.mark();
         if !changes.is_empty() {
             self.schedule.changed(now);
@@ -161,7 +161,7 @@
         sent: Duration,
         now: Duration,
     ) -> Outcome {
-        self.log_store_regained();
+        self.record_store_answer(now);
         let (mark, base) = (self.catalog.mark(), self.followed());
         let mut changed = self.replace_operators(operators, operators_revision);
         changed |= self.apply_all(servers, Catalog::apply).changed;
@@ -180,7 +180,7 @@
         sent: Duration,
         now: Duration,
     ) -> Outcome {
-        self.log_store_regained();
+        self.record_store_answer(now);
         let mark = self.catalog.mark();
         let changed = self.catalog.replace(reading, revision);
         log::info!("event=store-read revision={revision} changed={changed}");
@@ -201,7 +201,20 @@
         }
     }
 
-    pub(super) fn log_store_regained(&self) {
+    /// Records that the store was away until now, if nobody has told of it for longer than the reader, or this
+    /// balancer in its place, takes to ask it. A failed call alone is no sign of that: others may reach the store.
+    pub(super) fn note_silence_of_store(&mut self, now: Duration) {
+        let timing = self.schedule.timing();
+        let longest = timing.max_age + 2 * timing.jitter;
+        let fresh = self.schedule.fresh_until();
+        if fresh.is_some_and(|fresh| now > fresh + longest) {
+            self.store_away = Some(now);
+        }
+    }
+
+    /// Logs that the store answers again, and notes for how long it didn't.
+    pub(super) fn record_store_answer(&mut self, now: Duration) {
+        self.note_silence_of_store(now);
         if !self.schedule.is_store_reachable() {
             let revision = self.catalog.revision();
             log::info!("event=store-regained revision={revision}");
--- a/crates/node/tests/it/cookie/mod.rs
+++ b/crates/node/tests/it/cookie/mod.rs
@@ -10,6 +10,7 @@
 mod failing;
 mod fixture;
 mod flows;
+mod outage;
 mod overlong;
 mod permit;
 mod priming;
