--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -4,7 +4,9 @@
 mod foreign;
 mod index;
 pub mod lapse;
+mod record;
 mod service;
+mod standing;
 mod warming;
 
 use std::{
@@ -14,21 +16,14 @@
     time::Duration,
 };
 
-use acacia_catalog::{
-    Catalog,
-    route::Config,
-    server::{self, State},
-};
+use acacia_catalog::{Catalog, route::Config, server};
 use acacia_wire::collections::Map;
 
-use crate::{
-    cookie::{self, Cookie, VARIANTS},
-    silence::Detector,
-    snapshot::{Server, Snapshot, Standing},
-};
+use crate::{silence::Detector, snapshot::Snapshot};
 use foreign::Foreign;
 pub use index::Election;
 use index::Index;
+use record::Record;
 use service::{Place, Services};
 
 pub use warming::Warmup;
@@ -65,88 +60,6 @@
     }
 }
 
-/// Weight factor of a server that has just started, as its first requests take longer.
-const COLD_WEIGHT: f64 = 0.6;
-
-/// A server and what this balancer has learned of its entry.
-#[derive(Debug, Clone)]
-struct Record {
-    server: Arc<server::Server>,
-    /// Revision of the store at which its entry was created or, if the store doesn't say, was first seen
-    /// here. An entry that lapses is created anew; then it is that of the first time.
-    created: u64,
-    /// When its entry went missing.
-    missing: Option<Duration>,
-    /// Whether its entry has been missing for so long that it is no longer expected back.
-    is_expired: bool,
-    /// Whether its entry went missing as a foreign one was written in its place; see [`foreign`].
-    is_overwritten: bool,
-    /// Whether it no longer exists: it has left, or its address belongs to another server.
-    has_ended: bool,
-    /// End of its warm-up, according to its entry.
-    warm_at: Duration,
-    /// End of its warm-up if it has restarted unnoticed, as it may have.
-    suspected_until: Duration,
-    /// All its cookies.
-    cookies: [Cookie; VARIANTS as usize],
-    /// Its index in the snapshot; `None` before it was in one.
-    position: Option<u32>,
-    /// Where it stands among the servers of its service, if it takes new flows.
-    place: Option<Place>,
-    /// When it next changes by the passage of time alone.
-    deadline: Option<Duration>,
-}
-
-impl Record {
-    /// A server whose entry exists.
-    fn new(server: &Arc<server::Server>, created: u64, warm_at: Duration) -> Self {
-        Record {
-            server: Arc::clone(server),
-            created,
-            missing: None,
-            is_expired: false,
-            is_overwritten: false,
-            has_ended: false,
-            warm_at,
-            suspected_until: Duration::ZERO,
-            cookies: std::array::from_fn(|variant| Cookie::of(&server.id, variant as u32)),
-            position: None,
-            place: None,
-            deadline: None,
-        }
-    }
-
-    /// Whether it announced its departure and its entry has been removed. The removal of an entry that is not
-    /// its own says nothing of it.
-    fn has_left(&self) -> bool {
-        let is_removed = self.missing.is_some() && !self.is_overwritten;
-        is_removed && self.server.state == State::Draining
-    }
-
-    /// Records that its entry exists.
-    fn restore(&mut self) {
-        self.missing = None;
-        self.is_expired = false;
-        self.is_overwritten = false;
-    }
-
-    /// The order of servers that share a cookie; the first one keeps it. The older one may have flows with
-    /// it, and one that has ended has none.
-    ///
-    /// The order must not depend on what a balancer has seen itself. One that has just started doesn't know
-    /// the servers that have ended, and must forward open flows like the others.
-    fn rank(&self) -> (bool, u64, &Arc<str>) {
-        (self.has_ended, self.created, &self.server.id)
-    }
-
-    /// Whether the server that `entry` describes may still have the flows of this one. A server loses them
-    /// in a restart, and one that drains is never ready again.
-    fn is_continued_by(&self, entry: &server::Server) -> bool {
-        let is_ready_again = self.server.state == State::Draining && entry.state == State::Ready;
-        !self.has_ended && !is_ready_again && self.server.started_ms == entry.started_ms
-    }
-}
-
 /// The servers known to a balancer, including those that left within the lifetime of a flow.
 ///
 /// It keeps the parts of the last snapshot, and computes anew only what belongs to servers that have
@@ -496,14 +409,6 @@
         self.silent = silent;
     }
 
-    /// Until when a server that is silent keeps its flows, as it may be about to leave; `None` if it isn't
-    /// silent, or ends now.
-    fn silence_end(&self, known: &Record) -> Option<Duration> {
-        let since = self.silent.get(&known.server.id)?;
-        let drains = known.server.state == State::Draining && !known.has_left();
-        drains.then(|| *since + self.limits.draining_silence)
-    }
-
     /// Computes a server's part of the snapshot anew.
     fn refresh(&mut self, id: &Arc<str>, now: Duration) {
         let Some(known) = self.servers.get(id) else {
@@ -547,75 +452,6 @@
         self.index.set(position, server);
     }
 
-    /// When a server next changes by the passage of time alone.
-    fn deadline(&self, known: &Record, now: Duration) -> Option<Duration> {
-        self.ends(known).filter(|at| *at > now).min()
-    }
-
-    /// The times at which a server changes by the passage of time alone.
-    fn ends(&self, known: &Record) -> impl Iterator<Item = Duration> {
-        let expiry = known.missing.filter(|_| !known.is_expired);
-        let ends = [
-            expiry.map(|at| self.expiry(known, at)),
-            known.missing.map(|at| at + self.limits.known),
-            Some(known.warm_at),
-            Some(known.suspected_until),
-            self.silence_end(known),
-        ];
-        ends.into_iter().flatten()
-    }
-
-    /// Where a server stands among those of its service; `None` if it takes no new flows. The position is
-    /// filled in by the caller.
-    fn place(&self, known: &Record, standing: Standing, now: Duration) -> Option<Place> {
-        standing.takes_flows().then(|| Place {
-            service: Arc::clone(&known.server.service),
-            data_centre: Arc::clone(&known.server.data_centre),
-            hash: cookie::hash(&known.server.id),
-            position: 0,
-            slots: known.server.slots.max(1),
-            is_ready: standing == Standing::Ready,
-            is_cold: self.is_limited(known, now),
-        })
-    }
-
-    fn server(&self, known: &Record, standing: Standing, now: Duration) -> Server {
-        let server = &known.server;
-        let warmup_factor = if known.warm_at > now {
-            COLD_WEIGHT
-        } else {
-            1.0
-        };
-        Server {
-            id: Arc::clone(&server.id),
-            hash: cookie::hash(&server.id),
-            cookie: known.cookies[0],
-            tag: server.tag,
-            address: server.address,
-            service: Arc::clone(&server.service),
-            data_centre: Arc::clone(&server.data_centre),
-            standing,
-            slots: server.slots.max(1),
-            idle: None,
-            failing: false,
-            weight: f64::from(server.slots.max(1)) * warmup_factor,
-        }
-    }
-
-    /// Whether another server now has its address. The old server no longer exists then, and
-    /// packets sent there for it are not answered.
-    fn is_replaced(&self, known: &Record) -> bool {
-        let others = self.addresses.get(&known.server.address).into_iter();
-        let mut others = others.flatten().filter(|id| **id != known.server.id);
-        others.any(|id| {
-            let other = self.servers.get(id);
-            // A foreign entry may name any address.
-            let is_server =
-                |other: &Record| !known.is_overwritten || self.is_named(&other.server.service);
-            other.is_some_and(|other| other.missing.is_none() && is_server(other))
-        })
-    }
-
     /// The servers that may be examined: all known servers except those that announced their
     /// departure and have left. The latter remain known by their cookies for a while, and probing
     /// them in that time would be wasted.
@@ -655,28 +491,4 @@
             .filter(|known| known.missing.is_none());
         present.map(|known| &known.server)
     }
-
-    fn standing(&self, known: &Record, is_expired: bool, now: Duration) -> Standing {
-        let draining = known.server.state == State::Draining;
-        let evacuated = self.evacuated.contains(&known.server.data_centre);
-        let unreachable = self.lost.contains(&known.server.data_centre);
-        let is_silent = self.silent.contains_key(&known.server.id)
-            && self.silence_end(known).is_none_or(|end| end <= now);
-        if is_silent {
-            return Standing::Gone;
-        }
-        match known.missing {
-            None if draining => Standing::Draining,
-            None if unreachable => Standing::Unreachable,
-            None if evacuated => Standing::Evacuated,
-            None => Standing::Ready,
-            Some(_) if known.has_left() => Standing::Gone,
-            Some(_) if self.is_replaced(known) => Standing::Gone,
-            Some(_) if draining => Standing::Draining,
-            Some(_) if is_expired => Standing::Lost,
-            Some(_) if unreachable => Standing::Unreachable,
-            Some(_) if evacuated => Standing::Evacuated,
-            Some(_) => Standing::Missing,
-        }
-    }
 }
