Count the servers of unreachable data centres once for each message

Whether peers are told of a silent server was decided for each server anew, by counting the servers of its data centre. The large data centres are now listed once for each message and each examination. What was called the store's being away is called an outage, as elsewhere.

--- a/crates/cookie/src/roster.rs
+++ b/crates/cookie/src/roster.rs
@@ -38,7 +38,7 @@
     /// see [`lapse`]. The default is 30 s: within that time, a store that takes 1,200 writes a second has the
     /// entries of 21,000 servers back.
     pub lapse: Duration,
-    /// How long after the store was last away entries that go missing may have lapsed by that. The default is
+    /// How long after an outage of the store entries that go missing may have lapsed by it. The default is
     /// 5 s: a server that can't renew its lease loses it after three heartbeats, mostly less than 4 s.
     pub outage: Duration,
     /// How long a draining server may be silent before its flows are reset. The default is 0.5 s. When such a
@@ -94,8 +94,8 @@
     foreign: Foreign,
     index: Index,
     services: Services,
-    /// When the store was last known to be away.
-    store_away: Option<Duration>,
+    /// When the store was last known to be out of all balancers' reach.
+    last_outage: Option<Duration>,
     /// Lapses that began or ended since the last call of [`Roster::take_lapses`].
     lapses: Vec<lapse::Event>,
     /// Elections since the last call of [`Roster::take_elections`].
--- a/crates/cookie/src/roster/lapse.rs
+++ b/crates/cookie/src/roster/lapse.rs
@@ -5,7 +5,7 @@
 //! would get the flows of all. Once more slots of a service belong to servers whose entries went missing than
 //! to servers with entries, new flows therefore go to both, until no server is left that is missing.
 //!
-//! That holds only for entries that went missing with an outage: the store was away shortly before, or half of
+//! That holds only for entries that went missing with an outage: the store was out of reach shortly before, or half of
 //! all servers lost their entries at one moment, those of several services. A store that answers and
 //! removes entries otherwise has lost these servers, however many of a service they are.
 
@@ -119,15 +119,15 @@
         }
     }
 
-    /// Sets when the store was last known to be away from all balancers.
-    pub fn set_store_away(&mut self, at: Option<Duration>) {
-        self.store_away = at;
+    /// Sets when the store was last known to be out of all balancers' reach.
+    pub fn set_last_outage(&mut self, at: Option<Duration>) {
+        self.last_outage = at;
     }
 
     /// Whether entries that have just gone missing may have lapsed in an outage of the store.
     fn is_outage_likely(&self, now: Duration) -> bool {
-        let away = self.store_away;
-        away.is_some_and(|at| now <= at + self.limits.outage) || self.lost_entries_at_once(now)
+        let outage = self.last_outage;
+        outage.is_some_and(|at| now <= at + self.limits.outage) || self.lost_entries_at_once(now)
     }
 
     /// Whether half of the servers lost their entries a moment ago, and of several services.
--- a/crates/cookie/tests/it/lapse.rs
+++ b/crates/cookie/tests/it/lapse.rs
@@ -74,7 +74,7 @@
 
     /// Removes the entries of servers, as a store that comes back has lost their leases.
     fn lapse(&mut self, servers: impl IntoIterator<Item = u64>) {
-        self.roster.set_store_away(Some(ms(self.now)));
+        self.roster.set_last_outage(Some(ms(self.now)));
         self.run_out(servers);
     }
 
@@ -555,7 +555,7 @@
 #[test]
 fn entries_that_go_long_after_an_outage_are_no_lapse() {
     let mut scene = Scene::new(5);
-    scene.roster.set_store_away(Some(ms(1_000)));
+    scene.roster.set_last_outage(Some(ms(1_000)));
     scene.now = 7_000;
 
     scene.run_out(1..=4);
--- a/crates/node/src/cookie/core.rs
+++ b/crates/node/src/cookie/core.rs
@@ -137,8 +137,8 @@
     missed_change: bool,
     /// Whether the store has dropped the history after what is known here.
     history_gone: bool,
-    /// When the store last answered after nobody had heard of it for long.
-    store_away: Option<Duration>,
+    /// When an outage of the store was last known to go on.
+    last_outage: Option<Duration>,
     /// The last watch whose answer was too long to be read.
     overlong: Option<Overlong>,
     /// The read of all servers' entries that this balancer has begun, if any.
@@ -205,7 +205,7 @@
             control_is_near: false,
             missed_change: false,
             history_gone: false,
-            store_away: None,
+            last_outage: None,
             overlong: None,
             rebuild: None,
             rebuild_seen: None,
@@ -410,7 +410,7 @@
             balancers,
             ..self.warmup
         });
-        self.roster.set_store_away(self.store_away);
+        self.roster.set_last_outage(self.last_outage);
         self.roster.update(&self.catalog, now);
         for id in self.roster.take_restarted() {
             log::info!("event=server-restarted server={id}");
--- a/crates/node/src/cookie/core/changes.rs
+++ b/crates/node/src/cookie/core/changes.rs
@@ -91,7 +91,7 @@
         source: &Source,
         now: Duration,
     ) -> Outcome {
-        self.note_silence_of_store(now);
+        self.detect_store_outage(now);
         self.catalog.complete(known.position.revision);
         self.catalog.complete_operators(known.position.operators);
         self.end_rebuild_if_complete();
--- a/crates/node/src/cookie/core/examine.rs
+++ b/crates/node/src/cookie/core/examine.rs
@@ -81,9 +81,13 @@
     ) -> Outcome {
         let mut outcome = Outcome::default();
         let mut silent = Vec::new();
+        if servers.is_empty() {
+            return outcome;
+        }
+        let unreported = self.unreported_centres();
         let near = from.data_centre == self.own().data_centre;
         for server in servers {
-            if !self.roster.holds(server) || !self.shares_finding_on(server) {
+            if !self.roster.holds(server) || self.is_in_any(server, &unreported) {
                 continue;
             }
             if near {
@@ -197,7 +201,7 @@
         findings: Vec<(Arc<str>, Finding)>,
         now: Duration,
     ) -> Outcome {
-        let (mut silent, mut back, mut ended) = (Vec::new(), Vec::new(), false);
+        let (mut silent, mut back, mut any_silent) = (Vec::new(), Vec::new(), false);
         let unknown = |(_, finding): &&(Arc<str>, Finding)| *finding == Finding::Unknown;
         let unknown = findings.iter().filter(unknown);
         let unknown: Vec<Arc<str>> = unknown.map(|(server, _)| Arc::clone(server)).collect();
@@ -209,7 +213,9 @@
         for (server, finding) in &findings {
             outcome.append(self.record_path_finding(server, *finding, now));
         }
-        let lost_now = &self.paths.lost() - &lost_before;
+        // The verdict on a data centre tells peers enough of the sample that led to it.
+        let mut unreported = &self.paths.lost() - &lost_before;
+        unreported.extend(self.unreported_centres());
         for (server, finding) in findings {
             match self.detector.found(&server, finding, now) {
                 Verdict::Same => {}
@@ -221,16 +227,14 @@
                 Verdict::Silent => {
                     log::warn!("event=server-silent server={server} by=probes");
                     outcome.examine |= self.sample_data_centre_of(&server, now);
-                    ended = true;
-                    // The verdict on the data centre tells peers enough of a sample.
-                    let is_of_sample = self.is_in_any(&server, &lost_now);
-                    if !is_of_sample && self.shares_finding_on(&server) {
+                    any_silent = true;
+                    if !self.is_in_any(&server, &unreported) {
                         silent.push(server);
                     }
                 }
             }
         }
-        outcome.changed |= ended || !back.is_empty();
+        outcome.changed |= any_silent || !back.is_empty();
         outcome.outgoing.extend(
             self.messages_to_data_centre(&silent, now, |message, listed| message.silent = listed),
         );
--- a/crates/node/src/cookie/core/gossip.rs
+++ b/crates/node/src/cookie/core/gossip.rs
@@ -63,7 +63,8 @@
     /// the messages of a round.
     fn add_silent_servers(&self, outgoing: &mut [Outgoing]) {
         let found = self.detector.found_silent().into_iter();
-        let found = found.filter(|server| self.shares_finding_on(server));
+        let unreported = self.unreported_centres();
+        let found = found.filter(|server| !self.is_in_any(server, &unreported));
         let silent: Vec<_> = found.take(examine::MAX_SILENT).collect();
         // In another data centre, a report only starts a sample, so adopted verdicts may be reported there.
         let (found, known) = (self.paths.found_lost(), Vec::from_iter(self.paths.lost()));
--- a/crates/node/src/cookie/core/path.rs
+++ b/crates/node/src/cookie/core/path.rs
@@ -21,7 +21,7 @@
 const SAMPLERS: usize = 3;
 /// Number of servers up to which those of a data centre that can't be reached are reported as silent one by
 /// one: as many as are examined together.
-const MAX_SHARED: usize = silence::MAX_EXAMINED;
+const MAX_REPORTED: usize = silence::MAX_EXAMINED;
 /// How long before a sample an answer of a server still counts.
 const SAMPLE_TRUST: Duration = Duration::from_millis(300);
 
@@ -38,18 +38,16 @@
         known.is_some_and(|known| self.paths.is_lost(&known.data_centre))
     }
 
-    /// Whether peers are told that this server is silent. Of a large data centre that can't be reached they
-    /// aren't, as reports on thousands of servers would be examined and passed on by everybody.
-    pub(super) fn shares_finding_on(&self, server: &str) -> bool {
-        let Some(known) = self.roster.get(server) else {
-            return false;
-        };
-        if !self.paths.is_lost(&known.data_centre) {
-            return true;
-        }
-        let others = self.roster.present();
-        let others = others.filter(|other| other.data_centre == known.data_centre);
-        others.take(MAX_SHARED + 1).count() <= MAX_SHARED
+    /// The data centres that can't be reached and are too large for reports on their single servers: everybody
+    /// would examine and pass on thousands.
+    pub(super) fn unreported_centres(&self) -> BTreeSet<Arc<str>> {
+        let mut lost = self.paths.lost();
+        lost.retain(|centre| {
+            let servers = self.roster.present();
+            let servers = servers.filter(|server| server.data_centre == *centre);
+            servers.take(MAX_REPORTED + 1).count() > MAX_REPORTED
+        });
+        lost
     }
 
     /// The number of servers that are silent or in a data centre that can't be reached.
--- a/crates/node/src/cookie/core/store.rs
+++ b/crates/node/src/cookie/core/store.rs
@@ -201,20 +201,20 @@
         }
     }
 
-    /// Records that the store was away until now, if nobody has told of it for longer than the reader, or this
+    /// Records an outage of the store until now, if nobody has told of it for longer than the reader, or this
     /// balancer in its place, takes to ask it. A failed call alone is no sign of that: others may reach the store.
-    pub(super) fn note_silence_of_store(&mut self, now: Duration) {
+    pub(super) fn detect_store_outage(&mut self, now: Duration) {
         let timing = self.schedule.timing();
         let longest = timing.max_age + 2 * timing.jitter;
         let fresh = self.schedule.fresh_until();
         if fresh.is_some_and(|fresh| now > fresh + longest) {
-            self.store_away = Some(now);
+            self.last_outage = Some(now);
         }
     }
 
     /// Logs that the store answers again, and notes for how long it didn't.
     pub(super) fn record_store_answer(&mut self, now: Duration) {
-        self.note_silence_of_store(now);
+        self.detect_store_outage(now);
         if !self.schedule.is_store_reachable() {
             let revision = self.catalog.revision();
             log::info!("event=store-regained revision={revision}");
