--- a/crates/soak/tests/it/foreign.rs
+++ b/crates/soak/tests/it/foreign.rs
@@ -1,8 +1,11 @@
 //! Entries at servers' keys that another writer has written.
 
-use std::time::Duration;
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
-use acacia_adapter_stand::caller::End;
+use acacia_adapter_stand::{caller::End, host};
 use acacia_soak::fleet::Fleet;
 use rstest::rstest;
 use tokio::time::sleep;
@@ -13,19 +16,23 @@
 const SERVER: u8 = 0;
 
 /// An entry with all fields, of a service that no configuration names, with an address at which nothing listens.
-const UNNAMED: &[u8] =
-    br#"{"service": "elsewhere", "address": "127.0.0.1:9", "zone": "a", "version": "v1",
-    "slots": 2, "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1}"#;
-const UNREADABLE: &[u8] = br#"{"state": "resting"}"#;
+fn unnamed() -> Vec<u8> {
+    let nobody = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9);
+    host::entry(nobody, "elsewhere", "a", "ready")
+}
+
+fn unreadable() -> Vec<u8> {
+    b"{}".into()
+}
 
 /// Guards against resets of a living server's open flows while another writer's entry stands at its key.
 #[rstest]
-#[case::ready_and_unnamed("ready", UNNAMED)]
-#[case::ready_and_unreadable("ready", UNREADABLE)]
-#[case::draining_and_unnamed("draining", UNNAMED)]
-#[case::draining_and_unreadable("draining", UNREADABLE)]
+#[case::ready_and_unnamed("ready", unnamed())]
+#[case::ready_and_unreadable("ready", unreadable())]
+#[case::draining_and_unnamed("draining", unnamed())]
+#[case::draining_and_unreadable("draining", unreadable())]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_foreign_entry_breaks_no_open_flow(#[case] state: &'static str, #[case] entry: &[u8]) {
+async fn a_foreign_entry_breaks_no_open_flow(#[case] state: &'static str, #[case] entry: Vec<u8>) {
     let mut fleet = Fleet::start(3, 1, WORK).await.expect("a deployment");
     let mut flows = Vec::new();
     for number in 0..8 {
@@ -37,7 +44,7 @@
     sleep(Duration::from_millis(300)).await;
 
     let id = fleet.servers[&SERVER].id.clone();
-    fleet.store.announce(&id, entry);
+    fleet.store.announce(&id, &entry);
     sleep(Duration::from_millis(300)).await;
     let mut ends = Vec::new();
     for (number, (caller, flow)) in flows.iter_mut().enumerate() {
