--- a/crates/soak/tests/it/seeds.rs
+++ b/crates/soak/tests/it/seeds.rs
@@ -29,3 +29,24 @@
     );
     assert!(report.tally.count("answered") > 200, "{:?}", report.tally);
 }
+
+/// Guards against resets of a draining server's open flows as its entry lapses with all others in an outage of
+/// the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_server_whose_entry_lapses_keeps_its_flows() {
+    let plan = Plan {
+        mesh: 4,
+        load: 2,
+        ..Plan::usual(61_007)
+    };
+
+    let report = play(plan).await.expect("a deployment that starts");
+
+    assert!(
+        report.breaches.is_empty(),
+        "{:?}\n{:?}\n{}",
+        report.breaches,
+        report.faults,
+        report.logs.join("\n")
+    );
+}
