--- a/crates/code/src/list.rs
+++ b/crates/code/src/list.rs
@@ -67,7 +67,7 @@
     38 PlatformHistoryGone "platform-history-gone": "The store no longer holds the requested history; all data is read again."; "Nothing unless the rate rises".
     39 PlatformMalformed "platform-malformed": "A response from the platform can't be parsed."; "Check which service answers at the platform's address".
     40 PlatformUnsupported "platform-unsupported": "The platform does not support a call."; "Check that the settings name the right kind of platform".
-    41 EntryMalformed "entry-malformed": "An entry in the store can't be parsed; it names no server, and the other entries stay valid."; "Find out what wrote the entry named in the log line".
+    41 EntryMalformed "entry-malformed": "An entry in the store can't be parsed, or stands at a server's key and is of a service that no configuration has named; what was known of the server holds."; "Find out what wrote the entry named in the log line".
     42 ObjectiveAbsurd "objective-absurd": "A route's latency objective or priority is invalid; the route applies without it."; "Correct the route named in the log line".
     43 WarmupAbsurd "warmup-absurd": "A service's warm-up configuration for newly started servers is invalid; the service applies without a warm-up limit."; "Correct the service named in the log line".
     44 TablesUndecodable "tables-undecodable": "The bucket tables in the platform's store can't be decoded."; "Remove the key acaciatrack/tables; the balancers rewrite it from the tables in force".
