--- a/crates/node/tests/it/cookie/priming.rs
+++ b/crates/node/tests/it/cookie/priming.rs
@@ -64,11 +64,12 @@
         }
     }
 
-    /// A serializable read, each page of which is as of the next one of `revisions`.
-    fn read(&self, revisions: &[u64]) -> Range {
+    /// A serializable read whose pages are as many revisions old as `ages` tells, in turn.
+    fn read(&self, ages: &[u64]) -> Range {
         let (mut range, mut after) = (Range::default(), None);
-        for revision in revisions.iter().cycle() {
-            let page = self.page(after, self.revision() - revision % (self.revision() + 1));
+        for age in ages.iter().cycle() {
+            let revision = self.revision() - age % (self.revision() + 1);
+            let page = self.page(after, revision);
             let last = range.push(page, Consistency::Serializable);
             after = last.map(|key| key.parse().expect("a number"));
             if after.is_none() {
